--- /dev/null
+++ b/pomelopass/batchstate.py
@@ -0,0 +1,43 @@
+"""Hold what the holder of the batches duty keeps in memory."""
+
+import asyncio
+import dataclasses
+
+from . import published
+from .core import batch
+from .core import fairness
+
+__all__ = ['BatchesState', 'OpenStep']
+
+
+@dataclasses.dataclass(slots=True)
+class OpenStep:
+    """Pair the work of a step with the row that asked for it."""
+
+    batch: batch.BatchState
+    ask_object: str
+    ask_version: int
+    carry_version: int
+
+
+@dataclasses.dataclass(slots=True)
+class BatchesState:
+    """Hold open steps by trainer, in the order of the steps."""
+
+    duty: str
+    pool: str
+    fairness: fairness.FairnessState
+    steps_by_trainer: dict[str, dict[int, OpenStep]] = dataclasses.field(
+        default_factory=dict
+    )
+    published_by_trainer: dict[str, published.Published] = dataclasses.field(
+        default_factory=dict
+    )
+    carried_by_trainer: dict[str, list[batch.GroupState]] = dataclasses.field(
+        default_factory=dict
+    )
+    attempt_tasks: dict[str, asyncio.Task] = dataclasses.field(
+        default_factory=dict
+    )
+    last_attempt: int = 0
+    last_look_ms: float = float('-inf')
--- /dev/null
+++ b/pomelopass/callerwork.py
@@ -0,0 +1,128 @@
+"""Turn a caller's request into work for a pool."""
+
+import xxhash
+
+from . import context as contexts
+from . import message
+from . import work
+from .core import affinity
+from .core import length
+from .core import refusal
+from .kinds import service
+
+__all__ = ['get_service', 'make_work', 'note_end']
+
+CALLER_HEADER = 'x-caller'
+ANONYMOUS = 'anonymous'
+
+
+def get_service(
+    context: contexts.Context, name: str, kind: str
+) -> service.Service:
+    """Return a service of the kind; raise Refused."""
+    if context.configuration is None:
+        raise work.Refused(
+            refusal.Refusal(
+                refusal.Code.NOT_READY,
+                'No configuration is in force here yet.',
+                retry_after_ms=1000,
+            )
+        )
+    found = context.configuration.services.get(name)
+    if found is None or found.kind != kind:
+        detail = f'No {kind} service is named {name!r}.'
+        raise work.Refused(
+            refusal.Refusal(refusal.Code.UNKNOWN_SERVICE, detail)
+        )
+    return found
+
+
+def make_work(
+    context: contexts.Context,
+    request: message.Request,
+    name: str,
+    target: str,
+    body: bytes,
+    shape: str,
+    prompt: str,
+    limit: float | None,
+) -> work.Work:
+    """Return the work for a request of a service."""
+    found = context.configuration.services[name]
+    state = contexts.get_pool_state(context, found.pool)
+    headers = request.headers
+    now_ms = context.ports.clock.now_ms()
+    repeatable = found.repeatable and not _is_tightened(headers)
+    return work.Work(
+        id=contexts.make_id(context),
+        service=name,
+        pool=found.pool,
+        caller=message.find_header(headers, CALLER_HEADER) or ANONYMOUS,
+        target=target,
+        method=request.method,
+        headers=headers,
+        body=body,
+        repeatable=repeatable,
+        is_retry=message.find_header(headers, 'x-retry-attempt') is not None,
+        priority=found.priority,
+        deadline_ms=now_ms + _get_timeout_ms(headers, found.timeout_ms),
+        fingerprint=get_fingerprint(name, request.method, target, body),
+        shape=shape,
+        prefix=affinity.get_prefix(prompt),
+        units=length.estimate(state.lengths, shape, limit),
+        key=_get_key(headers, repeatable),
+    )
+
+
+def get_fingerprint(name: str, method: str, target: str, body: bytes) -> str:
+    """Return the name of the content of a request."""
+    digest = xxhash.xxh3_128(f'{name}\0{method}\0{target}\0'.encode())
+    digest.update(body)
+    return digest.hexdigest()
+
+
+def note_end(context: contexts.Context, item: work.Work, outcome: str) -> None:
+    """Count a request that has ended."""
+    labels = {'service': item.service, 'outcome': outcome}
+    context.metrics.requests.inc(labels)
+    contexts.note(context, 'request-ended', item.id, outcome)
+
+
+def _is_tightened(headers: message.Headers) -> bool:
+    value = message.find_header(headers, 'x-repeatable')
+    return value is not None and value.lower() in ('false', 'no', '0')
+
+
+def _get_timeout_ms(headers: message.Headers, limit_ms: int) -> float:
+    value = message.find_header(headers, 'x-timeout-ms')
+    if value is None:
+        return limit_ms
+    if not value.isdecimal() or int(value) < 1:
+        raise work.Refused(
+            refusal.Refusal(
+                refusal.Code.BAD_REQUEST,
+                'X-Timeout-Ms must be a whole number from 1.',
+            )
+        )
+    return min(limit_ms, int(value))
+
+
+def _get_key(headers: message.Headers, repeatable: bool) -> str | None:
+    if repeatable:
+        return None
+    key = message.find_header(headers, 'idempotency-key')
+    if key is None:
+        raise work.Refused(
+            refusal.Refusal(
+                refusal.Code.KEY_REQUIRED,
+                'Send Idempotency-Key, or get a key from /idempotency-keys.',
+            )
+        )
+    if not 1 <= len(key) <= 200 or '/' in key or not key.isprintable():
+        raise work.Refused(
+            refusal.Refusal(
+                refusal.Code.KEY_INVALID,
+                'A key has 1 to 200 characters without "/".',
+            )
+        )
+    return key
--- /dev/null
+++ b/pomelopass/claimflow.py
@@ -0,0 +1,169 @@
+"""Carry a non-repeatable request through claim, dispatch and replay."""
+
+import json
+
+from returns import result
+
+from . import claimwriter
+from . import context as contexts
+from . import message
+from . import work
+from .core import claimreply
+from .core import claims
+from .core import refusal
+from .core import verdict
+from .wire.gen.peer import ttypes
+
+__all__ = ['begin', 'note_dispatched', 'note_requeued', 'settle']
+
+
+async def begin(
+    context: contexts.Context, item: work.Work
+) -> message.Reply | None:
+    """Return a kept reply, or None when this instance must run it."""
+    now_ms = context.ports.clock.now_ms()
+    admission = claims.admit(
+        context.claims, item.key, item.fingerprint, now_ms
+    )
+    if admission.step == claims.Step.WRITE_CLAIM:
+        admission = await _write_claim(context, item)
+    if admission.step == claims.Step.ASK_OWNER:
+        admission = await _ask_owner(context, item, admission.owner)
+    if admission.step == claims.Step.REFUSE:
+        raise work.Refused(admission.refusal)
+    if admission.step == claims.Step.REPLAY:
+        return _make_reply(admission.reply)
+    return None
+
+
+def note_dispatched(context: contexts.Context, item: work.Work) -> None:
+    """Mark the key just before the first byte; raise Refused."""
+    if item.key is None:
+        return
+    if not claims.note_dispatched(context.claims, item.key):
+        raise work.Refused(
+            refusal.Refusal(
+                refusal.Code.KEY_RELEASED,
+                'The key was given up before it ran. Use a new key.',
+                verdict.get_overall_verdict(item.verdicts),
+            )
+        )
+
+
+def note_requeued(context: contexts.Context, item: work.Work) -> None:
+    """Own the key again before another attempt."""
+    if item.key is not None:
+        claims.note_requeued(context.claims, item.key)
+
+
+def settle(
+    context: contexts.Context,
+    item: work.Work,
+    reply: message.Reply | None,
+    outcome: verdict.Verdict,
+) -> None:
+    """Record how the request of a key has ended."""
+    now_ms = context.ports.clock.now_ms()
+    if reply is not None:
+        recorded = claimreply.RecordedReply(
+            reply.status, reply.headers, reply.body
+        )
+        claims.note_done(context.claims, item.key, recorded, now_ms)
+    elif outcome == verdict.Verdict.NOT_RUN:
+        claims.note_undispatched(context.claims, item.key, now_ms)
+    else:
+        claims.note_failed(context.claims, item.key, now_ms)
+
+
+async def _write_claim(
+    context: contexts.Context, item: work.Work, old_version: int = 0
+) -> claims.Admission:
+    claim = context.claims.by_key[item.key]
+    value = json.dumps({'token': claim.token, 'fingerprint': item.fingerprint})
+    outcome = await claimwriter.write(
+        context, get_row_key(item), old_version, value
+    )
+    if isinstance(outcome, result.Failure):
+        return claims.note_store_unavailable(context.claims, item.key)
+    row = json.loads(outcome.unwrap().value)
+    if row['fingerprint'] != item.fingerprint:
+        claims.forget(context.claims, item.key)
+        raise work.Refused(
+            refusal.Refusal(
+                refusal.Code.KEY_REUSED,
+                'The key was used for another request.',
+            )
+        )
+    now_ms = context.ports.clock.now_ms()
+    return claims.note_row(context.claims, item.key, row['token'], now_ms)
+
+
+async def _ask_owner(
+    context: contexts.Context, item: work.Work, owner: str
+) -> claims.Admission:
+    view = context.peers.by_incarnation.get(owner)
+    answer = None
+    if view is not None:
+        answer = await context.ports.peers.ask_claim(
+            view.peer_address, item.key, item.fingerprint
+        )
+    if answer is None:
+        claims.forget(context.claims, item.key)
+        return _refuse(refusal.Code.KEY_OWNER_LOST, _may_have_run())
+    if answer.state == ttypes.ClaimState.DONE:
+        claims.forget(context.claims, item.key)
+        reply = _read_recorded(answer.reply)
+        return claims.Admission(claims.Step.REPLAY, reply=reply)
+    if answer.state == ttypes.ClaimState.KEY_REUSED:
+        claims.forget(context.claims, item.key)
+        return _refuse(refusal.Code.KEY_REUSED, verdict.Verdict.NOT_RUN)
+    if answer.state == ttypes.ClaimState.NEVER_DISPATCHED:
+        return await _take_over(context, item, owner)
+    claims.forget(context.claims, item.key)
+    return _refuse(refusal.Code.KEY_IN_PROGRESS, _may_have_run())
+
+
+async def _take_over(
+    context: contexts.Context, item: work.Work, owner: str
+) -> claims.Admission:
+    if item.key not in context.claims.by_key:
+        return _refuse(refusal.Code.KEY_RELEASED, verdict.Verdict.NOT_RUN)
+    found = await context.ports.table.get(get_row_key(item))
+    row = found.value_or(None)
+    if row is None:
+        return claims.note_store_unavailable(context.claims, item.key)
+    if json.loads(row.value)['token'].partition('/')[0] != owner:
+        claims.forget(context.claims, item.key)
+        return _refuse(refusal.Code.KEY_IN_PROGRESS, _may_have_run())
+    admission = await _write_claim(context, item, row.version)
+    if admission.step == claims.Step.ASK_OWNER:
+        claims.forget(context.claims, item.key)
+        return _refuse(refusal.Code.KEY_IN_PROGRESS, _may_have_run())
+    return admission
+
+
+def get_row_key(item: work.Work) -> str:
+    """Return the key of the claim row of a request."""
+    return f'claim/{item.service}/{item.key}'
+
+
+def _may_have_run() -> verdict.Verdict:
+    return verdict.Verdict.MAY_HAVE_RUN
+
+
+def _refuse(code: refusal.Code, outcome: verdict.Verdict) -> claims.Admission:
+    detail = f'Another instance has the key: {code}.'
+    reason = refusal.Refusal(code, detail, outcome, claims.RETRY_AFTER_MS)
+    return claims.Admission(claims.Step.REFUSE, refusal=reason)
+
+
+def _make_reply(recorded: claimreply.RecordedReply) -> message.Reply:
+    headers = (*recorded.headers, ('idempotency-replayed', 'true'))
+    return message.Reply(recorded.status, headers, recorded.body)
+
+
+def _read_recorded(
+    reply: ttypes.RecordedReply,
+) -> claimreply.RecordedReply:
+    headers = tuple((one.name, one.value) for one in reply.headers)
+    return claimreply.RecordedReply(reply.status, headers, reply.body)
--- /dev/null
+++ b/pomelopass/cmdline.py
@@ -0,0 +1,56 @@
+"""Run the command-line tool of operators."""
+
+import dataclasses
+from typing import Annotated
+
+import cappa
+
+from . import command
+from .commands import config
+from .commands import explain
+from .commands import status
+from .commands import timeline
+
+__all__ = ['main']
+
+
+@cappa.command(name='pomelopass', help='Operate pomelopass.')
+@dataclasses.dataclass
+class Tool:
+    """Hold where to find an instance and what to do."""
+
+    action: cappa.Subcommands[
+        config.Config | status.Status | timeline.Timeline | explain.Explain
+    ]
+    instance: Annotated[
+        str,
+        cappa.Arg(
+            long=True,
+            default=cappa.Env('POMELOPASS_INSTANCE', default=''),
+            help='Operator address of any instance, as IP:PORT.',
+        ),
+    ] = ''
+    token_file: Annotated[
+        str,
+        cappa.Arg(
+            long=True,
+            default=cappa.Env('POMELOPASS_TOKEN_FILE', default=''),
+            help='File with the operator token.',
+        ),
+    ] = ''
+
+
+def main() -> None:
+    """Parse the arguments and run the command."""
+    tool = cappa.parse(Tool, completion=False)
+    access = None
+    offline = isinstance(tool.action, config.Config) and isinstance(
+        tool.action.action, config.Check
+    )
+    if not offline:
+        access = command.make_access(tool.instance, tool.token_file)
+    try:
+        tool.action.run(access)
+    except cappa.Exit as error:
+        cappa.Output().exit(error, '')
+        raise SystemExit(error.code) from None
--- /dev/null
+++ b/pomelopass/command.py
@@ -0,0 +1,122 @@
+"""Define what commands share: the calls to instances and their errors."""
+
+import asyncio
+import dataclasses
+import json
+import pathlib
+import sys
+from typing import Any
+
+import cappa
+
+from . import message
+from .edges import httpclient
+
+__all__ = ['Access', 'CommandError', 'call', 'call_all', 'find_instances']
+
+TIMEOUT_MS = 5000
+MAX_REPLY_BYTES = 268_435_456
+FAILED_STATUS = 1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Access:
+    """Hold where an instance listens for operators and their token."""
+
+    address: str
+    token: str
+
+
+class CommandError(cappa.Exit):
+    """End the tool with a message on standard error."""
+
+    def __init__(self, text: str):
+        super().__init__(text, code=FAILED_STATUS)
+
+
+def make_access(address: str, token_file: str) -> Access:
+    """Return the access that the arguments describe."""
+    try:
+        token = pathlib.Path(token_file).read_text(encoding='utf-8')
+    except OSError as error:
+        raise CommandError(
+            f'The token file cannot be read: {error}.'
+        ) from None
+    return Access(address, token.strip())
+
+
+def call(
+    access: Access, method: str, target: str, value: object = None
+) -> Any:
+    """Return the JSON answer of one instance; raise CommandError."""
+    status, body = asyncio.run(_call(access, method, target, value))
+    if status != 200:
+        raise CommandError(format_refusal(body))
+    return body
+
+
+def call_all(accesses: list[Access], target: str) -> list[tuple[Access, Any]]:
+    """Return the answers of many instances; None where none came."""
+    return asyncio.run(_call_all(accesses, target))
+
+
+def find_instances(access: Access) -> list[Access]:
+    """Return the access to an instance and to all its live peers."""
+    status = call(access, 'GET', '/status')
+    others = [
+        Access(one['operator_address'], access.token)
+        for one in status['peers']
+    ]
+    return [access, *others]
+
+
+def format_refusal(body: Any) -> str:
+    """Return a refusal as lines of text."""
+    if not isinstance(body, dict) or 'code' not in body:
+        return f'The instance answered: {body}'
+    lines = [f'{body["code"]}: {body["detail"]}']
+    lines.append(f'verdict: {body["verdict"]}')
+    for one in body.get('problems', []):
+        line = f'line {one["line"]}: {one["path"]}: {one["code"]}'
+        line += f': {one["detail"]}'
+        if one['nearest']:
+            line += f' Nearest valid name: {one["nearest"]}.'
+        lines.append(line)
+    return '\n'.join(lines)
+
+
+def print_json(value: object) -> None:
+    """Print a value as JSON."""
+    json.dump(value, sys.stdout, indent=2)
+    print()
+
+
+async def _call(
+    access: Access, method: str, target: str, value: object
+) -> tuple[int, Any]:
+    client = httpclient.HttpClient()
+    body = b'' if value is None else json.dumps(value).encode()
+    headers = (('authorization', f'Bearer {access.token}'),)
+    request = message.Request(method, target, headers, body)
+    try:
+        reply = await client.open(access.address, request, TIMEOUT_MS)
+        data = await reply.read(MAX_REPLY_BYTES)
+        return reply.status, json.loads(data)
+    except message.ExchangeError as error:
+        text = f'{access.address} does not answer: {error.kind}.'
+        raise CommandError(text) from None
+    finally:
+        await client.close()
+
+
+async def _call_all(
+    accesses: list[Access], target: str
+) -> list[tuple[Access, Any]]:
+    answers = await asyncio.gather(
+        *(_call(one, 'GET', target, None) for one in accesses),
+        return_exceptions=True,
+    )
+    return [
+        (one, answer[1] if isinstance(answer, tuple) else None)
+        for one, answer in zip(accesses, answers, strict=True)
+    ]
--- /dev/null
+++ b/pomelopass/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Hold one command of the command-line tool per file."""
--- /dev/null
+++ b/pomelopass/commands/explain.py
@@ -0,0 +1,33 @@
+"""Show what was decided for one request, sample or batch."""
+
+import dataclasses
+from typing import Annotated
+from urllib import parse
+
+import cappa
+
+from .. import command
+from . import timeline
+
+__all__ = ['Explain']
+
+
+@cappa.command(name='explain', help='Show what was decided and why.')
+@dataclasses.dataclass
+class Explain:
+    """Hold the arguments of the command."""
+
+    subject: Annotated[
+        str, cappa.Arg(help='Id of a request, a sample or a batch.')
+    ]
+
+    def run(self, access: command.Access) -> None:
+        """Print the events of the subject on all instances."""
+        target = f'/explain/{parse.quote(self.subject, safe="")}'
+        accesses = command.find_instances(access)
+        events = timeline.collect(accesses, target)
+        if not events:
+            text = f'No instance remembers {self.subject!r}.'
+            raise command.CommandError(text)
+        for one in events:
+            print(timeline.format_event(one))
--- /dev/null
+++ b/pomelopass/context.py
@@ -0,0 +1,150 @@
+"""Hold the whole state of one instance."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import abc
+import dataclasses
+import random
+
+from . import configuration
+from . import metrics
+from . import policy
+from . import poolstate
+from . import ports
+from . import settings
+from .core import admission
+from .core import adoption
+from .core import claims
+from .core import decisions
+from .core import lease
+from .core import membership
+from .core import news
+from .core import peers
+from .core import quarantine
+from .core import stopping
+from .core import tablerow
+
+__all__ = ['Context', 'get_pool_state', 'note', 'share_news']
+
+
+@dataclasses.dataclass(slots=True)
+class Context:
+    """Bundle settings, ports and state; nothing is kept outside."""
+
+    settings: settings.Settings
+    ports: ports.Ports
+    incarnation: str
+    log: decisions.EventLog
+    claims: claims.ClaimBook
+    metrics: metrics.Metrics
+    configuration: configuration.Configuration | None = None
+    configuration_text: str = ''
+    adoption: adoption.AdoptionState = dataclasses.field(
+        default_factory=adoption.AdoptionState
+    )
+    membership: membership.MembershipState = dataclasses.field(
+        default_factory=membership.MembershipState
+    )
+    entries: tuple[ports.EntryAddress, ...] = ()
+    peers: peers.PeerState = dataclasses.field(default_factory=peers.PeerState)
+    news: news.NewsState = dataclasses.field(default_factory=news.NewsState)
+    quarantine: quarantine.QuarantineState = dataclasses.field(
+        default_factory=quarantine.QuarantineState
+    )
+    stopping: stopping.StopState = dataclasses.field(
+        default_factory=stopping.StopState
+    )
+    pool_by_name: dict[str, poolstate.PoolState] = dataclasses.field(
+        default_factory=dict
+    )
+    lease_by_duty: dict[str, lease.LeaseState] = dataclasses.field(
+        default_factory=dict
+    )
+    fence_version_by_duty: dict[str, int] = dataclasses.field(
+        default_factory=dict
+    )
+    loaded_by_endpoint: dict[str, dict[str, int]] = dataclasses.field(
+        default_factory=dict
+    )
+    lease_row_by_duty: dict[str, tablerow.Row] = dataclasses.field(
+        default_factory=dict
+    )
+    duty_tasks: dict[str, asyncio.Task] = dataclasses.field(
+        default_factory=dict
+    )
+    claim_queue: list = dataclasses.field(default_factory=list)
+    work_in_flight: int = 0
+    last_number: int = 0
+    tasks: set[asyncio.Task] = dataclasses.field(default_factory=set)
+    wake_config: asyncio.Event = dataclasses.field(
+        default_factory=asyncio.Event
+    )
+    caller_address: str = ''
+    peer_address: str = ''
+    operator_address: str = ''
+    operator_token: str = ''
+    tell_peers: abc.Callable[[], abc.Awaitable[None]] | None = None
+
+
+def make_id(context: Context) -> str:
+    """Return an id that no other incarnation makes."""
+    context.last_number += 1
+    return f'{context.incarnation}-{context.last_number}'
+
+
+def note(context: Context, kind: str, subject: str, detail: str) -> None:
+    """Put an event on the time line and into the log."""
+    event = decisions.add(
+        context.log, kind, subject, detail, context.ports.clock.utc_ms()
+    )
+    fields = {'subject': event.subject, 'detail': event.detail}
+    context.ports.write_event(kind, fields)
+
+
+def spawn(context: Context, coroutine) -> asyncio.Task:
+    """Start a task that the instance keeps until it ends."""
+    task = asyncio.ensure_future(coroutine)
+    context.tasks.add(task)
+    task.add_done_callback(context.tasks.discard)
+    return task
+
+
+def share_news(
+    context: Context, kind: str, key: str, value: str, ttl_ms: float
+) -> bool:
+    """Put a fact into the next digests to peers."""
+    expires_at_ms = context.ports.clock.now_ms() + ttl_ms
+    item = news.Item(kind, key, value, expires_at_ms)
+    return news.add(context.news, item)
+
+
+def get_pool_state(context: Context, name: str) -> poolstate.PoolState:
+    """Return the state of a pool that the configuration names."""
+    state = context.pool_by_name.get(name)
+    pool = context.configuration.pools[name]
+    limits = admission.Limits(pool.queue_limit, 1, 1)
+    if state is None:
+        rng = random.Random(context.ports.rng.random())
+        state = poolstate.PoolState(
+            name,
+            policy.get_policy_by_name(pool.policy, rng),
+            admission.AdmissionState(limits),
+        )
+        context.pool_by_name[name] = state
+    return state
+
+
+def count_live_entries(context: Context) -> int:
+    """Return how many accepting instances share the endpoints."""
+    now_ms = context.ports.clock.now_ms()
+    live = peers.find_live(context.peers, now_ms)
+    others = sum(1 for one in live if one.accepting)
+    return others + 1
+
+
+def forget_peers(context: Context) -> None:
+    """Forget instances that were not heard of for long."""
+    now_ms = context.ports.clock.now_ms()
+    for incarnation in peers.forget_old(context.peers, now_ms):
+        news.forget_peer(context.news, incarnation)
--- /dev/null
+++ b/pomelopass/core/__init__.py
@@ -0,0 +1,1 @@
+"""Decide without input or output: plain functions over data classes."""
--- /dev/null
+++ b/pomelopass/core/decisions.py
@@ -0,0 +1,53 @@
+"""Keep the last events of an instance for operators."""
+
+import collections
+import dataclasses
+
+__all__ = ['Event', 'EventLog', 'add', 'find_by_subject']
+
+MAX_EVENTS = 4096
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Event:
+    """Hold one event; order counts events with the same time."""
+
+    utc_ms: float
+    order: int
+    process: str
+    kind: str
+    subject: str
+    detail: str
+
+
+@dataclasses.dataclass(slots=True)
+class EventLog:
+    """Hold the last events; the clock never runs behind its peers."""
+
+    process: str
+    clock_ms: float = 0.0
+    order: int = 0
+    events: collections.deque[Event] = dataclasses.field(
+        default_factory=lambda: collections.deque(maxlen=MAX_EVENTS)
+    )
+
+
+def note_clock(log: EventLog, utc_ms: float) -> None:
+    """Move the clock up to that of a peer, so that causes come first."""
+    log.clock_ms = max(log.clock_ms, utc_ms)
+
+
+def add(
+    log: EventLog, kind: str, subject: str, detail: str, utc_ms: float
+) -> Event:
+    """Append an event."""
+    note_clock(log, utc_ms)
+    log.order += 1
+    event = Event(log.clock_ms, log.order, log.process, kind, subject, detail)
+    log.events.append(event)
+    return event
+
+
+def find_by_subject(log: EventLog, subject: str) -> list[Event]:
+    """Return the events of a request, sample or other subject."""
+    return [one for one in log.events if one.subject == subject]
--- /dev/null
+++ b/pomelopass/core/ejection.py
@@ -0,0 +1,87 @@
+"""Keep slow and failing endpoints out of rotation for a while."""
+
+import math
+import statistics
+
+from . import health
+
+__all__ = ['is_in_rotation', 'note_probe_sent', 'review']
+
+SLOW_FACTOR = 3.0
+EJECT_MS = 5000
+EJECT_MAX_MS = 40_000
+MAX_EJECTED_SHARE = 0.34
+FAILURES_TO_EJECT = 3
+
+
+def review(
+    by_key: dict[str, health.EndpointHealth], now_ms: float
+) -> list[str]:
+    """Eject endpoints far slower than the median; return their keys.
+
+    When all are slow at once the median is slow as well, and none is
+    ejected. The cap holds in any case.
+    """
+    paces = {
+        key: health.get_slowness(one, now_ms)
+        for key, one in by_key.items()
+        if one.samples + len(one.started_by_request) > 0
+    }
+    known = [pace for pace in paces.values() if pace > 0]
+    typical = statistics.median_low(known) if len(known) > 1 else math.inf
+    ejected = []
+    for key in sorted(paces, key=paces.__getitem__, reverse=True):
+        one = by_key[key]
+        if not _is_bad(one, paces[key], typical):
+            continue
+        if one.ejected_until_ms > now_ms or not _has_room(by_key, now_ms):
+            continue
+        _eject(one, now_ms)
+        ejected.append(key)
+    return ejected
+
+
+def is_in_rotation(one: health.EndpointHealth, now_ms: float) -> bool:
+    """Say whether the endpoint takes work; after a spell, one probe."""
+    if one.ejected_until_ms > now_ms:
+        return False
+    if one.ejections_in_row > 0:
+        return not one.probing
+    return True
+
+
+def note_probe_sent(one: health.EndpointHealth) -> None:
+    """Allow no second request before the probe has ended."""
+    if one.ejections_in_row > 0:
+        one.probing = True
+
+
+def note_result(
+    one: health.EndpointHealth, succeeded: bool, pace_ok: bool
+) -> None:
+    """End a probe and put the endpoint back when it did well."""
+    if not one.probing:
+        return
+    one.probing = False
+    if succeeded and pace_ok:
+        one.ejections_in_row = 0
+        one.failures_in_row = 0
+        one.samples = 0
+
+
+def _is_bad(one: health.EndpointHealth, pace: float, typical: float) -> bool:
+    if one.failures_in_row >= FAILURES_TO_EJECT:
+        return True
+    return pace > SLOW_FACTOR * typical
+
+
+def _has_room(by_key: dict[str, health.EndpointHealth], now_ms: float) -> bool:
+    out = sum(1 for one in by_key.values() if one.ejected_until_ms > now_ms)
+    return out + 1 <= max(1, int(MAX_EJECTED_SHARE * len(by_key)))
+
+
+def _eject(one: health.EndpointHealth, now_ms: float) -> None:
+    one.ejections_in_row += 1
+    spell_ms = EJECT_MS * 2 ** (one.ejections_in_row - 1)
+    one.ejected_until_ms = now_ms + min(spell_ms, EJECT_MAX_MS)
+    one.probing = False
--- /dev/null
+++ b/pomelopass/core/fairness.py
@@ -0,0 +1,46 @@
+"""Share the slots of a pool between trainers by weight."""
+
+import dataclasses
+
+__all__ = ['FairnessState', 'charge', 'pick']
+
+
+@dataclasses.dataclass(slots=True)
+class FairnessState:
+    """Hold the work that each trainer got, divided by its share."""
+
+    share_by_trainer: dict[str, float]
+    used_by_trainer: dict[str, float] = dataclasses.field(default_factory=dict)
+    active: set[str] = dataclasses.field(default_factory=set)
+
+
+def pick(state: FairnessState, ready: set[str]) -> str | None:
+    """Return the trainer that is furthest behind its share.
+
+    A trainer that was idle starts level with the others: unused share
+    goes to them and is not paid back.
+    """
+    if not ready:
+        return None
+    _level_newcomers(state, ready)
+    state.active = set(ready)
+    return min(sorted(ready), key=lambda name: state.used_by_trainer[name])
+
+
+def charge(state: FairnessState, trainer: str, units: float) -> None:
+    """Book work of a trainer; units may be corrected by a later call."""
+    share = max(state.share_by_trainer.get(trainer, 1.0), 1e-6)
+    used = state.used_by_trainer.get(trainer, 0.0)
+    state.used_by_trainer[trainer] = used + units / share
+
+
+def _level_newcomers(state: FairnessState, ready: set[str]) -> None:
+    staying = [
+        state.used_by_trainer[name]
+        for name in ready & state.active
+        if name in state.used_by_trainer
+    ]
+    floor = min(staying, default=0.0)
+    for name in ready - state.active:
+        used = state.used_by_trainer.get(name, 0.0)
+        state.used_by_trainer[name] = max(used, floor)
--- /dev/null
+++ b/pomelopass/core/handover.py
@@ -0,0 +1,116 @@
+"""Hand a batch over in one transaction that checks staleness."""
+
+import dataclasses
+import math
+
+from . import batch
+from . import sample
+from . import tablerow
+
+__all__ = ['HandOver', 'Rows', 'get_keys', 'make_transaction', 'select']
+
+KEPT_STEPS = 64
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Keys:
+    """Hold the row keys that belong to one step."""
+
+    ask: str
+    batch: str
+    carry: str
+    published: str
+    old_batch: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rows:
+    """Hold the row versions that the choice was based on."""
+
+    fence_key: str
+    fence_version: int
+    ask_version: int
+    carry_version: int
+    published_version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HandOver:
+    """Hold the groups to hand over and those to carry on."""
+
+    groups: list[batch.GroupState]
+    carried: list[batch.GroupState]
+    failed: list[batch.GroupState]
+
+
+def get_keys(trainer: str, step: int) -> Keys:
+    """Return the row keys of a step."""
+    return Keys(
+        ask=f'ask/{trainer}/{step}',
+        batch=f'batch/{trainer}/{step}',
+        carry=f'carry/{trainer}',
+        published=f'published/{trainer}',
+        old_batch=f'batch/{trainer}/{step - KEPT_STEPS}',
+    )
+
+
+def select(
+    state: batch.BatchState, oldest_allowed: int, share_percent: int
+) -> HandOver | None:
+    """Return what to hand over, or None while too few groups are done.
+
+    Samples older than the bound go back to waiting first.
+    """
+    batch.drop_stale(state, oldest_allowed)
+    complete = batch.find_complete_groups(state)
+    failed = [one for one in state.by_group.values() if one.failure]
+    needed = math.ceil(state.wanted_groups * share_percent / 100)
+    if len(complete) + len(failed) < max(1, needed):
+        return None
+    chosen = {group.id for group in (*complete, *failed)}
+    rest = [one for one in state.by_group.values() if one.id not in chosen]
+    return HandOver(complete, rest, failed)
+
+
+def make_transaction(
+    state: batch.BatchState,
+    rows: Rows,
+    batch_value: str,
+    carry_value: str | None,
+) -> tablerow.Transaction:
+    """Return the transaction that hands the batch over exactly once.
+
+    It holds only while the fence, the ask, the list of carried groups and
+    the published version are those that the choice was based on.
+    """
+    keys = get_keys(state.trainer, state.step)
+    conditions = (
+        tablerow.Condition(rows.fence_key, rows.fence_version),
+        tablerow.Condition(keys.ask, rows.ask_version),
+        tablerow.Condition(keys.batch, tablerow.ABSENT),
+        tablerow.Condition(keys.carry, rows.carry_version),
+        tablerow.Condition(keys.published, rows.published_version),
+    )
+    puts = [
+        tablerow.Put(keys.batch, batch_value),
+        tablerow.Put(keys.ask, None),
+        tablerow.Put(keys.carry, carry_value),
+    ]
+    if state.step >= KEPT_STEPS:
+        puts.append(tablerow.Put(keys.old_batch, None))
+    return tablerow.Transaction(conditions, tuple(puts))
+
+
+def get_versions(groups: list[batch.GroupState]) -> list[int]:
+    """Return the weight versions behind the groups in ascending order."""
+    found = set()
+    for group in groups:
+        for one in group.samples:
+            found.update(_get_sample_versions(one.result))
+    return sorted(found)
+
+
+def _get_sample_versions(one: sample.Sample | None) -> set[int]:
+    if one is None:
+        return set()
+    return {part.version for part in one.segments}
--- /dev/null
+++ b/pomelopass/core/health.py
@@ -0,0 +1,110 @@
+"""Track latency and load of one endpoint as this instance sees them."""
+
+import dataclasses
+
+__all__ = [
+    'EndpointHealth',
+    'get_slowness',
+    'note_finished',
+    'note_report',
+    'note_started',
+]
+
+SMOOTHING = 0.25
+MIN_SAMPLES = 3
+REPORT_FRESH_MS = 10_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Started:
+    """Hold what is known of a running request."""
+
+    at_ms: float
+    units: float
+    for_sample: bool
+
+
+@dataclasses.dataclass(slots=True)
+class EndpointHealth:
+    """Hold own counts and the last load report of one endpoint."""
+
+    in_flight: int = 0
+    samples_in_flight: int = 0
+    samples: int = 0
+    ms_per_unit: float = 0.0
+    reported_load: float = 0.0
+    reported_at_ms: float = float('-inf')
+    failures_in_row: int = 0
+    ejected_until_ms: float = float('-inf')
+    ejections_in_row: int = 0
+    probing: bool = False
+    started_by_request: dict[str, Started] = dataclasses.field(
+        default_factory=dict
+    )
+
+
+def note_started(
+    health: EndpointHealth,
+    request_id: str,
+    units: float,
+    now_ms: float,
+    for_sample: bool = False,
+) -> None:
+    """Count a request; units are its expected length."""
+    health.in_flight += 1
+    health.samples_in_flight += for_sample
+    started = Started(now_ms, units, for_sample)
+    health.started_by_request[request_id] = started
+
+
+def note_finished(
+    health: EndpointHealth,
+    request_id: str,
+    units: float,
+    succeeded: bool,
+    now_ms: float,
+) -> None:
+    """Take in the end of a request; units are its true length."""
+    started = health.started_by_request.pop(request_id, None)
+    if started is None:
+        return
+    health.in_flight -= 1
+    health.samples_in_flight -= started.for_sample
+    if not succeeded:
+        health.failures_in_row += 1
+        return
+    health.failures_in_row = 0
+    pace = (now_ms - started.at_ms) / max(units, 1.0)
+    if health.samples == 0:
+        health.ms_per_unit = pace
+    else:
+        health.ms_per_unit += SMOOTHING * (pace - health.ms_per_unit)
+    health.samples += 1
+
+
+def note_report(
+    health: EndpointHealth, load: float, measured_at_ms: float
+) -> None:
+    """Take in a load report unless a newer one is known."""
+    if measured_at_ms > health.reported_at_ms:
+        health.reported_load = load
+        health.reported_at_ms = measured_at_ms
+
+
+def get_slowness(health: EndpointHealth, now_ms: float) -> float:
+    """Return milliseconds per unit, counting requests still running."""
+    running = [
+        (now_ms - one.at_ms) / max(one.units, 1.0)
+        for one in health.started_by_request.values()
+    ]
+    worst_running = max(running, default=0.0)
+    if health.samples < MIN_SAMPLES:
+        return worst_running
+    return max(health.ms_per_unit, worst_running)
+
+
+def get_load(health: EndpointHealth, now_ms: float) -> float:
+    """Return own requests plus a fading hint of the reported load."""
+    age_ms = now_ms - health.reported_at_ms
+    weight = max(0.0, 1.0 - age_ms / REPORT_FRESH_MS)
+    return health.in_flight + 0.5 * weight * health.reported_load
--- /dev/null
+++ b/pomelopass/core/lease.py
@@ -0,0 +1,114 @@
+"""Hold duties by leases with fencing numbers in the table service."""
+
+import dataclasses
+import enum
+
+__all__ = [
+    'Action',
+    'LeaseRow',
+    'LeaseState',
+    'may_act',
+    'note_lost',
+    'note_renewed',
+    'plan',
+]
+
+TTL_MS = 5000
+RENEW_EVERY_MS = 1250
+ACT_MARGIN_MS = 1000
+SECOND_CHOICE_WAIT_MS = 1500
+
+
+class Action(enum.Enum):
+    """Name what the holder of the state should do next."""
+
+    WAIT = 'wait'
+    ACQUIRE = 'acquire'
+    RENEW = 'renew'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaseRow:
+    """Mirror the row that the table service keeps for a duty."""
+
+    holder: str
+    fence: int
+    renewal: int
+
+
+@dataclasses.dataclass(slots=True)
+class LeaseState:
+    """Hold what one instance knows of the lease of one duty."""
+
+    incarnation: str
+    row: LeaseRow | None = None
+    row_changed_at_ms: float = 0.0
+    first_look_at_ms: float | None = None
+    valid_until_ms: float | None = None
+
+
+def plan(
+    state: LeaseState,
+    row: LeaseRow | None,
+    is_first_choice: bool,
+    now_ms: float,
+) -> Action:
+    """Return the next action after a look at the row.
+
+    A row counts as lapsed when it has not changed for the time to live on
+    the clock of the observer, so that clocks need not agree.
+    """
+    if state.first_look_at_ms is None:
+        state.first_look_at_ms = now_ms
+        state.row_changed_at_ms = now_ms
+    if row != state.row:
+        state.row = row
+        state.row_changed_at_ms = now_ms
+    if row is not None and row.holder == state.incarnation:
+        return _plan_renewal(state, now_ms)
+    state.valid_until_ms = None
+    wait_ms = 0 if is_first_choice else SECOND_CHOICE_WAIT_MS
+    if row is not None and row.holder:
+        wait_ms += TTL_MS
+    idle_ms = now_ms - state.row_changed_at_ms
+    return Action.ACQUIRE if idle_ms >= wait_ms else Action.WAIT
+
+
+def get_next_row(state: LeaseState, action: Action) -> LeaseRow:
+    """Return the row to write for an acquisition or a renewal."""
+    old = state.row or LeaseRow('', 0, 0)
+    fence = old.fence + 1 if action == Action.ACQUIRE else old.fence
+    return LeaseRow(state.incarnation, fence, old.renewal + 1)
+
+
+def get_released_row(state: LeaseState) -> LeaseRow:
+    """Return the row that gives the duty up at once."""
+    old = state.row or LeaseRow('', 0, 0)
+    return LeaseRow('', old.fence, old.renewal + 1)
+
+
+def note_renewed(state: LeaseState, row: LeaseRow, asked_at_ms: float) -> None:
+    """Extend the lease from the moment at which the write was asked."""
+    state.row = row
+    state.row_changed_at_ms = asked_at_ms
+    state.valid_until_ms = asked_at_ms + TTL_MS
+
+
+def note_lost(state: LeaseState) -> None:
+    """Drop the right to act."""
+    state.valid_until_ms = None
+
+
+def may_act(state: LeaseState, now_ms: float) -> bool:
+    """Say whether the lease surely outlasts an act that starts now."""
+    if state.valid_until_ms is None:
+        return False
+    return now_ms < state.valid_until_ms - ACT_MARGIN_MS
+
+
+def _plan_renewal(state: LeaseState, now_ms: float) -> Action:
+    if state.valid_until_ms is None:
+        return Action.RENEW
+    renewed_at_ms = state.valid_until_ms - TTL_MS
+    due = now_ms - renewed_at_ms >= RENEW_EVERY_MS
+    return Action.RENEW if due else Action.WAIT
--- /dev/null
+++ b/pomelopass/core/retry.py
@@ -0,0 +1,59 @@
+"""Limit retries by a budget, the deadline and what already happened."""
+
+import dataclasses
+
+from . import verdict
+
+__all__ = ['Attempt', 'RetryBudget', 'note_request', 'take_retry']
+
+MAX_ATTEMPTS = 2
+BUDGET_CAP_RETRIES = 10.0
+
+
+@dataclasses.dataclass(slots=True)
+class RetryBudget:
+    """Hold the retries that a service may still spend."""
+
+    percent: float
+    retries: float = BUDGET_CAP_RETRIES / 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Attempt:
+    """Describe a failed attempt and the request that it belongs to."""
+
+    number: int
+    verdict: verdict.Verdict
+    repeatable: bool
+    is_retry: bool
+    first_byte_sent: bool
+    remaining_ms: float
+    expected_ms: float
+
+
+def note_request(budget: RetryBudget) -> None:
+    """Earn a share of one retry for each first attempt."""
+    earned = budget.retries + budget.percent / 100
+    budget.retries = min(BUDGET_CAP_RETRIES, earned)
+
+
+def take_retry(budget: RetryBudget, attempt: Attempt) -> bool:
+    """Spend one retry when the attempt may be repeated."""
+    if not _is_safe(attempt):
+        return False
+    if attempt.number >= MAX_ATTEMPTS or attempt.is_retry:
+        return False
+    if attempt.remaining_ms <= attempt.expected_ms:
+        return False
+    if budget.retries < 1:
+        return False
+    budget.retries -= 1
+    return True
+
+
+def _is_safe(attempt: Attempt) -> bool:
+    if attempt.first_byte_sent:
+        return False
+    if attempt.verdict == verdict.Verdict.NOT_RUN:
+        return True
+    return attempt.repeatable
--- /dev/null
+++ b/pomelopass/crash.py
@@ -0,0 +1,82 @@
+"""Find out whether an endpoint crashed while it ran a request."""
+
+import json
+
+from . import context as contexts
+from . import message
+from . import work
+from .core import quarantine
+from .core import refusal
+from .core import verdict
+
+__all__ = ['check_quarantine', 'judge_failure', 'note_success']
+
+PROBE_TIMEOUT_MS = 400
+CRASH_KINDS = ('reset', 'truncated')
+NEWS_KIND = 'crash'
+
+
+def check_quarantine(context: contexts.Context, item: work.Work) -> None:
+    """Raise Refused for a request that crashes endpoints."""
+    now_ms = context.ports.clock.now_ms()
+    reason = quarantine.check(context.quarantine, item.fingerprint, now_ms)
+    if reason is not None:
+        raise work.Refused(reason)
+
+
+async def judge_failure(
+    context: contexts.Context,
+    item: work.Work,
+    slot: work.Slot,
+    error: message.ExchangeError,
+) -> None:
+    """Count a crash and raise Refused when the request must not go on."""
+    if error.kind not in CRASH_KINDS or error.bytes_written == 0:
+        return
+    if not await _has_crashed(context, slot):
+        return
+    key = slot.candidate.endpoint.key
+    now_ms = context.ports.clock.now_ms()
+    decision = quarantine.note_crash(
+        context.quarantine, item.fingerprint, now_ms
+    )
+    suspect = context.quarantine.by_fingerprint[item.fingerprint]
+    contexts.note(context, 'endpoint-crashed', item.id, key)
+    contexts.share_news(
+        context,
+        NEWS_KIND,
+        item.fingerprint,
+        str(suspect.crashes),
+        suspect.expires_at_ms - now_ms,
+    )
+    await context.tell_peers()
+    if decision == quarantine.Decision.QUARANTINED:
+        contexts.note(context, 'quarantined', item.id, item.fingerprint)
+        raise work.Refused(
+            refusal.Refusal(
+                refusal.Code.QUARANTINED,
+                'Endpoints crashed while they ran this request.',
+                verdict.Verdict.MAY_HAVE_RUN,
+                quarantine.QUARANTINE_MS,
+            )
+        )
+
+
+def note_success(context: contexts.Context, item: work.Work) -> None:
+    """Clear the suspicion against a request that ran through."""
+    quarantine.note_survived(context.quarantine, item.fingerprint)
+
+
+async def _has_crashed(context: contexts.Context, slot: work.Slot) -> bool:
+    endpoint = slot.candidate.endpoint
+    request = message.Request('GET', '/state')
+    try:
+        reply = await context.ports.http.open(
+            endpoint.address, request, PROBE_TIMEOUT_MS, fresh=True
+        )
+        state = json.loads(await reply.read(65_536))
+    except message.ExchangeError as error:
+        return error.kind == 'connect-failed'
+    except ValueError:
+        return False
+    return state.get('incarnation') != endpoint.incarnation
--- /dev/null
+++ b/pomelopass/duties/__init__.py
@@ -0,0 +1,1 @@
+"""Hold one duty per file."""
--- /dev/null
+++ b/pomelopass/duty.py
@@ -0,0 +1,197 @@
+"""Define duties that one instance holds at a time, by leases."""
+
+import asyncio
+from collections import abc
+import functools
+import json
+
+from returns import result
+
+from . import configuration
+from . import context as contexts
+from .core import lease
+from .core import peers
+from .core import rendezvous
+from .core import stopping
+from .core import tablerow
+from .duties import batches
+from .duties import weights
+
+__all__ = [
+    'KEEP_EVERY_MS',
+    'UnknownDutyError',
+    'get_all_duties',
+    'get_duty_by_name',
+    'keep_leases',
+    'release_leases',
+]
+
+KEEP_EVERY_MS = 700
+LEASE_PREFIX = 'lease/'
+
+RunDuty = abc.Callable[[contexts.Context, str, str], abc.Awaitable[None]]
+
+DUTY_BY_NAME: dict[str, RunDuty] = {
+    'batches': batches.run,
+    'weights': weights.run,
+}
+
+
+class UnknownDutyError(ValueError):
+    """Tell that no duty has the name."""
+
+
+def get_duty_by_name(name: str) -> RunDuty:
+    """Return the function of a duty; raise UnknownDutyError."""
+    kind = name.partition('/')[0]
+    if kind not in DUTY_BY_NAME:
+        raise UnknownDutyError(f'No duty is named {name!r}.')
+    return DUTY_BY_NAME[kind]
+
+
+def get_all_duties(config: configuration.Configuration) -> list[str]:
+    """Return the names of all duties that the configuration needs."""
+    training = {one.pool for one in config.trainers.values()}
+    models = {one.model for one in config.weight_versions.values()}
+    weighted = {
+        name
+        for name, one in config.pools.items()
+        if models.intersection(one.models)
+    }
+    names = [f'batches/{pool}' for pool in sorted(training)]
+    names += [f'weights/{pool}' for pool in sorted(weighted | training)]
+    return names
+
+
+async def keep_leases(context: contexts.Context) -> None:
+    """Acquire, renew and give up leases as their rows tell."""
+    if context.configuration is None:
+        return
+    if context.stopping.phase != stopping.Phase.RUNNING:
+        return
+    found = await context.ports.table.scan(LEASE_PREFIX)
+    if isinstance(found, result.Failure):
+        return
+    row_by_key = {row.key: row for row in found.unwrap()}
+    names = get_all_duties(context.configuration)
+    for name in names:
+        row = row_by_key.get(f'{LEASE_PREFIX}{name}')
+        await _keep_one(context, name, row)
+    for name in set(context.lease_by_duty) - set(names):
+        _stop(context, name)
+
+
+async def release_leases(context: contexts.Context) -> None:
+    """Give up every lease so that another instance takes over at once."""
+    for name, state in list(context.lease_by_duty.items()):
+        held = state.valid_until_ms is not None
+        _stop(context, name)
+        if not held:
+            continue
+        row = context.lease_row_by_duty.get(name)
+        released = lease.get_released_row(state)
+        version = row.version if row else tablerow.ABSENT
+        await _write(context, name, released, version, False)
+
+
+async def _keep_one(
+    context: contexts.Context, name: str, row: tablerow.Row | None
+) -> None:
+    state = context.lease_by_duty.setdefault(
+        name, lease.LeaseState(context.incarnation)
+    )
+    now_ms = context.ports.clock.now_ms()
+    known = _read_row(row)
+    action = lease.plan(state, known, _is_first(context, name), now_ms)
+    if state.valid_until_ms is None:
+        _stop_task(context, name)
+    if action == lease.Action.WAIT:
+        return
+    next_row = lease.get_next_row(state, action)
+    version = row.version if row else tablerow.ABSENT
+    acquiring = action == lease.Action.ACQUIRE
+    if not await _write(context, name, next_row, version, acquiring):
+        return
+    lease.note_renewed(state, next_row, now_ms)
+    context.lease_row_by_duty[name] = tablerow.Row(
+        f'{LEASE_PREFIX}{name}', '', version + 1
+    )
+    if name not in context.duty_tasks:
+        await _begin(context, name, next_row)
+
+
+async def _begin(
+    context: contexts.Context, name: str, row: lease.LeaseRow
+) -> None:
+    found = await context.ports.table.get(get_fence_key(name))
+    fence = found.value_or(None)
+    if fence is None or fence.value != str(row.fence):
+        return
+    context.fence_version_by_duty[name] = fence.version
+    contexts.note(context, 'duty-taken', name, f'fence {row.fence}')
+    pool = name.partition('/')[2]
+    run = get_duty_by_name(name)
+    task = contexts.spawn(context, run(context, name, pool))
+    context.duty_tasks[name] = task
+    task.add_done_callback(functools.partial(_note_ended, context, name))
+
+
+async def _write(
+    context: contexts.Context,
+    name: str,
+    row: lease.LeaseRow,
+    old_version: int,
+    acquiring: bool,
+) -> bool:
+    key = f'{LEASE_PREFIX}{name}'
+    value = json.dumps([row.holder, row.fence, row.renewal])
+    puts = [tablerow.Put(key, value)]
+    if acquiring:
+        puts.append(tablerow.Put(get_fence_key(name), str(row.fence)))
+    transaction = tablerow.Transaction(
+        (tablerow.Condition(key, old_version),), tuple(puts)
+    )
+    answer = await context.ports.table.transact(transaction)
+    return isinstance(answer, result.Success) and answer.unwrap() is None
+
+
+def get_fence_key(name: str) -> str:
+    """Return the key of the row that changes with each new holder."""
+    return f'fence/{name}'
+
+
+def _read_row(row: tablerow.Row | None) -> lease.LeaseRow | None:
+    if row is None:
+        return None
+    holder, fence, renewal = json.loads(row.value)
+    return lease.LeaseRow(holder, fence, renewal)
+
+
+def _is_first(context: contexts.Context, name: str) -> bool:
+    now_ms = context.ports.clock.now_ms()
+    live = peers.find_live(context.peers, now_ms)
+    names = [one.incarnation for one in live if one.accepting]
+    ranked = rendezvous.rank(name, [*names, context.incarnation])
+    return ranked[0] == context.incarnation
+
+
+def _note_ended(
+    context: contexts.Context, name: str, task: asyncio.Task
+) -> None:
+    if context.duty_tasks.get(name) is not task:
+        return
+    del context.duty_tasks[name]
+    if not task.cancelled():
+        contexts.note(context, 'duty-failed', name, repr(task.exception()))
+
+
+def _stop(context: contexts.Context, name: str) -> None:
+    lease.note_lost(context.lease_by_duty[name])
+    _stop_task(context, name)
+
+
+def _stop_task(context: contexts.Context, name: str) -> None:
+    task = context.duty_tasks.pop(name, None)
+    if task is not None:
+        contexts.note(context, 'duty-lost', name, '')
+        task.cancel()
--- /dev/null
+++ b/pomelopass/edges/__init__.py
@@ -0,0 +1,1 @@
+"""Connect an instance to sockets, clocks and the platform."""
--- /dev/null
+++ b/pomelopass/gossip.py
@@ -0,0 +1,174 @@
+"""Swap digests with peers and act on their news."""
+
+import asyncio
+
+from . import context as contexts
+from .core import claims
+from .core import decisions
+from .core import membership
+from .core import news
+from .core import peers
+from .core import quarantine
+from .routes import entries
+from .wire.gen.peer import ttypes
+
+__all__ = ['PeerHandler', 'find_partners', 'share_leaving', 'tell_peers']
+
+LEAVING_KIND = 'leaving'
+CRASH_KIND = 'crash'
+LEAVING_TTL_MS = 600_000
+MAX_NEWS_PER_DIGEST = 256
+
+
+class PeerHandler:
+    """Answer the calls of peers from the state of the instance."""
+
+    def __init__(self, context: contexts.Context):
+        self.context = context
+
+    def exchange(self, digest: ttypes.Digest) -> ttypes.Digest:
+        """Take in a digest and return the own one."""
+        take_in(self.context, digest)
+        reply, number = make_digest(self.context, digest.incarnation)
+        # A reply that is lost is not sent again by this side; the next
+        # exchange that this instance starts carries the news.
+        del number
+        return reply
+
+    def ask_claim(self, key: str, fingerprint: str) -> ttypes.ClaimAnswer:
+        """Tell how far the request of a key has come."""
+        now_ms = self.context.ports.clock.now_ms()
+        claim = claims.answer_peer(
+            self.context.claims, key, fingerprint, now_ms
+        )
+        return _make_answer(claim, fingerprint)
+
+
+def find_partners(context: contexts.Context) -> list[str]:
+    """Return the addresses of the peers to exchange with."""
+    addresses_by_zone: dict[str, list[str]] = {}
+    for one in context.entries:
+        if one.peer_address == context.peer_address:
+            continue
+        zone = addresses_by_zone.setdefault(one.availability_zone, [])
+        zone.append(one.peer_address)
+    return peers.choose_partners(
+        context.settings.id,
+        context.settings.availability_zone,
+        addresses_by_zone,
+    )
+
+
+async def tell_peers(context: contexts.Context) -> None:
+    """Exchange with all partners at once and wait for them."""
+    await asyncio.gather(
+        *(_exchange(context, one) for one in find_partners(context))
+    )
+
+
+def take_in(context: contexts.Context, digest: ttypes.Digest) -> None:
+    """Learn from the digest of a peer."""
+    now_ms = context.ports.clock.now_ms()
+    if digest.incarnation == context.incarnation:
+        return
+    view = peers.EntryView(
+        digest.incarnation,
+        digest.caller_address,
+        digest.peer_address,
+        digest.operator_address,
+        digest.availability_zone,
+        digest.accepting,
+        digest.stopping,
+        digest.config_version,
+        now_ms,
+    )
+    peers.note_heard(context.peers, view)
+    decisions.note_clock(context.log, digest.clock_ms)
+    if digest.config_version > context.adoption.highest_seen:
+        context.adoption.highest_seen = digest.config_version
+        context.wake_config.set()
+    for one in digest.news:
+        _take_in_news(context, one, now_ms)
+
+
+def make_digest(
+    context: contexts.Context, peer: str
+) -> tuple[ttypes.Digest, int]:
+    """Return the digest for a peer and the number of its last news."""
+    now_ms = context.ports.clock.now_ms()
+    number, items = news.get_since(context.news, peer, now_ms)
+    view = entries.get_own_view(context)
+    digest = ttypes.Digest(
+        incarnation=view.incarnation,
+        caller_address=view.caller_address,
+        peer_address=view.peer_address,
+        operator_address=view.operator_address,
+        availability_zone=view.availability_zone,
+        accepting=view.accepting,
+        stopping=view.stopping,
+        config_version=view.config_version,
+        news=[
+            ttypes.News(
+                item.kind,
+                item.key,
+                item.value,
+                int(item.expires_at_ms - now_ms),
+            )
+            for item in items[-MAX_NEWS_PER_DIGEST:]
+        ],
+        clock_ms=int(context.ports.clock.utc_ms()),
+    )
+    return digest, number
+
+
+def share_leaving(context: contexts.Context, key: str) -> None:
+    """Tell peers that an endpoint is leaving."""
+    contexts.share_news(context, LEAVING_KIND, key, '1', LEAVING_TTL_MS)
+
+
+async def _exchange(context: contexts.Context, address: str) -> None:
+    digest, number = make_digest(context, address)
+    reply = await context.ports.peers.exchange(address, digest)
+    if reply is None:
+        news.forget_peer(context.news, address)
+        return
+    news.note_sent(context.news, address, number)
+    take_in(context, reply)
+
+
+def _take_in_news(
+    context: contexts.Context, one: ttypes.News, now_ms: float
+) -> None:
+    if not contexts.share_news(
+        context, one.kind, one.key, one.value, one.ttl_ms
+    ):
+        return
+    if one.kind == LEAVING_KIND:
+        if membership.note_leaving(context.membership, one.key, now_ms):
+            contexts.note(context, 'endpoint-leaving', one.key, 'by a peer')
+    elif one.kind == CRASH_KIND and one.value.isdecimal():
+        quarantine.learn(
+            context.quarantine,
+            one.key,
+            int(one.value),
+            one.ttl_ms,
+            now_ms,
+        )
+
+
+def _make_answer(claim: claims.Claim, fingerprint: str) -> ttypes.ClaimAnswer:
+    if claim.fingerprint != fingerprint:
+        return ttypes.ClaimAnswer(ttypes.ClaimState.KEY_REUSED)
+    if claim.phase == claims.Phase.DONE:
+        reply = ttypes.RecordedReply(
+            claim.reply.status,
+            [
+                ttypes.Header(name, value)
+                for name, value in claim.reply.headers
+            ],
+            claim.reply.body,
+        )
+        return ttypes.ClaimAnswer(ttypes.ClaimState.DONE, reply)
+    if claim.phase == claims.Phase.RELEASED:
+        return ttypes.ClaimAnswer(ttypes.ClaimState.NEVER_DISPATCHED)
+    return ttypes.ClaimAnswer(ttypes.ClaimState.IN_PROGRESS)
--- /dev/null
+++ b/pomelopass/kinds/__init__.py
@@ -0,0 +1,1 @@
+"""Hold one kind of configuration object per file."""
--- /dev/null
+++ b/pomelopass/message.py
@@ -0,0 +1,73 @@
+"""Describe HTTP messages without the connection that carries them."""
+
+from collections import abc
+import dataclasses
+
+__all__ = ['ExchangeError', 'OpenReply', 'Reply', 'Request', 'find_header']
+
+Headers = tuple[tuple[str, str], ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """Hold a request with its whole body."""
+
+    method: str
+    target: str
+    headers: Headers = ()
+    body: bytes = b''
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reply:
+    """Hold a reply; the chunks, if any, come after the body."""
+
+    status: int
+    headers: Headers = ()
+    body: bytes = b''
+    chunks: abc.AsyncGenerator[bytes, None] | None = None
+
+
+class OpenReply:
+    """Hold a reply whose body is still coming in."""
+
+    def __init__(
+        self,
+        status: int,
+        headers: Headers,
+        chunks: abc.AsyncGenerator[bytes, None],
+        bytes_written: int,
+    ):
+        self.status = status
+        self.headers = headers
+        self.chunks = chunks
+        self.bytes_written = bytes_written
+
+    async def read(self, limit: int) -> bytes:
+        """Return the whole body; raise ExchangeError past the limit."""
+        parts = []
+        size = 0
+        async for part in self.chunks:
+            size += len(part)
+            if size > limit:
+                await self.chunks.aclose()
+                raise ExchangeError('reply-too-large', self.bytes_written)
+            parts.append(part)
+        return b''.join(parts)
+
+
+class ExchangeError(Exception):
+    """Tell that an exchange failed and how many bytes had been written."""
+
+    def __init__(self, kind: str, bytes_written: int):
+        super().__init__(kind)
+        self.kind = kind
+        self.bytes_written = bytes_written
+
+
+def find_header(headers: Headers, name: str) -> str | None:
+    """Return the first header of the lower-case name, or None."""
+    for key, value in headers:
+        if key == name:
+            return value
+    return None
--- /dev/null
+++ b/pomelopass/policies/__init__.py
@@ -0,0 +1,1 @@
+"""Hold one endpoint choice policy per file."""
--- /dev/null
+++ b/pomelopass/routes/__init__.py
@@ -0,0 +1,1 @@
+"""Hold one group of HTTP routes per file."""
--- /dev/null
+++ b/pomelopass/routes/entries.py
@@ -0,0 +1,57 @@
+"""Tell callers which instances to use."""
+
+import re
+from urllib import parse
+
+from .. import context as contexts
+from .. import message
+from .. import problemdetails
+from ..core import peers
+from ..core import stopping
+
+__all__ = ['ROUTES', 'get_own_view']
+
+MAX_ENTRIES = 8
+
+
+async def serve_entries(
+    context: contexts.Context, request: message.Request, match: re.Match
+) -> message.Reply:
+    """List accepting instances, those of the caller's zone first."""
+    query = parse.parse_qs(request.target.partition('?')[2])
+    zone = query.get('zone', [context.settings.availability_zone])[0]
+    now_ms = context.ports.clock.now_ms()
+    views = peers.find_live(context.peers, now_ms)
+    views.append(get_own_view(context))
+    found = peers.find_entries(views, zone, MAX_ENTRIES)
+    body = {
+        'entries': [
+            {
+                'address': one.caller_address,
+                'availability_zone': one.availability_zone,
+            }
+            for one in found
+        ],
+        'ttl_ms': stopping.ENTRIES_TTL_MS,
+    }
+    return problemdetails.make_json_reply(body)
+
+
+def get_own_view(context: contexts.Context) -> peers.EntryView:
+    """Return how this instance looks to others."""
+    head = context.adoption.head
+    running = context.stopping.phase == stopping.Phase.RUNNING
+    return peers.EntryView(
+        incarnation=context.incarnation,
+        caller_address=context.caller_address,
+        peer_address=context.peer_address,
+        operator_address=context.operator_address,
+        availability_zone=context.settings.availability_zone,
+        accepting=running and context.configuration is not None,
+        stopping=not running,
+        config_version=head.version if head else 0,
+        heard_at_ms=context.ports.clock.now_ms(),
+    )
+
+
+ROUTES = ((('GET',), r'/entries', serve_entries),)
--- /dev/null
+++ b/pomelopass/routes/operatorconfig.py
@@ -0,0 +1,88 @@
+"""Take proposals and show accepted configurations."""
+
+import dataclasses
+import re
+
+import pydantic
+from returns import result
+
+from .. import configstore
+from .. import context as contexts
+from .. import message
+from .. import problemdetails
+from .. import trainerrequest
+from .. import work
+from ..core import refusal
+
+__all__ = ['ROUTES']
+
+
+class ProposalBody(pydantic.BaseModel):
+    """Hold a proposal as operators send it."""
+
+    model_config = pydantic.ConfigDict(extra='forbid', strict=True)
+
+    base_version: int = pydantic.Field(ge=0)
+    author: str = pydantic.Field(min_length=1, max_length=200)
+    text: str
+
+
+async def serve_propose(
+    context: contexts.Context, request: message.Request, match: re.Match
+) -> message.Reply:
+    """Accept a full configuration or refuse it with every problem."""
+    body = trainerrequest.read_body(ProposalBody, request.body)
+    proposal = configstore.Proposal(body.base_version, body.author, body.text)
+    outcome = await configstore.propose(context, proposal)
+    if isinstance(outcome, result.Failure):
+        problems = [dataclasses.asdict(one) for one in outcome.failure()]
+        detail = f'The configuration has {len(problems)} problems.'
+        reason = refusal.Refusal(refusal.Code.CONFIG_INVALID, detail)
+        return problemdetails.make_refusal_reply(
+            reason, {'problems': problems}
+        )
+    head = outcome.unwrap()
+    body = {
+        'version': head.version,
+        'digest': head.digest,
+        'in_force_here': context.adoption.head == head,
+    }
+    return problemdetails.make_json_reply(body)
+
+
+async def serve_show(
+    context: contexts.Context, request: message.Request, match: re.Match
+) -> message.Reply:
+    """Give the text of a version, or of the one in force here."""
+    number = match['version']
+    if number is not None:
+        text = await configstore.fetch_text(context, int(number))
+        return problemdetails.make_json_reply(
+            {'version': int(number), 'text': text}
+        )
+    head = context.adoption.head
+    if head is None:
+        raise work.Refused(
+            refusal.Refusal(
+                refusal.Code.NOT_READY,
+                'No configuration is in force here yet.',
+            )
+        )
+    body = {'version': head.version, 'text': context.configuration_text}
+    return problemdetails.make_json_reply(body)
+
+
+async def serve_history(
+    context: contexts.Context, request: message.Request, match: re.Match
+) -> message.Reply:
+    """List the kept versions."""
+    accepted = await configstore.fetch_history(context)
+    body = {'versions': [dataclasses.asdict(one) for one in accepted]}
+    return problemdetails.make_json_reply(body)
+
+
+ROUTES = (
+    (('POST',), r'/config', serve_propose),
+    (('GET',), r'/config(?:/(?P<version>\d{1,10}))?', serve_show),
+    (('GET',), r'/config/history', serve_history),
+)
--- /dev/null
+++ b/pomelopass/routes/operatorstatus.py
@@ -0,0 +1,100 @@
+"""Show operators what an instance knows and did."""
+
+import dataclasses
+import re
+from urllib import parse
+
+from .. import context as contexts
+from .. import message
+from .. import problemdetails
+from ..core import decisions
+from ..core import health
+from ..core import lease
+from ..core import membership
+from ..core import peers
+from . import entries
+
+__all__ = ['ROUTES']
+
+
+async def serve_status(
+    context: contexts.Context, request: message.Request, match: re.Match
+) -> message.Reply:
+    """Give the state of the instance, its peers and its endpoints."""
+    now_ms = context.ports.clock.now_ms()
+    live = peers.find_live(context.peers, now_ms)
+    body = {
+        'instance': context.settings.id,
+        'incarnation': context.incarnation,
+        'availability_zone': context.settings.availability_zone,
+        'phase': context.stopping.phase.value,
+        'config_version': entries.get_own_view(context).config_version,
+        'requests_in_flight': context.work_in_flight,
+        'duties': [
+            name
+            for name, state in sorted(context.lease_by_duty.items())
+            if lease.may_act(state, now_ms)
+        ],
+        'peers': [_make_peer(one) for one in live],
+        'endpoints': [
+            _make_endpoint(context, key)
+            for key in sorted(context.membership.by_key)
+        ],
+        'quarantined': sorted(context.quarantine.by_fingerprint),
+    }
+    return problemdetails.make_json_reply(body)
+
+
+async def serve_timeline(
+    context: contexts.Context, request: message.Request, match: re.Match
+) -> message.Reply:
+    """Give the last events of this process."""
+    events = [dataclasses.asdict(one) for one in context.log.events]
+    return problemdetails.make_json_reply({'events': events})
+
+
+async def serve_explain(
+    context: contexts.Context, request: message.Request, match: re.Match
+) -> message.Reply:
+    """Give the events of one request, sample or batch."""
+    subject = parse.unquote(match['subject'])
+    found = decisions.find_by_subject(context.log, subject)
+    events = [dataclasses.asdict(one) for one in found]
+    return problemdetails.make_json_reply({'events': events})
+
+
+def _make_peer(one: peers.EntryView) -> dict[str, object]:
+    return {
+        'incarnation': one.incarnation,
+        'operator_address': one.operator_address,
+        'caller_address': one.caller_address,
+        'availability_zone': one.availability_zone,
+        'accepting': one.accepting,
+        'config_version': one.config_version,
+    }
+
+
+def _make_endpoint(context: contexts.Context, key: str) -> dict[str, object]:
+    one = context.membership.by_key[key]
+    now_ms = context.ports.clock.now_ms()
+    state = health.EndpointHealth()
+    pool = context.pool_by_name.get(one.pool)
+    if pool is not None:
+        state = pool.health_by_key.get(key, state)
+    return {
+        'key': key,
+        'pool': one.pool,
+        'address': one.address,
+        'availability_zone': one.availability_zone,
+        'leaving': membership.is_leaving(context.membership, key),
+        'ejected': state.ejected_until_ms > now_ms,
+        'in_flight': state.in_flight,
+        'versions': context.loaded_by_endpoint.get(key, {}),
+    }
+
+
+ROUTES = (
+    (('GET',), r'/status', serve_status),
+    (('GET',), r'/timeline', serve_timeline),
+    (('GET',), r'/explain/(?P<subject>.+)', serve_explain),
+)
--- /dev/null
+++ b/pomelopass/routes/plain.py
@@ -0,0 +1,86 @@
+"""Serve calls of plain services."""
+
+import asyncio
+import re
+
+from .. import callerwork
+from .. import claimflow
+from .. import context as contexts
+from .. import dispatch
+from .. import message
+from .. import problemdetails
+from .. import work
+from ..core import verdict
+
+__all__ = ['ROUTES']
+
+
+async def serve_plain(
+    context: contexts.Context, request: message.Request, match: re.Match
+) -> message.Reply:
+    """Answer a call of a plain service."""
+    name = match['name']
+    callerwork.get_service(context, name, 'plain')
+    _, _, query = request.target.partition('?')
+    target = match['path'] or '/'
+    if query:
+        target = f'{target}?{query}'
+    shape = f'{name}:{request.method}:{match["path"]}'
+    item = callerwork.make_work(
+        context, request, name, target, request.body, shape, '', None
+    )
+    contexts.note(context, 'request-began', item.id, name)
+    if item.key is None:
+        return await _run(context, item)
+    kept = await claimflow.begin(context, item)
+    if kept is not None:
+        callerwork.note_end(context, item, 'replayed')
+        return kept
+    # The call goes on when its caller leaves, so that a repeated send
+    # finds the whole reply.
+    return await asyncio.shield(
+        contexts.spawn(context, _run_claimed(context, item))
+    )
+
+
+async def _run(context: contexts.Context, item: work.Work) -> message.Reply:
+    context.work_in_flight += 1
+    try:
+        reply = await dispatch.run_plain(context, item)
+    except work.Refused as refused:
+        name = problemdetails.get_verdict_name(refused.reason.verdict)
+        callerwork.note_end(context, item, name)
+        raise
+    finally:
+        context.work_in_flight -= 1
+    callerwork.note_end(context, item, 'ran')
+    headers = (
+        *reply.headers,
+        ('x-request-id', item.id),
+        ('pomelopass-verdict', 'ran'),
+    )
+    return message.Reply(reply.status, headers, reply.body)
+
+
+async def _run_claimed(
+    context: contexts.Context, item: work.Work
+) -> message.Reply:
+    reply = None
+    outcome = verdict.Verdict.MAY_HAVE_RUN
+    try:
+        reply = await _run(context, item)
+        return reply
+    except work.Refused as refused:
+        outcome = refused.reason.verdict
+        raise
+    finally:
+        claimflow.settle(context, item, reply, outcome)
+
+
+ROUTES = (
+    (
+        ('GET', 'POST', 'PUT', 'PATCH', 'DELETE'),
+        r'/services/(?P<name>[a-z0-9-]+)(?P<path>/.*)?',
+        serve_plain,
+    ),
+)
--- /dev/null
+++ b/pomelopass/routes/probes.py
@@ -0,0 +1,47 @@
+"""Answer liveness and readiness probes and give metrics."""
+
+import re
+
+from .. import context as contexts
+from .. import message
+from .. import metrics
+from .. import problemdetails
+from ..core import stopping
+
+__all__ = ['ROUTES']
+
+
+async def serve_livez(
+    context: contexts.Context, request: message.Request, match: re.Match
+) -> message.Reply:
+    """Say that the loop runs."""
+    return problemdetails.make_json_reply({'status': 'live'})
+
+
+async def serve_readyz(
+    context: contexts.Context, request: message.Request, match: re.Match
+) -> message.Reply:
+    """Say whether the instance should get requests."""
+    running = context.stopping.phase == stopping.Phase.RUNNING
+    ready = running and context.configuration is not None
+    body = {
+        'status': 'ready' if ready else 'not-ready',
+        'phase': context.stopping.phase.value,
+        'configuration_in_force': context.configuration is not None,
+    }
+    return problemdetails.make_json_reply(body, 200 if ready else 503)
+
+
+async def serve_metrics(
+    context: contexts.Context, request: message.Request, match: re.Match
+) -> message.Reply:
+    """Give all metrics as text."""
+    body, headers = metrics.render_metrics(context.metrics)
+    return message.Reply(200, headers, body)
+
+
+ROUTES = (
+    (('GET',), r'/livez', serve_livez),
+    (('GET',), r'/readyz', serve_readyz),
+    (('GET',), r'/metrics', serve_metrics),
+)
--- /dev/null
+++ b/pomelopass/routes/weights.py
@@ -0,0 +1,88 @@
+"""Take new weight versions from trainers."""
+
+import json
+import re
+
+import pydantic
+from returns import result
+
+from .. import context as contexts
+from .. import message
+from .. import problemdetails
+from .. import trainerrequest
+from .. import work
+from ..core import handover
+from ..core import refusal
+from ..core import tablerow
+from ..core import verdict
+
+__all__ = ['ROUTES']
+
+TRIES = 3
+
+
+class PublishedWeights(pydantic.BaseModel):
+    """Name weights that a trainer has put into the weight store."""
+
+    model_config = pydantic.ConfigDict(extra='forbid', strict=True)
+
+    version: int = pydantic.Field(ge=0)
+    object: str = pydantic.Field(min_length=1)
+
+
+async def serve_publish(
+    context: contexts.Context, request: message.Request, match: re.Match
+) -> message.Reply:
+    """Publish a weight version; the same one twice is no error."""
+    name = match['name']
+    trainer = trainerrequest.get_trainer(context, name)
+    weights = trainerrequest.read_body(PublishedWeights, request.body)
+    start = context.configuration.weight_versions[trainer.start_weights]
+    if weights.version <= start.number:
+        raise _conflict(f'Use a version above {start.number}.')
+    for _ in range(TRIES):
+        done = await _try_publish(context, name, weights)
+        if done:
+            detail = f'version {weights.version}'
+            contexts.note(context, 'weights-published', name, detail)
+            return problemdetails.make_json_reply(weights.model_dump())
+    raise work.Refused(
+        refusal.Refusal(
+            refusal.Code.STORE_UNAVAILABLE,
+            'The table service did not answer. Send the same again.',
+            verdict.Verdict.MAY_HAVE_RUN,
+            1000,
+        )
+    )
+
+
+async def _try_publish(
+    context: contexts.Context, name: str, weights: PublishedWeights
+) -> bool:
+    key = handover.get_keys(name, 0).published
+    found = await context.ports.table.get(key)
+    if isinstance(found, result.Failure):
+        return False
+    row = found.unwrap()
+    if row is not None:
+        known = json.loads(row.value)
+        if known == weights.model_dump():
+            return True
+        if known['version'] >= weights.version:
+            raise _conflict(f'Version {known["version"]} is published.')
+    old_version = row.version if row else tablerow.ABSENT
+    transaction = tablerow.Transaction(
+        (tablerow.Condition(key, old_version),),
+        (tablerow.Put(key, json.dumps(weights.model_dump())),),
+    )
+    answer = await context.ports.table.transact(transaction)
+    return isinstance(answer, result.Success) and answer.unwrap() is None
+
+
+def _conflict(detail: str) -> work.Refused:
+    return work.Refused(refusal.Refusal(refusal.Code.VERSION_CONFLICT, detail))
+
+
+ROUTES = (
+    (('POST',), r'/trainers/(?P<name>[a-z0-9-]+)/weights', serve_publish),
+)
--- /dev/null
+++ b/pomelopass/util.py
@@ -0,0 +1,69 @@
+"""Turn errors of validated models into problems with a place."""
+
+import difflib
+
+import pydantic
+
+from . import document
+from . import problem
+
+__all__ = ['find_nearest', 'make_problems']
+
+CODE_BY_TYPE = {
+    'extra_forbidden': 'unknown-field',
+    'missing': 'missing-field',
+    'greater_than': 'out-of-range',
+    'greater_than_equal': 'out-of-range',
+    'less_than': 'out-of-range',
+    'less_than_equal': 'out-of-range',
+    'string_too_short': 'out-of-range',
+    'too_short': 'out-of-range',
+    'string_pattern_mismatch': 'bad-name',
+    'literal_error': 'unknown-value',
+    'enum': 'unknown-value',
+}
+
+
+def find_nearest(name: str, valid: list[str]) -> str | None:
+    """Return the valid name that is most like the given one.
+
+    >>> find_nearest('slots', ['slots_per_endpoint', 'pool'])
+    'slots_per_endpoint'
+    """
+    close = difflib.get_close_matches(name, valid, n=1, cutoff=0.4)
+    return close[0] if close else None
+
+
+def make_problems(
+    error: pydantic.ValidationError,
+    model: type[pydantic.BaseModel],
+    read: document.Document,
+    prefix: str = '',
+) -> list[problem.Problem]:
+    """Return one problem for each error of the model."""
+    problems = []
+    for entry in error.errors():
+        parts = [prefix] if prefix else []
+        parts.extend(str(part) for part in entry['loc'])
+        path = '.'.join(parts)
+        code = CODE_BY_TYPE.get(entry['type'], 'wrong-type')
+        nearest = None
+        if code == 'unknown-field':
+            fields = _find_fields(model, entry['loc'][:-1])
+            nearest = find_nearest(str(entry['loc'][-1]), fields)
+        detail = f'{entry["msg"]}.'
+        line = read.get_line(path)
+        problems.append(problem.Problem(path, line, code, detail, nearest))
+    return problems
+
+
+def _find_fields(
+    model: type[pydantic.BaseModel], loc: tuple[int | str, ...]
+) -> list[str]:
+    for part in loc:
+        field = model.model_fields.get(str(part))
+        inner = field.annotation if field is not None else None
+        if not hasattr(inner, 'model_fields'):
+            return []
+        model = inner
+    return list(model.model_fields)
--- /dev/null
+++ b/pomelopass/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the messages between instances."""
--- /dev/null
+++ b/pomelopass/wire/gen/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the code that thrift generates from peer.thrift."""
--- /dev/null
+++ b/scripts/__init__.py
@@ -0,0 +1,1 @@
+"""Launch processes and run checks; no part of the product."""
--- /dev/null
+++ b/scripts/fleet.py
@@ -0,0 +1,310 @@
+"""Start instances and stand-ins as processes and stop them."""
+
+import dataclasses
+import json
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+
+__all__ = ['Deployment', 'Fleet', 'Process']
+
+START_TIMEOUT_S = 20.0
+POLL_S = 0.1
+TOKEN = 'operator-token-for-tests'
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Deployment:
+    """Describe a fleet: zones, pools with sizes, and the configuration."""
+
+    zones: tuple[str, ...]
+    engines_by_pool: dict[str, int]
+    services_by_pool: dict[str, int]
+    checking_pools: tuple[str, ...]
+    configuration: pathlib.Path
+    entries: int = 6
+
+
+@dataclasses.dataclass(slots=True)
+class Process:
+    """Hold a running process and where it listens."""
+
+    name: str
+    popen: subprocess.Popen
+    address: str
+    operator_address: str = ''
+    peer_address: str = ''
+
+
+class Fleet:
+    """Hold all processes of one run; use it as a context manager."""
+
+    def __init__(self, folder: pathlib.Path, deployment: Deployment):
+        self.folder = folder
+        self.deployment = deployment
+        self.process_by_name: dict[str, Process] = {}
+        self.token_file = folder / 'token'
+        folder.mkdir(parents=True, exist_ok=True)
+        self.token_file.write_text(TOKEN)
+
+    def __enter__(self) -> 'Fleet':
+        """Return the fleet itself."""
+        return self
+
+    def __exit__(self, *details) -> None:
+        """Kill what still runs."""
+        for one in self.process_by_name.values():
+            one.popen.kill()
+        for one in self.process_by_name.values():
+            one.popen.wait()
+
+    def start_all(self) -> None:
+        """Start platform, endpoints and entry instances."""
+        self.start_platform()
+        self.start_endpoints()
+        for index in range(self.deployment.entries):
+            self.start_entry(index)
+        self.wait_live()
+
+    def start_platform(self) -> None:
+        """Start the stand-ins of the platform."""
+        self.start_standin('table', 'table')
+        self.start_standin('objects', 'objects')
+        self.start_standin('weights', 'objects', '--reads-per-s', '50')
+        self.start_standin('instances', 'instances', '--lag-ms', '300')
+
+    def start_endpoints(self) -> None:
+        """Start the engines and plain services and list them."""
+        for pool, count in self.deployment.engines_by_pool.items():
+            for index in range(count):
+                self.start_engine(pool, index)
+        for pool, count in self.deployment.services_by_pool.items():
+            for index in range(count):
+                name = f'{pool}-{index}'
+                self.start_standin(name, 'service')
+                self.list_endpoint(name, pool, index)
+
+    def start_engine(
+        self, pool: str, index: int, incarnation: str = '1', *options: str
+    ) -> None:
+        """Start one engine and list it."""
+        name = f'{pool}-{index}'
+        arguments = [
+            '--weight-store',
+            self.process_by_name['weights'].address,
+            '--incarnation',
+            incarnation,
+            *options,
+        ]
+        if pool in self.deployment.checking_pools:
+            arguments.append('--checks-fencing')
+        self.start_standin(name, 'engine', *arguments)
+        self.list_endpoint(name, pool, index, incarnation)
+
+    def start_standin(self, name: str, kind: str, *options: str) -> Process:
+        """Start a stand-in and read where it listens."""
+        log = open(self.folder / f'{name}.log', 'ab')  # noqa: SIM115
+        popen = subprocess.Popen(
+            [sys.executable, '-m', 'standins', kind, '--name', name, *options],
+            cwd=ROOT,
+            stdout=subprocess.PIPE,
+            stderr=log,
+        )
+        line = popen.stdout.readline()
+        process = Process(name, popen, json.loads(line)['address'])
+        self.process_by_name[name] = process
+        return process
+
+    def list_endpoint(
+        self,
+        name: str,
+        pool: str,
+        index: int,
+        incarnation: str = '1',
+        leaving: bool = False,
+    ) -> None:
+        """Put an endpoint on the platform's list."""
+        zones = self.deployment.zones
+        value = {
+            'id': name,
+            'kind': 'endpoint',
+            'incarnation': incarnation,
+            'pool': pool,
+            'address': self.process_by_name[name].address,
+            'availability_zone': zones[index % len(zones)],
+            'leaving': leaving,
+        }
+        listing = self.process_by_name['instances'].address
+        call(listing, 'PUT', f'/instances/{name}', value)
+
+    def start_entry(self, index: int, **changes: object) -> Process:
+        """Start one entry instance and list it."""
+        name = f'entry-{index}'
+        zones = self.deployment.zones
+        ports = take_ports(3)
+        settings = {
+            'id': name,
+            'availability_zone': zones[index % len(zones)],
+            'caller_address': f'127.0.0.1:{ports[0]}',
+            'operator_address': f'127.0.0.1:{ports[1]}',
+            'peer_address': f'127.0.0.1:{ports[2]}',
+            'operator_token_file': str(self.token_file),
+            'table_address': self.process_by_name['table'].address,
+            'object_address': self.process_by_name['objects'].address,
+            'list_address': self.process_by_name['instances'].address,
+            **changes,
+        }
+        path = self.folder / f'{name}.jsonc'
+        path.write_text(json.dumps(settings, indent=2))
+        log = open(self.folder / f'{name}.log', 'ab')  # noqa: SIM115
+        popen = subprocess.Popen(
+            [
+                sys.executable,
+                '-c',
+                'from pomelopass import daemon; daemon.main()',
+                '--settings',
+                str(path),
+            ],
+            cwd=ROOT,
+            stderr=log,
+        )
+        process = Process(
+            name,
+            popen,
+            settings['caller_address'],
+            settings['operator_address'],
+            settings['peer_address'],
+        )
+        self.process_by_name[name] = process
+        self.list_entry(name)
+        return process
+
+    def list_entry(self, name: str) -> None:
+        """Put an entry instance on the platform's list."""
+        index = int(name.rpartition('-')[2])
+        zones = self.deployment.zones
+        value = {
+            'id': name,
+            'kind': 'entry',
+            'address': self.process_by_name[name].peer_address,
+            'availability_zone': zones[index % len(zones)],
+        }
+        listing = self.process_by_name['instances'].address
+        call(listing, 'PUT', f'/instances/{name}', value)
+
+    def get_entries(self) -> list[Process]:
+        """Return the entry instances that run."""
+        return [
+            one
+            for name, one in self.process_by_name.items()
+            if name.startswith('entry-') and one.popen.poll() is None
+        ]
+
+    def wait_live(self) -> None:
+        """Wait until every entry instance answers."""
+        for one in self.get_entries():
+            wait_for(
+                lambda one=one: call(one.address, 'GET', '/livez')[0] == 200
+            )
+
+    def wait_ready(self) -> None:
+        """Wait until every entry instance has a configuration in force."""
+        for one in self.get_entries():
+            wait_for(
+                lambda one=one: call(one.address, 'GET', '/readyz')[0] == 200
+            )
+
+    def run_tool(self, *arguments: str) -> subprocess.CompletedProcess:
+        """Run the command-line tool against the first instance."""
+        entry = self.get_entries()[0]
+        return subprocess.run(
+            [
+                sys.executable,
+                '-c',
+                'from pomelopass import cmdline; cmdline.main()',
+                '--instance',
+                entry.operator_address,
+                '--token-file',
+                str(self.token_file),
+                *arguments,
+            ],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            check=False,
+        )
+
+    def set_faults(self, name: str, **faults: object) -> None:
+        """Give a stand-in its faults; none clears them."""
+        address = self.process_by_name[name].address
+        call(address, 'POST', '/faults', faults)
+
+    def kill(self, name: str) -> None:
+        """Kill a process without warning."""
+        process = self.process_by_name[name].popen
+        process.kill()
+        process.wait()
+
+    def freeze(self, name: str) -> None:
+        """Stop a process without ending it."""
+        self.process_by_name[name].popen.send_signal(signal.SIGSTOP)
+
+    def thaw(self, name: str) -> None:
+        """Let a frozen process go on."""
+        self.process_by_name[name].popen.send_signal(signal.SIGCONT)
+
+    def terminate(self, name: str) -> None:
+        """Ask a process to stop gracefully."""
+        self.process_by_name[name].popen.terminate()
+
+
+def call(
+    address: str,
+    method: str,
+    target: str,
+    value: object = None,
+    headers: dict[str, str] | None = None,
+    timeout_s: float = 30.0,
+) -> tuple[int, dict]:
+    """Return status and JSON body; status 0 when there was no answer."""
+    data = None if value is None else json.dumps(value).encode()
+    request = urllib.request.Request(
+        f'http://{address}{target}',
+        data=data,
+        method=method,
+        headers={'content-type': 'application/json', **(headers or {})},
+    )
+    try:
+        with urllib.request.urlopen(request, timeout=timeout_s) as reply:
+            return reply.status, json.loads(reply.read())
+    except urllib.error.HTTPError as error:
+        return error.code, json.loads(error.read() or b'{}')
+    except (OSError, ValueError):
+        return 0, {}
+
+
+def wait_for(check, timeout_s: float = START_TIMEOUT_S) -> None:
+    """Wait until a check holds; raise TimeoutError."""
+    deadline = time.monotonic() + timeout_s
+    while time.monotonic() < deadline:
+        if check():
+            return
+        time.sleep(POLL_S)
+    raise TimeoutError('The state was not reached in time.')
+
+
+def take_ports(count: int) -> list[int]:
+    """Return ports that the system has free."""
+    sockets = [socket.socket() for _ in range(count)]
+    for one in sockets:
+        one.bind(('127.0.0.1', 0))
+    ports = [one.getsockname()[1] for one in sockets]
+    for one in sockets:
+        one.close()
+    return ports
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand in for the platform, endpoints and trainers in tests."""
--- /dev/null
+++ b/standins/engine.py
@@ -0,0 +1,200 @@
+"""Stand in for a model engine with continuous batching."""
+
+import asyncio
+from collections import abc
+import heapq
+import itertools
+import json
+import os
+
+from pomelopass import message
+from standins import enginetext
+from standins import server
+
+__all__ = ['Engine', 'main']
+
+LOAD_LAG_MS = 1000
+EVENT_END = '\n\n'
+CRASH_STATUS = 70
+
+
+class Engine:
+    """Hold weights, slots and faults of one engine.
+
+    Faults: slow_factor, truncate, mix_up, stall_s, swap_fail,
+    swap_lose_answer, leaving, crash_on (a text in the prompt).
+    """
+
+    def __init__(self, app: server.App, arguments):
+        self.app = app
+        self.incarnation = arguments.incarnation
+        self.token_ms = arguments.token_ms
+        self.slots = arguments.slots
+        self.checks_fencing = arguments.checks_fencing
+        self.weight_store = arguments.weight_store
+        self.load_ms = arguments.load_ms
+        self.version_by_model: dict[str, int] = {}
+        self.fence_by_model: dict[str, int] = {}
+        self.running = 0
+        self.queue: list[tuple[int, int, asyncio.Future]] = []
+        self.turns = itertools.count()
+        self.reported_load = 0
+        self.tokens_by_version: dict[int, int] = {}
+        self.ran: list[str] = []
+        app.routes.update(
+            {
+                ('POST', '/v1/completions'): self.complete,
+                ('POST', '/v1/*'): self.complete,
+                ('GET', '/state'): self.get_state,
+                ('POST', '/orders/weights'): self.order_weights,
+                ('GET', '/ran'): self.get_ran,
+            }
+        )
+
+    async def get_state(self, request, query) -> message.Reply:
+        """Report incarnation, versions and a load that is old."""
+        state = {
+            'incarnation': self.incarnation,
+            'versions': self.version_by_model,
+            'load': self.reported_load,
+            'load_age_ms': LOAD_LAG_MS,
+            'leaving': bool(self.app.faults.get('leaving')),
+        }
+        return server.make_json(state)
+
+    async def get_ran(self, request, query) -> message.Reply:
+        """Return what the engine itself saw."""
+        seen = {'ran': self.ran, 'tokens': self.tokens_by_version}
+        return server.make_json(seen)
+
+    async def order_weights(self, request, query) -> message.Reply:
+        """Be at a version; the order may be repeated."""
+        order = json.loads(request.body)
+        model = order['model']
+        fence = self.fence_by_model.get(model, 0)
+        if self.checks_fencing and order['fence'] < fence:
+            return server.make_json({'error': 'old fence'}, 409)
+        self.fence_by_model[model] = max(fence, order['fence'])
+        if self.version_by_model.get(model) != order['version']:
+            await self._load(order)
+        if self.app.take_fault('swap_fail'):
+            return server.make_json({'error': 'swap failed'}, 500)
+        self.version_by_model[model] = order['version']
+        detail = f'{model} {order["version"]}'
+        self.app.note('weights-loaded', self.app.name, detail)
+        if self.app.take_fault('swap_lose_answer'):
+            return server.make_json({'error': 'lost'}, 504)
+        return server.make_json({'version': order['version']})
+
+    async def _load(self, order: dict) -> None:
+        await asyncio.sleep(self.load_ms / 1000)
+        if self.weight_store:
+            await enginetext.fetch(self.weight_store, order['object'])
+
+    async def complete(self, request, query) -> message.Reply:
+        """Stream a completion as server-sent events."""
+        body = json.loads(request.body)
+        prompt = enginetext.get_prompt(body)
+        crash_on = self.app.faults.get('crash_on') or 'POISON'
+        if crash_on in prompt:
+            os._exit(CRASH_STATUS)
+        request_id = message.find_header(request.headers, 'x-request-id')
+        priority = message.find_header(request.headers, 'x-priority')
+        tokens = enginetext.make_tokens(body, prompt)
+        chunks = self._generate(
+            request_id or 'none',
+            tokens,
+            int(priority or 5),
+            body.get('model', ''),
+            'chat' in request.target,
+        )
+        headers = (
+            ('content-type', 'text/event-stream'),
+            ('x-request-id', request_id or 'none'),
+        )
+        return message.Reply(200, headers, chunks=chunks)
+
+    async def _generate(
+        self,
+        request_id: str,
+        tokens: list[str],
+        priority: int,
+        model: str,
+        is_chat: bool,
+    ) -> abc.AsyncGenerator[bytes, None]:
+        await self._take_slot(priority)
+        self.ran.append(request_id)
+        if self.app.take_fault('mix_up'):
+            request_id = f'{request_id}-other'
+        try:
+            for index, token in enumerate(tokens):
+                await asyncio.sleep(self._get_token_s())
+                if self.app.take_fault('truncate'):
+                    raise ConnectionResetError
+                last = index == len(tokens) - 1
+                version = self.version_by_model.get(model)
+                self._count_token(version)
+                event = enginetext.make_event(
+                    request_id, token, version, last, is_chat
+                )
+                yield f'data: {json.dumps(event)}{EVENT_END}'.encode()
+            yield f'data: [DONE]{EVENT_END}'.encode()
+        finally:
+            self._give_slot()
+
+    def _count_token(self, version: int | None) -> None:
+        count = self.tokens_by_version.get(version, 0)
+        self.tokens_by_version[version] = count + 1
+
+    def _get_token_s(self) -> float:
+        factor = self.app.faults.get('slow_factor', 1.0)
+        return self.token_ms * factor / 1000
+
+    async def _take_slot(self, priority: int) -> None:
+        self._report_later()
+        if self.running < self.slots:
+            self.running += 1
+            return
+        turn = asyncio.get_running_loop().create_future()
+        heapq.heappush(self.queue, (priority, next(self.turns), turn))
+        try:
+            await turn
+        except asyncio.CancelledError:
+            if turn.done() and not turn.cancelled():
+                self._give_slot()
+            raise
+
+    def _give_slot(self) -> None:
+        self._report_later()
+        while self.queue:
+            turn = heapq.heappop(self.queue)[2]
+            if not turn.done():
+                turn.set_result(None)
+                return
+        self.running -= 1
+
+    def _report_later(self) -> None:
+        loop = asyncio.get_running_loop()
+        loop.call_later(LOAD_LAG_MS / 1000, self._report)
+
+    def _report(self) -> None:
+        self.reported_load = self.running + len(self.queue)
+
+
+def main() -> None:
+    """Run an engine."""
+    parser = server.make_parser(__doc__)
+    parser.add_argument('--incarnation', default='1')
+    parser.add_argument('--token-ms', type=float, default=5.0)
+    parser.add_argument('--load-ms', type=float, default=200.0)
+    parser.add_argument('--slots', type=int, default=8)
+    parser.add_argument('--checks-fencing', action='store_true')
+    parser.add_argument('--weight-store', default='')
+    arguments = parser.parse_args()
+    app = server.App(arguments.name)
+    Engine(app, arguments)
+    asyncio.run(server.run_app(app, arguments.address))
+
+
+if __name__ == '__main__':
+    main()
