Prove the promises in whole instances on a virtual clock

Cause: nothing showed that the promises hold under failure. Whole instances now run many to a process on a virtual clock with random kills, freezes, cuts, table outages, lost answers and engine faults; the checks read what callers, engines, services and the table saw.

Found: after two engines had crashed, a harmless request failed with 502, because two refused connections used up both attempts. Ruled out: quarantine and ejection, which did what they should. An attempt that sent no byte now costs no retry, and an endpoint that refuses is skipped for one second.

--- a/pomelopass/core/ejection.py
+++ b/pomelopass/core/ejection.py
@@ -12,6 +12,7 @@
 EJECT_MAX_MS = 40_000
 MAX_EJECTED_SHARE = 0.34
 FAILURES_TO_EJECT = 3
+UNREACHABLE_MS = 1000
 
 
 def review(
@@ -43,13 +44,18 @@
 
 def is_in_rotation(one: health.EndpointHealth, now_ms: float) -> bool:
     """Say whether the endpoint takes work; after a spell, one probe."""
-    if one.ejected_until_ms > now_ms:
+    if max(one.ejected_until_ms, one.unreachable_until_ms) > now_ms:
         return False
     if one.ejections_in_row > 0:
         return not one.probing
     return True
 
 
+def note_unreachable(one: health.EndpointHealth, now_ms: float) -> None:
+    """Skip an endpoint that takes no connection; the cap does not apply."""
+    one.unreachable_until_ms = now_ms + UNREACHABLE_MS
+
+
 def note_probe_sent(one: health.EndpointHealth) -> None:
     """Allow no second request before the probe has ended."""
     if one.ejections_in_row > 0:
--- a/pomelopass/core/health.py
+++ b/pomelopass/core/health.py
@@ -38,6 +38,7 @@
     ejected_until_ms: float = float('-inf')
     ejections_in_row: int = 0
     probing: bool = False
+    unreachable_until_ms: float = float('-inf')
     started_by_request: dict[str, Started] = dataclasses.field(
         default_factory=dict
     )
--- a/pomelopass/core/retry.py
+++ b/pomelopass/core/retry.py
@@ -6,7 +6,8 @@
 
 __all__ = ['Attempt', 'RetryBudget', 'note_request', 'take_retry']
 
-MAX_ATTEMPTS = 2
+MAX_RUNNING_ATTEMPTS = 2
+MAX_ATTEMPTS = 5
 BUDGET_CAP_RETRIES = 10.0
 
 
@@ -23,6 +24,7 @@
     """Describe a failed attempt and the request that it belongs to."""
 
     number: int
+    ran_before: int
     verdict: verdict.Verdict
     repeatable: bool
     is_retry: bool
@@ -45,7 +47,10 @@
         return False
     if attempt.remaining_ms <= attempt.expected_ms:
         return False
-    if budget.retries < 1:
+    # An attempt that sent no byte put no load on any endpoint.
+    if attempt.verdict == verdict.Verdict.NOT_RUN:
+        return True
+    if attempt.ran_before + 1 >= MAX_RUNNING_ATTEMPTS or budget.retries < 1:
         return False
     budget.retries -= 1
     return True
--- a/pomelopass/core/sample.py
+++ b/pomelopass/core/sample.py
@@ -18,6 +18,7 @@
     """Hold a whole sample with its provenance."""
 
     id: str
+    request_id: str
     text: str
     segments: list[Segment]
     score: float
--- a/pomelopass/crash.py
+++ b/pomelopass/crash.py
@@ -5,6 +5,7 @@
 from . import context as contexts
 from . import message
 from . import work
+from .core import ejection
 from .core import quarantine
 from .core import refusal
 from .core import verdict
@@ -36,6 +37,9 @@
     if not await _has_crashed(context, slot):
         return
     key = slot.candidate.endpoint.key
+    ejection.note_unreachable(
+        slot.candidate.health, context.ports.clock.now_ms()
+    )
     now_ms = context.ports.clock.now_ms()
     decision = quarantine.note_crash(
         context.quarantine, item.fingerprint, now_ms
--- a/pomelopass/dispatch.py
+++ b/pomelopass/dispatch.py
@@ -6,6 +6,7 @@
 from . import message
 from . import slots
 from . import work
+from .core import ejection
 from .core import length
 from .core import refusal
 from .core import retry
@@ -61,6 +62,7 @@
     remaining_ms = item.deadline_ms - context.ports.clock.now_ms()
     attempt = retry.Attempt(
         number=len(item.verdicts) + 1,
+        ran_before=_count_may_have_run(item),
         verdict=outcome,
         repeatable=item.repeatable,
         is_retry=item.is_retry,
@@ -70,6 +72,9 @@
     )
     item.verdicts.append(outcome)
     item.tried.add(key)
+    if outcome == verdict.Verdict.NOT_RUN:
+        now_ms = context.ports.clock.now_ms()
+        ejection.note_unreachable(slot.candidate.health, now_ms)
     await crash.judge_failure(context, item, slot, error)
     budget = get_budget(context, item)
     if not retry.take_retry(budget, attempt):
@@ -168,6 +173,10 @@
     return message.Reply(reply.status, headers, body)
 
 
+def _count_may_have_run(item: work.Work) -> int:
+    return sum(one != verdict.Verdict.NOT_RUN for one in item.verdicts)
+
+
 def _get_expected_ms(slot: work.Slot, item: work.Work) -> float:
     pace = slot.candidate.health.ms_per_unit
     return max(DEFAULT_EXPECTED_MS, pace * item.units)
--- a/pomelopass/edges/peerclient.py
+++ b/pomelopass/edges/peerclient.py
@@ -7,9 +7,9 @@
 
 from thrift import Thrift
 
+from . import peerframe
 from ..wire.gen.peer import Peer
 from ..wire.gen.peer import ttypes
-from . import peerframe
 
 __all__ = ['PeerClient']
 
--- a/pomelopass/edges/peerserver.py
+++ b/pomelopass/edges/peerserver.py
@@ -6,8 +6,8 @@
 
 from thrift import Thrift
 
-from ..wire.gen.peer import Peer
 from . import peerframe
+from ..wire.gen.peer import Peer
 
 __all__ = ['PeerServer', 'start_server']
 
--- a/pomelopass/sampling.py
+++ b/pomelopass/sampling.py
@@ -72,7 +72,7 @@
     prompt: str,
 ) -> sample.Sample | None:
     """Return a scored sample, or None when the attempt failed."""
-    built = sample.Sample(sample_id, '', [], 0.0, [])
+    built = sample.Sample(sample_id, item.attempt_id, '', [], 0.0, [])
     built.endpoints.append(slot.candidate.endpoint.key)
     try:
         await _generate(context, item, slot, built)
--- /dev/null
+++ b/standins/cluster.py
@@ -0,0 +1,233 @@
+"""Assemble whole instances and stand-ins on one virtual clock."""
+
+import argparse
+import asyncio
+import dataclasses
+import random
+
+from pomelopass import context as contexts
+from pomelopass.edges import platform
+from pomelopass import gossip
+from pomelopass import instance
+from pomelopass import message
+from pomelopass import ports
+from pomelopass import route
+from pomelopass import settings
+from standins import engine
+from standins import instances
+from standins import memory
+from standins import objects
+from standins import server
+from standins import service
+from standins import table
+from standins import virtualloop
+
+__all__ = ['Cluster', 'Member']
+
+TOKEN = 'token'
+TABLE = 'table:1'
+OBJECTS = 'objects:1'
+LISTING = 'listing:1'
+PLATFORM_ZONE = 'platform'
+
+
+@dataclasses.dataclass(slots=True)
+class Member:
+    """Hold one instance with its gate and clock."""
+
+    context: contexts.Context
+    gate: memory.Gate
+    clock: virtualloop.VirtualClock
+    peers: memory.MemoryPeers
+
+    def freeze(self) -> None:
+        """Stop the instance at its next use of a port."""
+        self.gate.open.clear()
+
+    def thaw(self) -> None:
+        """Let a frozen instance go on."""
+        self.gate.open.set()
+
+    def kill(self) -> None:
+        """End the instance; its running work goes no further."""
+        self.gate.dead = True
+        for task in list(self.context.tasks):
+            task.cancel()
+
+
+class Cluster:
+    """Hold instances, endpoints and the platform of one run."""
+
+    def __init__(self, seed: int, zones: tuple[str, ...]):
+        self.rng = random.Random(seed)
+        self.zones = zones
+        self.network = memory.MemoryNetwork(self.rng)
+        self.member_by_name: dict[str, Member] = {}
+        self.engine_by_name: dict[str, engine.Engine] = {}
+        self.service_by_name: dict[str, service.Service] = {}
+        self.handlers: dict[str, object] = {}
+        self.gates: dict[str, memory.Gate] = {}
+        self.table = table.Table(self._listen('table', TABLE))
+        self.objects = objects.Objects(self._listen('objects', OBJECTS))
+        self.listing = instances.Instances(
+            self._listen('listing', LISTING), 300.0
+        )
+
+    def _listen(self, name: str, address: str, zone: str = PLATFORM_ZONE):
+        app = server.App(name)
+        self.network.handler_by_address[address] = app.handle
+        self.network.zone_by_address[address] = zone
+        return app
+
+    def add_engine(
+        self, name: str, pool: str, zone: str, **options: object
+    ) -> engine.Engine:
+        """Add a model engine and list it at once."""
+        values = {
+            'incarnation': '1',
+            'token_ms': 5.0,
+            'slots': 8,
+            'checks_fencing': False,
+            'weight_store': '',
+            'load_ms': 200.0,
+            **options,
+        }
+        address = f'{name}:1'
+        app = self._listen(name, address, zone)
+        built = engine.Engine(app, argparse.Namespace(**values))
+        built.crash = lambda: self._crash(address)
+        self.engine_by_name[name] = built
+        self.list_endpoint(name, pool, zone, str(values['incarnation']))
+        return built
+
+    def add_service(
+        self, name: str, pool: str, zone: str, work_ms: float = 5.0
+    ) -> service.Service:
+        """Add a plain service and list it at once."""
+        app = self._listen(name, f'{name}:1', zone)
+        built = service.Service(app, '1', work_ms)
+        self.service_by_name[name] = built
+        self.list_endpoint(name, pool, zone, '1')
+        return built
+
+    def _crash(self, address: str) -> None:
+        self.network.refused.add(address)
+        raise ConnectionResetError
+
+    def list_endpoint(
+        self,
+        name: str,
+        pool: str,
+        zone: str,
+        incarnation: str,
+        leaving: bool = False,
+    ) -> None:
+        """Show an endpoint on the platform's list without a lag."""
+        self.listing.change(
+            name,
+            {
+                'id': name,
+                'kind': 'endpoint',
+                'incarnation': incarnation,
+                'pool': pool,
+                'address': f'{name}:1',
+                'availability_zone': zone,
+                'leaving': leaving,
+            },
+        )
+
+    def add_member(self, name: str, zone: str) -> Member:
+        """Build and start an instance."""
+        gate = memory.Gate(asyncio.Event())
+        gate.open.set()
+        clock = virtualloop.VirtualClock()
+        http = memory.MemoryHttp(self.network, name, zone, gate)
+        peers = memory.MemoryPeers(self.network, name, zone, gate)
+        peers.handler_by_address = self.handlers
+        peers.gate_by_address = self.gates
+        bundle = ports.Ports(
+            clock=clock,
+            rng=random.Random(self.rng.random()),
+            http=http,
+            table=platform.TableClient(http, TABLE),
+            objects=platform.ObjectClient(http, OBJECTS),
+            fetch_listing=platform.make_fetch_listing(http, LISTING),
+            peers=peers,
+            write_event=lambda kind, fields: None,
+        )
+        context = instance.build_instance(
+            make_settings(name, zone), bundle, TOKEN
+        )
+        self._connect(context, name, zone, gate)
+        member = Member(context, gate, clock, peers)
+        self.member_by_name[name] = member
+        instance.start(context)
+        return member
+
+    def _connect(
+        self,
+        context: contexts.Context,
+        name: str,
+        zone: str,
+        gate: memory.Gate,
+    ) -> None:
+        address = f'{name}:2'
+        context.caller_address = f'{name}:1'
+        context.peer_address = address
+        self.handlers[address] = gossip.PeerHandler(context)
+        self.gates[address] = gate
+        self.network.zone_by_address[address] = zone
+        self.listing.change(
+            name,
+            {
+                'id': name,
+                'kind': 'entry',
+                'address': address,
+                'availability_zone': zone,
+            },
+        )
+
+    async def propose(self, name: str, base: int, text: str):
+        """Propose a configuration at one instance."""
+        value = {'base_version': base, 'author': 'test', 'text': text}
+        return await self.operate(name, 'POST', '/config', value)
+
+    async def operate(
+        self, name: str, method: str, target: str, value: object = None
+    ) -> message.Reply:
+        """Send an operator's request to one instance."""
+        headers = (('authorization', f'Bearer {TOKEN}'),)
+        body = b'' if value is None else server.make_json(value).body
+        request = message.Request(method, target, headers, body)
+        context = self.member_by_name[name].context
+        return await route.handle_operator(context, request)
+
+    async def ask(
+        self,
+        name: str,
+        method: str,
+        target: str,
+        value: object = None,
+        headers: message.Headers = (),
+    ) -> message.Reply:
+        """Send a caller's request to one instance."""
+        body = b'' if value is None else server.make_json(value).body
+        request = message.Request(method, target, headers, body)
+        member = self.member_by_name[name]
+        await member.gate.wait()
+        return await route.handle_caller(member.context, request)
+
+
+def make_settings(name: str, zone: str) -> settings.Settings:
+    """Return the settings of an instance in memory."""
+    return settings.Settings(
+        id=name,
+        availability_zone=zone,
+        caller_address='127.0.0.1:1',
+        peer_address='127.0.0.1:2',
+        operator_address='127.0.0.1:3',
+        operator_token_file='none',
+        table_address='127.0.0.1:4',
+        object_address='127.0.0.1:5',
+        list_address='127.0.0.1:6',
+    )
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -35,11 +35,13 @@
         self.load_ms = arguments.load_ms
         self.version_by_model: dict[str, int] = {}
         self.fence_by_model: dict[str, int] = {}
+        self.crash = lambda: os._exit(CRASH_STATUS)
         self.running = 0
         self.queue: list[tuple[int, int, asyncio.Future]] = []
         self.turns = itertools.count()
         self.reported_load = 0
-        self.tokens_by_version: dict[int, int] = {}
+        self.versions_by_request: dict[str, list[int | None]] = {}
+        self.started_ms_by_request: dict[str, float] = {}
         self.ran: list[str] = []
         app.routes.update(
             {
@@ -64,7 +66,7 @@
 
     async def get_ran(self, request, query) -> message.Reply:
         """Return what the engine itself saw."""
-        seen = {'ran': self.ran, 'tokens': self.tokens_by_version}
+        seen = {'ran': self.ran, 'versions': self.versions_by_request}
         return server.make_json(seen)
 
     async def order_weights(self, request, query) -> message.Reply:
@@ -97,7 +99,7 @@
         prompt = enginetext.get_prompt(body)
         crash_on = self.app.faults.get('crash_on') or 'POISON'
         if crash_on in prompt:
-            os._exit(CRASH_STATUS)
+            self.crash()
         request_id = message.find_header(request.headers, 'x-request-id')
         priority = message.find_header(request.headers, 'x-priority')
         tokens = enginetext.make_tokens(body, prompt)
@@ -124,6 +126,8 @@
     ) -> abc.AsyncGenerator[bytes, None]:
         await self._take_slot(priority)
         self.ran.append(request_id)
+        self._note_start(request_id)
+        produced = self.versions_by_request.setdefault(request_id, [])
         if self.app.take_fault('mix_up'):
             request_id = f'{request_id}-other'
         try:
@@ -133,7 +137,7 @@
                     raise ConnectionResetError
                 last = index == len(tokens) - 1
                 version = self.version_by_model.get(model)
-                self._count_token(version)
+                produced.append(version)
                 event = enginetext.make_event(
                     request_id, token, version, last, is_chat
                 )
@@ -142,9 +146,9 @@
         finally:
             self._give_slot()
 
-    def _count_token(self, version: int | None) -> None:
-        count = self.tokens_by_version.get(version, 0)
-        self.tokens_by_version[version] = count + 1
+    def _note_start(self, request_id: str) -> None:
+        now_ms = asyncio.get_running_loop().time() * 1000
+        self.started_ms_by_request[request_id] = now_ms
 
     def _get_token_s(self) -> float:
         factor = self.app.faults.get('slow_factor', 1.0)
--- a/standins/enginetext.py
+++ b/standins/enginetext.py
@@ -5,8 +5,8 @@
 
 import xxhash
 
-from pomelopass import message
 from pomelopass.edges import httpclient
+from pomelopass import message
 
 __all__ = ['fetch', 'get_prompt', 'make_event', 'make_tokens']
 
--- a/standins/server.py
+++ b/standins/server.py
@@ -9,8 +9,8 @@
 import time
 from urllib import parse
 
-from pomelopass import message
 from pomelopass.edges import httpserver
+from pomelopass import message
 
 __all__ = ['App', 'make_json', 'make_parser', 'run_app']
 
--- a/standins/table.py
+++ b/standins/table.py
@@ -20,6 +20,7 @@
         self.reads = 0
         self.writes = 0
         self.rows_written = 0
+        self.log: list[tuple[str, str | None]] = []
         app.routes.update(
             {
                 ('GET', '/rows'): self.scan,
@@ -86,6 +87,7 @@
             return bad
         self.rows_written += len(puts)
         for one in puts:
+            self.log.append((one['key'], one['value']))
             if one['value'] is None:
                 self.row_by_key.pop(one['key'], None)
                 continue
--- a/standins/trainer.py
+++ b/standins/trainer.py
@@ -5,8 +5,8 @@
 import json
 import time
 
-from pomelopass import message
 from pomelopass.edges import httpclient
+from pomelopass import message
 
 __all__ = ['Trainer', 'main']
 
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the tests."""
--- /dev/null
+++ b/tests/builders.py
@@ -0,0 +1,137 @@
+"""Build test data."""
+
+import json
+
+from standins import cluster
+
+ZONES = ('north', 'middle', 'south')
+KEY = 'idempotency-key'
+
+
+def make_configuration_text(**changes: object) -> str:
+    """Return a small configuration with an order desk and a trainer."""
+    trainer = {
+        'pool': 'engines',
+        'model': 'matcher',
+        'start_weights': 'matcher-start',
+        'scorer': 'scores',
+        'group_size': 2,
+        'max_tokens': 8,
+        'max_staleness_versions': 1,
+        **changes.get('trainer', {}),
+    }
+    desk = {'pool': 'desk', 'kind': 'plain', 'timeout_ms': 3000}
+    value = {
+        'format': 1,
+        'services': {
+            'orders': {**desk, 'repeatable': False},
+            'stock': desk,
+            'scores': desk,
+            'matching': {
+                'pool': 'engines',
+                'kind': 'model',
+                'model': 'matcher',
+                **changes.get('service', {}),
+            },
+        },
+        'pools': {
+            'desk': {
+                'kind': 'plain',
+                'slots_per_endpoint': 16,
+                'echoes_request_id': True,
+            },
+            'engines': {
+                'kind': 'model',
+                'models': ['matcher'],
+                'resumes': True,
+                'honours_priority': True,
+                'echoes_request_id': True,
+                'max_concurrent_loads': 3,
+                **changes.get('pool', {}),
+            },
+        },
+        'trainers': {'learner': trainer},
+        'weight_versions': {
+            'matcher-start': {'model': 'matcher', 'number': 1, 'object': 'w1'}
+        },
+        'placement_rules': {},
+    }
+    return json.dumps(value)
+
+
+async def start_cluster(
+    seed: int = 1,
+    members: int = 3,
+    engines: int = 3,
+    services: int = 2,
+    checks_fencing: bool = False,
+    text: str | None = None,
+    **options: object,
+) -> cluster.Cluster:
+    """Return a running cluster with a configuration in force."""
+    built = cluster.Cluster(seed, ZONES)
+    for index in range(engines):
+        built.add_engine(
+            f'engine-{index}',
+            'engines',
+            ZONES[index % 3],
+            checks_fencing=checks_fencing,
+            **options,
+        )
+    for index in range(services):
+        built.add_service(f'desk-{index}', 'desk', ZONES[index % 3])
+    for index in range(members):
+        built.add_member(f'entry-{index}', ZONES[index % 3])
+    text = text or make_configuration_text()
+    clock = built.member_by_name['entry-0'].clock
+    await clock.sleep(1500)
+    reply = await built.propose('entry-0', 0, text)
+    assert reply.status == 200, reply.body
+    await clock.sleep(3500)
+    return built
+
+
+async def send_order(
+    built: cluster.Cluster, name: str, order: str, key: str
+) -> tuple[int, dict]:
+    """Send an order with a key; return status and body."""
+    reply = await built.ask(
+        name,
+        'POST',
+        '/services/orders/orders',
+        {'order': order},
+        ((KEY, key),),
+    )
+    return reply.status, json.loads(reply.body)
+
+
+async def issue_key(built: cluster.Cluster, name: str) -> str:
+    """Return a key that an instance issues."""
+    reply = await built.ask(name, 'POST', '/idempotency-keys')
+    return json.loads(reply.body)['key']
+
+
+async def ask_batch(
+    built: cluster.Cluster, name: str, step: int, prompts: int = 2
+) -> tuple[int, dict]:
+    """Ask for the batch of a step; return status and body."""
+    value = {'prompts': [f'step {step} {n}' for n in range(prompts)]}
+    target = f'/trainers/learner/batches/{step}'
+    reply = await built.ask(name, 'POST', target, value)
+    return reply.status, json.loads(reply.body)
+
+
+async def publish(built: cluster.Cluster, name: str, version: int) -> int:
+    """Publish weights of the learner; return the status."""
+    value = {'version': version, 'object': f'w{version}'}
+    reply = await built.ask(name, 'POST', '/trainers/learner/weights', value)
+    return reply.status
+
+
+def count_orders(built: cluster.Cluster) -> dict[str, int]:
+    """Return how often each order ran, as the services counted."""
+    counts: dict[str, int] = {}
+    for one in built.service_by_name.values():
+        for key, count in one.count_by_key.items():
+            counts[key] = counts.get(key, 0) + count
+    return counts
--- /dev/null
+++ b/tests/processes/__init__.py
@@ -0,0 +1,1 @@
+"""Hold tests of one area."""
