--- a/pomelopass/edges/httpserver.py
+++ b/pomelopass/edges/httpserver.py
@@ -15,6 +15,7 @@
 HEAD_TIMEOUT_MS = 60_000
 STALL_LIMIT_MS = 30_000
 MAX_HEAD_BYTES = 32_768
+HEADER_EXTRA_BYTES = 4
 
 Handler = abc.Callable[[message.Request], abc.Awaitable[message.Reply]]
 MakeRefusal = abc.Callable[[int, str], message.Reply]
@@ -120,6 +121,7 @@
                         writer.write(_encode_continue(state))
                     state.receive_data(await reader.read(READ_BYTES))
                 elif isinstance(event, h11.Request):
+                    _check_head(event)
                     head = event
                     self.idle.discard(writer)
                 elif isinstance(event, h11.Data):
@@ -212,6 +214,17 @@
     return state.send(event)
 
 
+def _check_head(head: h11.Request) -> None:
+    # h11 limits only heads that come in several reads.
+    size = len(head.target)
+    for name, value in head.headers:
+        size += len(name) + len(value) + HEADER_EXTRA_BYTES
+    if size > MAX_HEAD_BYTES:
+        raise h11.RemoteProtocolError(
+            f'over {MAX_HEAD_BYTES} bytes', error_status_hint=431
+        )
+
+
 def _make_request(head: h11.Request, body: bytes) -> message.Request:
     headers = tuple(
         (name.decode('ascii'), value.decode('latin-1'))
--- /dev/null
+++ b/tests/core/test_adoption.py
@@ -0,0 +1,26 @@
+"""Check that versions only rise and need a kept marker."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pomelopass.core import adoption
+
+
+@given(st.lists(st.tuples(st.integers(1, 9), st.booleans())))
+def test_versions_only_rise(steps):
+    state = adoption.AdoptionState()
+    last = 0
+    for version, kept in steps:
+        head = adoption.Head(version, 'd')
+        if adoption.may_adopt(state, head, kept):
+            assert kept
+            assert version > last
+            adoption.note_adopted(state, head)
+            last = version
+
+
+def test_fresh_instance_needs_one_store_that_answers():
+    old, new = adoption.Head(1, 'a'), adoption.Head(2, 'b')
+    assert adoption.choose_at_start(new, True, [old], True) == new
+    assert adoption.choose_at_start(None, False, [old, new], True) == new
+    assert adoption.choose_at_start(None, False, [], False) is None
--- /dev/null
+++ b/tests/core/test_bounds.py
@@ -0,0 +1,98 @@
+"""Hold state and messages of one instance to a bound as fleets grow."""
+
+import pytest
+
+from pomelopass.core import affinity
+from pomelopass.core import decisions
+from pomelopass.core import length
+from pomelopass.core import news
+from pomelopass.core import peers
+from pomelopass.core import rendezvous
+from pomelopass import loops
+
+ZONES = 11
+
+
+def make_addresses(instances: int) -> dict[str, list[str]]:
+    """Return the peer addresses of a fleet by zone."""
+    found: dict[str, list[str]] = {}
+    for number in range(instances):
+        zone = found.setdefault(f'z{number % ZONES}', [])
+        zone.append(f'10.0.0.{number}:1')
+    return found
+
+
+@pytest.mark.parametrize('instances', [12, 150, 1500])
+def test_partners_do_not_grow_with_the_fleet(instances):
+    partners = peers.choose_partners('i', 'z0', make_addresses(instances))
+    most = peers.MAX_NEAR_PARTNERS + (ZONES - 1) * peers.MAX_FAR_PARTNERS
+    assert len(partners) <= most
+
+
+def test_every_instance_has_partners_on_both_sides_of_each_border():
+    addresses = make_addresses(1500)
+    partners = set(peers.choose_partners('i', 'z0', addresses))
+    for zone in addresses.values():
+        assert partners & set(zone)
+
+
+@pytest.mark.parametrize('endpoints', [10, 1000, 10_000])
+def test_polled_endpoints_do_not_grow_with_the_pool(endpoints):
+    names = [f'e{number}' for number in range(endpoints)]
+    polled = rendezvous.rank('i', names)[: loops.MAX_POLLED_PER_POOL]
+    assert len(polled) <= loops.MAX_POLLED_PER_POOL
+
+
+def test_news_affinity_lengths_and_events_are_bounded():
+    told = news.NewsState()
+    known = affinity.AffinityState()
+    lengths = length.LengthState()
+    log = decisions.EventLog('p')
+    for number in range(20_000):
+        news.add(told, news.Item('leaving', str(number), '1', 1e9))
+        affinity.note_cached(known, str(number), 'e', 0)
+        length.learn(lengths, str(number), 1.0)
+        decisions.add(log, 'k', 's', 'd', 0)
+    assert len(told.by_key) <= news.MAX_ITEMS
+    assert len(known.by_prefix) <= affinity.MAX_PREFIXES
+    assert len(lengths.by_shape) <= length.MAX_KEYS
+    assert len(log.events) <= decisions.MAX_EVENTS
+
+
+def test_news_is_sent_to_a_peer_once():
+    told = news.NewsState()
+    news.add(told, news.Item('leaving', 'e', '1', 1e9))
+    number, items = news.get_since(told, 'peer', 0)
+    assert len(items) == 1
+    news.note_sent(told, 'peer', number)
+    assert news.get_since(told, 'peer', 0)[1] == []
+
+
+def test_stopping_peer_is_not_listed_again():
+    state = peers.PeerState()
+    base = ('i', 'c:1', 'p:1', 'o:1', 'z0')
+    stopping = peers.EntryView(*base, True, True, 1, 0.0)
+    peers.note_heard(state, stopping)
+    late = peers.EntryView(*base, True, False, 1, 1.0)
+    peers.note_heard(state, late)
+    assert peers.find_entries(peers.find_live(state, 2.0), 'z0', 8) == []
+
+
+def test_length_estimate_survives_lengths_never_seen():
+    lengths = length.LengthState()
+    for _ in range(50):
+        length.learn(lengths, 'short', 10.0)
+    length.learn(lengths, 'long', 1e9)
+    assert lengths.typical < 20.0
+    assert length.is_long(lengths, 1e9)
+    assert not length.is_long(lengths, 10.0)
+    assert length.estimate(lengths, 'new', 8.0) <= 8.0
+
+
+def test_late_eviction_event_does_not_drop_a_newer_belief():
+    known = affinity.AffinityState()
+    affinity.note_cached(known, 'p', 'e', 100.0)
+    affinity.note_evicted(known, 'p', 'e', 50.0)
+    assert affinity.find_holder(known, 'p', 110.0) == 'e'
+    affinity.note_evicted(known, 'p', 'e', 100.0)
+    assert affinity.find_holder(known, 'p', 110.0) is None
--- /dev/null
+++ b/tests/core/test_ejection.py
@@ -0,0 +1,51 @@
+"""Check ejection of slow endpoints, its cap and its end."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pomelopass.core import ejection
+from pomelopass.core import health
+
+
+def make_health(pace: float) -> health.EndpointHealth:
+    """Return the health of an endpoint with a known pace."""
+    return health.EndpointHealth(samples=10, ms_per_unit=pace)
+
+
+def test_slow_endpoint_is_ejected_then_probed_once():
+    by_key = {str(n): make_health(10.0) for n in range(5)}
+    by_key['0'].ms_per_unit = 100.0
+    assert ejection.review(by_key, 0) == ['0']
+    assert not ejection.is_in_rotation(by_key['0'], 100)
+    late_ms = ejection.EJECT_MS + 1
+    assert ejection.is_in_rotation(by_key['0'], late_ms)
+    ejection.note_probe_sent(by_key['0'])
+    assert not ejection.is_in_rotation(by_key['0'], late_ms)
+    ejection.note_result(by_key['0'], True, True)
+    assert ejection.is_in_rotation(by_key['0'], late_ms)
+
+
+def test_running_request_is_evidence_before_it_ends():
+    by_key = {str(n): make_health(10.0) for n in range(4)}
+    health.note_started(by_key['1'], 'r', 1.0, 0.0)
+    assert ejection.review(by_key, 5.0) == []
+    assert ejection.review(by_key, 100.0) == ['1']
+
+
+def test_all_slow_at_once_ejects_none():
+    by_key = {str(n): make_health(1000.0) for n in range(5)}
+    assert ejection.review(by_key, 0) == []
+
+
+@given(st.lists(st.floats(0.1, 1e6), min_size=1, max_size=20))
+def test_cap_holds_for_any_paces(paces):
+    by_key = {str(n): make_health(pace) for n, pace in enumerate(paces)}
+    ejected = ejection.review(by_key, 0)
+    assert len(ejected) <= max(1, len(paces) * 0.34)
+
+
+def test_unreachable_endpoint_is_skipped_for_a_second():
+    one = make_health(1.0)
+    ejection.note_unreachable(one, 0)
+    assert not ejection.is_in_rotation(one, 999)
+    assert ejection.is_in_rotation(one, 1000)
--- /dev/null
+++ b/tests/edges/test_httpclient.py
@@ -0,0 +1,119 @@
+"""Prove verdicts and connection reuse against a raw server."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from pomelopass.core import verdict
+from pomelopass.edges import httpclient
+from pomelopass import message
+
+REPLY = (
+    b'HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\n'
+    b'transfer-encoding: chunked\r\n\r\n'
+    b'5\r\nhello\r\n6\r\n world\r\n0\r\n\r\n'
+)
+GET = message.Request('GET', '/')
+
+
+@contextlib.asynccontextmanager
+async def serve(handler):
+    """Listen with a raw handler; yield the address."""
+    listener = await asyncio.start_server(handler, '127.0.0.1', 0)
+    port = listener.sockets[0].getsockname()[1]
+    try:
+        yield f'127.0.0.1:{port}'
+    finally:
+        listener.close()
+
+
+async def fetch(client, address: str, timeout_ms: float = 3000) -> bytes:
+    """Return the whole body."""
+    reply = await client.open(address, GET, timeout_ms)
+    return await reply.read(1 << 20)
+
+
+async def test_reply_cut_at_every_byte_is_never_whole():
+    for cut in range(len(REPLY)):
+
+        async def answer(reader, writer, cut=cut):
+            await reader.readuntil(b'\r\n\r\n')
+            writer.write(REPLY[:cut])
+            writer.close()
+
+        async with serve(answer) as address:
+            client = httpclient.HttpClient()
+            with pytest.raises(message.ExchangeError) as caught:
+                await fetch(client, address)
+            written = caught.value.bytes_written
+            outcome = verdict.get_attempt_verdict(written, False)
+            assert outcome == verdict.Verdict.MAY_HAVE_RUN
+            assert not client.idle_by_address.get(address)
+
+
+async def test_refused_connection_has_not_run():
+    client = httpclient.HttpClient()
+    async with serve(lambda r, w: None) as address:
+        pass
+    with pytest.raises(message.ExchangeError) as caught:
+        await fetch(client, address)
+    assert caught.value.bytes_written == 0
+
+
+async def test_late_answer_never_reaches_the_next_request():
+    seen = []
+
+    async def answer(reader, writer):
+        seen.append(writer)
+        first = len(seen) == 1
+        await reader.readuntil(b'\r\n\r\n')
+        if first:
+            await asyncio.sleep(0.3)
+        body = b'late!' if first else b'right'
+        with contextlib.suppress(OSError):
+            writer.write(b'HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\n')
+            writer.write(body)
+            await writer.drain()
+            await reader.read()
+
+    async with serve(answer) as address:
+        client = httpclient.HttpClient()
+        with pytest.raises(message.ExchangeError):
+            await fetch(client, address, 50)
+        await asyncio.sleep(0.4)
+        assert await fetch(client, address) == b'right'
+        assert len(seen) == 2
+        await client.close()
+
+
+async def test_whole_reply_keeps_the_connection():
+    connections = []
+
+    async def answer(reader, writer):
+        connections.append(1)
+        with contextlib.suppress(asyncio.IncompleteReadError):
+            while True:
+                await reader.readuntil(b'\r\n\r\n')
+                writer.write(REPLY)
+        writer.close()
+
+    async with serve(answer) as address:
+        client = httpclient.HttpClient()
+        for _ in range(5):
+            assert await fetch(client, address) == b'hello world'
+        await client.close()
+        assert len(connections) == 1
+
+
+async def test_surplus_bytes_after_a_reply_end_the_connection():
+    async def answer(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(REPLY + REPLY)
+        with contextlib.suppress(OSError):
+            await reader.read()
+
+    async with serve(answer) as address:
+        client = httpclient.HttpClient()
+        assert await fetch(client, address) == b'hello world'
+        assert not client.idle_by_address.get(address)
