Tell "not run" only after a look at the key; part long work from short

Such a refusal now says "may have run", and a key that was given up is looked up again. So do refusals before any look at the key (not ready, stopping).

Places for long requests are now dealt out between instances, short ones may pass.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measure policies on a virtual clock and the daemon as a process."""
--- a/pomelopass/claimflow.py
+++ b/pomelopass/claimflow.py
@@ -30,7 +30,7 @@
     if admission.step == claims.Step.ASK_OWNER:
         admission = await _ask_owner(context, item, admission.owner)
     if admission.step == claims.Step.REFUSE:
-        raise work.Refused(admission.refusal)
+        raise work.Refused(admission.refusal, key_checked=True)
     if admission.step == claims.Step.REPLAY:
         return _make_reply(admission.reply)
     return None
@@ -44,8 +44,8 @@
         raise work.Refused(
             refusal.Refusal(
                 refusal.Code.KEY_RELEASED,
-                'The key was given up before it ran. Use a new key.',
-                verdict.get_overall_verdict(item.verdicts),
+                'The key was given up. Send again with the same key.',
+                verdict.Verdict.MAY_HAVE_RUN,
             )
         )
 
--- a/pomelopass/configstore.py
+++ b/pomelopass/configstore.py
@@ -203,11 +203,14 @@
 
 
 async def _keep_marker(context: contexts.Context, head: adoption.Head) -> bool:
+    markers = (await _fetch_markers(context)).value_or([])
+    if head in markers:
+        return True
     key = f'{MARKER_PREFIX}{head.version:010d}-{head.digest}'
     kept = await context.ports.objects.put(key, b'')
     if isinstance(kept, result.Failure):
         return False
-    for old in (await _fetch_markers(context)).value_or([]):
+    for old in markers:
         if old.version <= head.version - KEPT_VERSIONS:
             key = f'{MARKER_PREFIX}{old.version:010d}-{old.digest}'
             await context.ports.objects.delete(key)
--- a/pomelopass/core/claims.py
+++ b/pomelopass/core/claims.py
@@ -90,9 +90,9 @@
 ) -> Admission:
     """Decide what to do with a request that carries the key."""
     claim = book.by_key.get(key)
-    if claim is not None:
-        return _admit_known(claim, fingerprint, now_ms)
     issued = issuedkey.find_issued_key(key)
+    if claim is not None and not _may_have_moved(claim, issued):
+        return _admit_known(claim, fingerprint, now_ms)
     if issued is None:
         book.last_token += 1
         token = f'{book.incarnation}/{book.last_token}'
@@ -149,9 +149,9 @@
         claim.phase = Phase.UNSURE
     return _refuse(
         refusal.Code.STORE_UNAVAILABLE,
-        'The table service does not answer. Use an issued key from '
-        '/idempotency-keys or try again.',
-        verdict.Verdict.NOT_RUN,
+        'The table service does not answer. This send did not run, an '
+        'earlier one may have. Send again with the same key.',
+        verdict.Verdict.MAY_HAVE_RUN,
     )
 
 
@@ -231,6 +231,11 @@
         del book.by_key[key]
 
 
+def _may_have_moved(claim: Claim, issued: issuedkey.IssuedKey | None) -> bool:
+    # A key of the caller that was given up may have run elsewhere since.
+    return issued is None and claim.phase == Phase.RELEASED
+
+
 def _admit_known(claim: Claim, fingerprint: str, now_ms: float) -> Admission:
     if claim.fingerprint != fingerprint:
         return _refuse(
--- a/pomelopass/core/health.py
+++ b/pomelopass/core/health.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from . import workclass
+
 __all__ = [
     'EndpointHealth',
     'get_slowness',
@@ -21,7 +23,7 @@
 
     at_ms: float
     units: float
-    for_sample: bool
+    work_class: workclass.WorkClass
 
 
 @dataclasses.dataclass(slots=True)
@@ -29,7 +31,9 @@
     """Hold own counts and the last load report of one endpoint."""
 
     in_flight: int = 0
-    samples_in_flight: int = 0
+    in_flight_by_class: dict[workclass.WorkClass, int] = dataclasses.field(
+        default_factory=dict
+    )
     samples: int = 0
     ms_per_unit: float = 0.0
     reported_load: float = 0.0
@@ -49,12 +53,12 @@
     request_id: str,
     units: float,
     now_ms: float,
-    for_sample: bool = False,
+    work_class: workclass.WorkClass = workclass.WorkClass.SHORT,
 ) -> None:
     """Count a request; units are its expected length."""
     health.in_flight += 1
-    health.samples_in_flight += for_sample
-    started = Started(now_ms, units, for_sample)
+    _count(health, work_class, 1)
+    started = Started(now_ms, units, work_class)
     health.started_by_request[request_id] = started
 
 
@@ -70,7 +74,7 @@
     if started is None:
         return
     health.in_flight -= 1
-    health.samples_in_flight -= started.for_sample
+    _count(health, started.work_class, -1)
     if not succeeded:
         health.failures_in_row += 1
         return
@@ -109,3 +113,10 @@
     age_ms = now_ms - health.reported_at_ms
     weight = max(0.0, 1.0 - age_ms / REPORT_FRESH_MS)
     return health.in_flight + 0.5 * weight * health.reported_load
+
+
+def _count(
+    health: EndpointHealth, work_class: workclass.WorkClass, change: int
+) -> None:
+    known = health.in_flight_by_class.get(work_class, 0)
+    health.in_flight_by_class[work_class] = known + change
--- a/pomelopass/core/routing.py
+++ b/pomelopass/core/routing.py
@@ -6,6 +6,7 @@
 from . import ejection
 from . import endpoint
 from . import health
+from . import workclass
 
 __all__ = ['Candidate', 'RouteRequest', 'find_candidates', 'prefer_holder']
 
@@ -23,13 +24,13 @@
     """Describe what the choice depends on."""
 
     availability_zone: str
-    slots: int
+    places: int | dict[str, int]
     now_ms: float
     avoid: frozenset[str] = frozenset()
     zones: tuple[str, ...] = ()
     spill_over: bool = True
     prefix_holder: str | None = None
-    for_sample: bool = False
+    work_class: workclass.WorkClass = workclass.WorkClass.SHORT
 
 
 def find_candidates(
@@ -43,7 +44,7 @@
         state = by_key.setdefault(one.key, health.EndpointHealth())
         if one.key in request.avoid:
             continue
-        if _count_in_flight(state, request) >= request.slots:
+        if not _has_place(one.key, state, request):
             continue
         if not ejection.is_in_rotation(state, request.now_ms):
             continue
@@ -65,12 +66,14 @@
     return chosen
 
 
-def _count_in_flight(
-    state: health.EndpointHealth, request: RouteRequest
-) -> int:
-    if request.for_sample:
-        return state.samples_in_flight
-    return state.in_flight - state.samples_in_flight
+def _has_place(
+    key: str, state: health.EndpointHealth, request: RouteRequest
+) -> bool:
+    limit = request.places
+    if isinstance(limit, dict):
+        limit = limit.get(key, 0)
+    used = state.in_flight_by_class.get(request.work_class, 0)
+    return used < limit
 
 
 def _apply_zones(
--- a/pomelopass/dispatch.py
+++ b/pomelopass/dispatch.py
@@ -117,11 +117,17 @@
         and not pair[0].startswith(('x-priority', 'x-deadline'))
     ]
     headers.append(('x-request-id', item.attempt_id))
-    headers.append(('x-priority', str(item.priority)))
+    headers.append(('x-priority', str(_get_priority(context, item))))
     headers.append(('x-deadline-ms', str(int(max(0, remaining_ms)))))
     return message.Request(item.method, item.target, tuple(headers), body)
 
 
+def _get_priority(context: contexts.Context, item: work.Work) -> int:
+    # Engines get long requests after short ones of the same priority.
+    state = contexts.get_pool_state(context, item.pool)
+    return 2 * item.priority + length.is_long(state.lengths, item.units)
+
+
 def check_echo(
     context: contexts.Context, item: work.Work, reply: message.OpenReply
 ) -> None:
--- a/pomelopass/duties/batches.py
+++ b/pomelopass/duties/batches.py
@@ -7,8 +7,8 @@
 from .. import context as contexts
 from .. import delivery
 from .. import generation
+from .. import places
 from .. import sampling
-from .. import slots
 from ..core import batch
 from ..core import fairness
 from ..core import lease
@@ -16,6 +16,7 @@
 from ..core import quarantine
 from ..core import sample
 from ..core import straggler
+from ..core import workclass
 
 __all__ = ['run']
 
@@ -115,15 +116,16 @@
     item = sampling.make_sample_work(context, built.trainer, one, prompt)
     if _is_quarantined(context, built, one, item.fingerprint):
         return False
-    slot = slots.take_sample_slot(
-        context,
-        state.pool,
+    wish = places.Wish(
         item.id,
         item.units,
+        workclass.WorkClass.SAMPLE,
         item.prefix,
         avoid,
         _find_fresh_engines(context, state, built.trainer),
     )
+    pool_state = contexts.get_pool_state(context, state.pool)
+    slot = places.take_place(context, pool_state, wish)
     if slot is None:
         return False
     now_ms = context.ports.clock.now_ms()
@@ -197,16 +199,16 @@
     context: contexts.Context,
     state: batchstate.BatchesState,
     trainer_name: str,
-) -> set[str]:
+) -> frozenset[str]:
     trainer = context.configuration.trainers[trainer_name]
     newest = state.published_by_trainer[trainer_name].target.version
     oldest = newest - trainer.max_staleness_versions
     usable = membership.find_usable(context.membership, state.pool)
-    return {
+    return frozenset(
         one.key
         for one in usable
         if _get_version(context, one.key, trainer.model) >= oldest
-    }
+    )
 
 
 def _get_version(context: contexts.Context, key: str, model: str) -> int:
--- a/pomelopass/edges/httpclient.py
+++ b/pomelopass/edges/httpclient.py
@@ -136,7 +136,6 @@
         deadline: float,
         written: int,
     ) -> abc.AsyncGenerator[bytes, None]:
-        whole = False
         try:
             while True:
                 event = await connection.next_event(deadline)
@@ -145,18 +144,14 @@
                 if not isinstance(event, h11.Data):
                     raise message.ExchangeError('truncated', written)
                 yield bytes(event.data)
-            whole = True
         except TimeoutError:
             raise message.ExchangeError('timeout', written) from None
         except (OSError, h11.ProtocolError):
             raise message.ExchangeError('truncated', written) from None
         finally:
-            if whole:
-                self._keep(address, connection)
-            else:
-                connection.close()
+            self._keep_or_close(address, connection)
 
-    def _keep(self, address: str, connection: _Connection) -> None:
+    def _keep_or_close(self, address: str, connection: _Connection) -> None:
         connections = self.idle_by_address.setdefault(address, [])
         done = connection.state.their_state is h11.DONE
         leftover = connection.state.trailing_data[0]
--- a/pomelopass/kinds/pool.py
+++ b/pomelopass/kinds/pool.py
@@ -29,13 +29,14 @@
         description='Requests that one endpoint runs at the same time.',
     )
     long_percent: int = pydantic.Field(
-        default=60,
+        default=75,
         ge=1,
         le=100,
-        description='Share of the slots open to long requests, in percent.',
+        description='Share of the slots that long requests and samples '
+        'may take together, in percent.',
     )
     sample_percent: int = pydantic.Field(
-        default=75,
+        default=50,
         ge=1,
         le=100,
         description='Share of the slots open to samples, in percent.',
@@ -49,6 +50,10 @@
     policy: str = pydantic.Field(
         default='two-choices', description='Endpoint choice policy.'
     )
+    ejects_slow_endpoints: bool = pydantic.Field(
+        default=True,
+        description='True when far slower endpoints get no work.',
+    )
     checks_fencing: bool = pydantic.Field(
         default=False,
         description='True when engines refuse an old fencing number.',
--- /dev/null
+++ b/pomelopass/places.py
@@ -0,0 +1,110 @@
+"""Choose an endpoint with a free place for a class of work."""
+
+import dataclasses
+import math
+
+from . import context as contexts
+from . import poolstate
+from . import work
+from .core import affinity
+from .core import ejection
+from .core import health
+from .core import membership
+from .core import quota
+from .core import routing
+from .core import workclass
+
+__all__ = ['Wish', 'take_place']
+
+OVERCOMMIT = 1.25
+MIN_SHORT_PLACES = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Wish:
+    """Describe the place that a request or a sample needs."""
+
+    attempt_id: str
+    units: float
+    work_class: workclass.WorkClass
+    prefix: str = ''
+    avoid: frozenset[str] = frozenset()
+    usable: frozenset[str] | None = None
+
+
+def take_place(
+    context: contexts.Context, state: poolstate.PoolState, wish: Wish
+) -> work.Slot | None:
+    """Reserve a place, or return None when none is free."""
+    now_ms = context.ports.clock.now_ms()
+    request = _make_request(context, state, wish, now_ms)
+    endpoints = membership.find_usable(context.membership, state.name)
+    if wish.usable is not None:
+        endpoints = [one for one in endpoints if one.key in wish.usable]
+    found = routing.find_candidates(endpoints, state.health_by_key, request)
+    if not found:
+        return None
+    chosen = state.choose(found, request)
+    if wish.prefix:
+        key = chosen.endpoint.key
+        affinity.note_cached(state.affinity, wish.prefix, key, now_ms)
+    ejection.note_probe_sent(chosen.health)
+    health.note_started(
+        chosen.health, wish.attempt_id, wish.units, now_ms, wish.work_class
+    )
+    return work.Slot(chosen, wish.attempt_id, now_ms)
+
+
+def _make_request(
+    context: contexts.Context,
+    state: poolstate.PoolState,
+    wish: Wish,
+    now_ms: float,
+) -> routing.RouteRequest:
+    rule = context.configuration.find_placement(state.name)
+    holder = None
+    if wish.prefix:
+        holder = affinity.find_holder(state.affinity, wish.prefix, now_ms)
+    return routing.RouteRequest(
+        availability_zone=context.settings.availability_zone,
+        places=_get_places(context, state, wish.work_class),
+        now_ms=now_ms,
+        avoid=wish.avoid,
+        zones=rule.zones if rule else (),
+        spill_over=rule.spill_over if rule else True,
+        prefix_holder=holder,
+        work_class=wish.work_class,
+    )
+
+
+def _get_places(
+    context: contexts.Context,
+    state: poolstate.PoolState,
+    work_class: workclass.WorkClass,
+) -> int | dict[str, int]:
+    pool = context.configuration.pools[state.name]
+    slots = pool.slots_per_endpoint
+    if work_class == workclass.WorkClass.SAMPLE:
+        return quota.get_sample_slots(slots, pool.sample_percent, True)
+    if work_class == workclass.WorkClass.LONG:
+        return _get_long_places(context, state)
+    entries = contexts.count_live_entries(context)
+    share = math.ceil(slots * OVERCOMMIT / entries)
+    return min(slots, max(MIN_SHORT_PLACES, share))
+
+
+def _get_long_places(
+    context: contexts.Context, state: poolstate.PoolState
+) -> dict[str, int]:
+    pool = context.configuration.pools[state.name]
+    trainers = context.configuration.trainers.values()
+    trains = any(one.pool == state.name for one in trainers)
+    slots = pool.slots_per_endpoint
+    sampled = quota.get_sample_slots(slots, pool.sample_percent, trains)
+    usable = membership.find_usable(context.membership, state.name)
+    return quota.get_long_places(
+        context.settings.id,
+        [one.id for one in context.entries],
+        [one.key for one in usable],
+        quota.get_long_slots(slots, pool.long_percent, sampled),
+    )
--- a/pomelopass/poolstate.py
+++ b/pomelopass/poolstate.py
@@ -41,5 +41,4 @@
         default_factory=dict
     )
     prefix_by_id: dict[str, str] = dataclasses.field(default_factory=dict)
-    long_in_flight: int = 0
     last_drain_ms: float = 0.0
--- a/pomelopass/route.py
+++ b/pomelopass/route.py
@@ -10,6 +10,7 @@
 from . import work
 from .core import refusal
 from .core import stopping
+from .core import verdict
 from .routes import batches
 from .routes import completions
 from .routes import entries
@@ -64,7 +65,7 @@
             'The instance stops. Ask /entries of another instance.',
             retry_after_ms=1000,
         )
-        return _refuse(context, reason)
+        return _refuse(context, _guard_key(request, reason))
     return await _handle(context, request, CALLER_ROUTES)
 
 
@@ -92,7 +93,10 @@
         route, match = _find_route(routes, request)
         return await route.handler(context, request, match)
     except work.Refused as refused:
-        return _refuse(context, refused.reason)
+        reason = refused.reason
+        if not refused.key_checked:
+            reason = _guard_key(request, reason)
+        return _refuse(context, reason)
 
 
 def _find_route(
@@ -111,6 +115,16 @@
     raise work.Refused(refusal.Refusal(code, detail))
 
 
+def _guard_key(
+    request: message.Request, reason: refusal.Refusal
+) -> refusal.Refusal:
+    # Without a look at the key, an earlier send of it may have run.
+    if message.find_header(request.headers, 'idempotency-key') is None:
+        return reason
+    outcome = max(reason.verdict, verdict.Verdict.MAY_HAVE_RUN)
+    return dataclasses.replace(reason, verdict=outcome)
+
+
 def _refuse(
     context: contexts.Context, reason: refusal.Refusal
 ) -> message.Reply:
--- a/pomelopass/routes/plain.py
+++ b/pomelopass/routes/plain.py
@@ -72,6 +72,7 @@
         return reply
     except work.Refused as refused:
         outcome = refused.reason.verdict
+        refused.key_checked = True
         raise
     finally:
         claimflow.settle(context, item, reply, outcome)
--- a/pomelopass/slots.py
+++ b/pomelopass/slots.py
@@ -1,24 +1,20 @@
 """Reserve places on endpoints for requests of callers and samples."""
 
 import asyncio
-import math
 
 from . import context as contexts
+from . import places
 from . import poolstate
 from . import work
 from .core import admission
-from .core import affinity
 from .core import ejection
 from .core import health
 from .core import length
-from .core import membership
 from .core import refusal
-from .core import routing
 from .core import verdict
+from .core import workclass
 
-__all__ = ['acquire', 'pump', 'release', 'take_sample_slot']
-
-OVERCOMMIT = 1.25
+__all__ = ['acquire', 'finish', 'pump', 'release', 'review']
 
 
 async def acquire(
@@ -74,8 +70,6 @@
     pace = (now_ms - slot.started_at_ms) / max(units, 1.0)
     health.note_finished(one, slot.attempt_id, units, succeeded, now_ms)
     ejection.note_result(one, succeeded, _is_pace_ok(state, one, pace))
-    if slot.is_long:
-        state.long_in_flight -= 1
     review(context, state)
     pump(context, state)
 
@@ -83,6 +77,9 @@
 def review(context: contexts.Context, state: poolstate.PoolState) -> None:
     """Eject endpoints that are far slower than their like."""
     now_ms = context.ports.clock.now_ms()
+    pool = context.configuration.pools.get(state.name)
+    if pool is None or not pool.ejects_slow_endpoints:
+        return
     for key in ejection.review(state.health_by_key, now_ms):
         context.metrics.ejections.inc({'pool': state.name})
         pace = health.get_slowness(state.health_by_key[key], now_ms)
@@ -94,51 +91,29 @@
     """Give free places to the most urgent requests."""
     now_ms = context.ports.clock.now_ms()
     _refuse_expired(state, now_ms)
-    long_limit = _get_long_limit(context, state)
     held: list[admission.Waiting] = []
+    long_allowed = True
     while state.admission.by_id:
-        allowed = state.long_in_flight < long_limit
-        waiting = admission.pop_next(state.admission, now_ms, allowed)
+        waiting = admission.pop_next(state.admission, now_ms, long_allowed)
         if waiting is None:
             break
         waiter = state.waiter_by_id.get(waiting.id)
         if waiter is None or waiter.done():
             continue
-        slot = _reserve(context, state, waiting, now_ms)
-        if slot is None:
-            held.append(waiting)
+        slot = _reserve(context, state, waiting)
+        if slot is not None:
+            _note_drain(state, now_ms)
+            waiter.set_result(slot)
+            continue
+        held.append(waiting)
+        if not waiting.is_long:
             break
-        _note_drain(state, now_ms)
-        waiter.set_result(slot)
+        # Short requests pass long ones that wait for a long place.
+        long_allowed = False
     for waiting in held:
         state.admission.by_id[waiting.id] = waiting
 
 
-def take_sample_slot(
-    context: contexts.Context,
-    pool_name: str,
-    attempt_id: str,
-    units: float,
-    prefix: str,
-    avoid: frozenset[str],
-    usable: set[str] | None,
-) -> work.Slot | None:
-    """Reserve a place for a sample, or return None when none is free."""
-    state = contexts.get_pool_state(context, pool_name)
-    pool = context.configuration.pools[pool_name]
-    now_ms = context.ports.clock.now_ms()
-    slots = max(1, pool.slots_per_endpoint * pool.sample_percent // 100)
-    request = _make_request(context, state, slots, now_ms, prefix, avoid, True)
-    endpoints = membership.find_usable(context.membership, pool_name)
-    if usable is not None:
-        endpoints = [one for one in endpoints if one.key in usable]
-    found = routing.find_candidates(endpoints, state.health_by_key, request)
-    if not found:
-        return None
-    chosen = state.choose(found, request)
-    return _start(state, chosen, attempt_id, units, False, now_ms, True)
-
-
 async def _wait(
     context: contexts.Context,
     state: poolstate.PoolState,
@@ -171,92 +146,16 @@
     context: contexts.Context,
     state: poolstate.PoolState,
     waiting: admission.Waiting,
-    now_ms: float,
 ) -> work.Slot | None:
-    slots = _get_own_slots(context, state)
-    avoid = state.avoid_by_id.get(waiting.id, frozenset())
-    prefix = state.prefix_by_id.get(waiting.id, '')
-    request = _make_request(
-        context, state, slots, now_ms, prefix, avoid, False
-    )
-    endpoints = membership.find_usable(context.membership, state.name)
-    found = routing.find_candidates(endpoints, state.health_by_key, request)
-    if not found:
-        return None
-    chosen = state.choose(found, request)
-    if prefix:
-        key = chosen.endpoint.key
-        affinity.note_cached(state.affinity, prefix, key, now_ms)
-    if waiting.is_long:
-        state.long_in_flight += 1
-    return _start(
-        state,
-        chosen,
+    long = waiting.is_long
+    wish = places.Wish(
         waiting.id,
         waiting.units,
-        waiting.is_long,
-        now_ms,
-        False,
+        workclass.WorkClass.LONG if long else workclass.WorkClass.SHORT,
+        state.prefix_by_id.get(waiting.id, ''),
+        state.avoid_by_id.get(waiting.id, frozenset()),
     )
-
-
-def _start(
-    state: poolstate.PoolState,
-    chosen: routing.Candidate,
-    attempt_id: str,
-    units: float,
-    is_long: bool,
-    now_ms: float,
-    for_sample: bool,
-) -> work.Slot:
-    ejection.note_probe_sent(chosen.health)
-    health.note_started(chosen.health, attempt_id, units, now_ms, for_sample)
-    return work.Slot(chosen, attempt_id, is_long, now_ms)
-
-
-def _make_request(
-    context: contexts.Context,
-    state: poolstate.PoolState,
-    slots: int,
-    now_ms: float,
-    prefix: str,
-    avoid: frozenset[str],
-    for_sample: bool,
-) -> routing.RouteRequest:
-    rule = context.configuration.find_placement(state.name)
-    holder = None
-    if prefix:
-        holder = affinity.find_holder(state.affinity, prefix, now_ms)
-    return routing.RouteRequest(
-        availability_zone=context.settings.availability_zone,
-        slots=slots,
-        now_ms=now_ms,
-        avoid=avoid,
-        zones=rule.zones if rule else (),
-        spill_over=rule.spill_over if rule else True,
-        prefix_holder=holder,
-        for_sample=for_sample,
-    )
-
-
-def _get_own_slots(
-    context: contexts.Context, state: poolstate.PoolState
-) -> int:
-    pool = context.configuration.pools[state.name]
-    entries = contexts.count_live_entries(context)
-    share = math.ceil(pool.slots_per_endpoint * OVERCOMMIT / entries)
-    return min(pool.slots_per_endpoint, max(1, share))
-
-
-def _get_long_limit(
-    context: contexts.Context, state: poolstate.PoolState
-) -> int:
-    pool = context.configuration.pools[state.name]
-    usable = membership.find_usable(context.membership, state.name)
-    entries = contexts.count_live_entries(context)
-    total = len(usable) * pool.slots_per_endpoint
-    share = total * pool.long_percent / 100 / entries
-    return max(1, round(share))
+    return places.take_place(context, state, wish)
 
 
 def _set_limits(
--- a/pomelopass/work.py
+++ b/pomelopass/work.py
@@ -46,13 +46,13 @@
 
     candidate: routing.Candidate
     attempt_id: str
-    is_long: bool
     started_at_ms: float
 
 
 class Refused(Exception):  # noqa: N818
-    """Carry a refusal to the edge that answers the caller."""
+    """Carry a refusal and whether it looked the idempotency key up."""
 
-    def __init__(self, reason: refusal.Refusal):
+    def __init__(self, reason: refusal.Refusal, key_checked: bool = False):
         super().__init__(reason.code)
         self.reason = reason
+        self.key_checked = key_checked
--- /dev/null
+++ b/scripts/mutants.py
@@ -0,0 +1,94 @@
+"""Break one line at a time and demand that some test fails."""
+
+import concurrent.futures
+import dataclasses
+import os
+import pathlib
+import shutil
+import subprocess
+import sys
+import tempfile
+
+from scripts import mutantlist
+
+__all__ = ['main']
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+WORKERS = 4
+TIMEOUT_S = 300
+COPIED = ('pomelopass', 'standins', 'scripts', 'tests', 'bench', 'examples')
+FILES = ('conftest.py', 'pyproject.toml')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outcome:
+    """Hold whether a mutant was caught."""
+
+    mutant: mutantlist.Mutant
+    caught: bool
+    detail: str
+
+
+def main() -> int:
+    """Run all mutants, or those whose name holds an argument."""
+    wanted = sys.argv[1] if len(sys.argv) > 1 else ''
+    chosen = [one for one in mutantlist.MUTANTS if wanted in one.name]
+    with concurrent.futures.ThreadPoolExecutor(WORKERS) as pool:
+        outcomes = list(pool.map(run_mutant, chosen))
+    for one in outcomes:
+        state = 'caught' if one.caught else 'SURVIVED'
+        print(f'{state:9s} {one.mutant.name}: {one.detail}')
+    missed = sum(not one.caught for one in outcomes)
+    print(f'{len(outcomes) - missed} caught, {missed} survived')
+    return 1 if missed else 0
+
+
+def run_mutant(mutant: mutantlist.Mutant) -> Outcome:
+    """Break the line in a copy of the project and run its tests."""
+    with tempfile.TemporaryDirectory() as folder:
+        copy = pathlib.Path(folder)
+        _copy_project(copy)
+        path = copy / mutant.path
+        text = path.read_text(encoding='utf-8')
+        if text.count(mutant.old) != 1:
+            return Outcome(mutant, False, 'the line was not found once')
+        changed = text.replace(mutant.old, mutant.new)
+        path.write_text(changed, encoding='utf-8')
+        return _run_tests(mutant, copy)
+
+
+def _copy_project(copy: pathlib.Path) -> None:
+    ignored = shutil.ignore_patterns('__pycache__')
+    for name in COPIED:
+        shutil.copytree(ROOT / name, copy / name, ignore=ignored)
+    for name in FILES:
+        shutil.copy(ROOT / name, copy / name)
+
+
+def _run_tests(mutant: mutantlist.Mutant, copy: pathlib.Path) -> Outcome:
+    command = [
+        *(sys.executable, '-m', 'pytest', '-x', '-q', '--no-header'),
+        *('-p', 'no:cacheprovider', *mutant.tests),
+    ]
+    try:
+        done = subprocess.run(
+            command,
+            cwd=copy,
+            capture_output=True,
+            text=True,
+            timeout=TIMEOUT_S,
+            check=False,
+            env={**os.environ, 'PYTHONPATH': str(copy)},
+        )
+    except subprocess.TimeoutExpired:
+        return Outcome(mutant, True, 'the tests did not end')
+    failed = [
+        line for line in done.stdout.splitlines() if line.startswith('FAILED ')
+    ]
+    detail = failed[0][:100] if failed else done.stdout[-200:]
+    caught = done.returncode == 1 and bool(failed)
+    return Outcome(mutant, caught, detail)
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -90,6 +90,9 @@
             'checks_fencing': False,
             'weight_store': '',
             'load_ms': 200.0,
+            'load_lag_ms': 1000.0,
+            'straggle_share': 0.0,
+            'name': name,
             **options,
         }
         address = f'{name}:1'
--- a/standins/service.py
+++ b/standins/service.py
@@ -89,6 +89,7 @@
         self.ran.append(request_id or '')
         if self.app.take_fault('mix_up'):
             request_id = f'{request_id}-other'
+            body = {**body, 'asked': '/other', 'order': 'other'}
         headers = (('x-request-id', request_id or 'none'),)
         return server.make_json(body, 200, headers)
 
--- a/tests/scenarios/faults.py
+++ b/tests/scenarios/faults.py
@@ -140,6 +140,7 @@
     'list-down': _set('listing', 'down', 1),
     'engine-slow': _set_engine('slow_factor', 20.0),
     'engine-truncates': _set_engine('truncate', 2),
+    'engine-ends-early': _set_engine('end_early', 2),
     'engine-mixes-up': _set_engine('mix_up', 2),
     'swap-fails': _set_engine('swap_fail', 2),
     'swap-answer-lost': _set_engine('swap_lose_answer', 2),
--- a/tests/scenarios/test_answers.py
+++ b/tests/scenarios/test_answers.py
@@ -15,6 +15,7 @@
 
 KINDS = (
     *('engine-slow', 'engine-truncates', 'engine-mixes-up'),
+    'engine-ends-early',
     *('engine-refuses', 'table-down', 'freeze', 'cut'),
 )
 DONE = 'data: [DONE]\n\n'
@@ -109,6 +110,18 @@
     virtualloop.run(main())
 
 
+def test_stream_that_ends_early_is_continued_or_refused():
+    async def main() -> None:
+        built = await builders.start_cluster(engines=2)
+        for one in built.engine_by_name.values():
+            one.app.faults['end_early'] = 2
+        for index in range(8):
+            await ask_whole(built, 'entry-0', f'whole {index}')
+            await ask_stream(built, 'entry-0', f'stream {index}')
+
+    virtualloop.run(main())
+
+
 def test_mixed_up_answer_of_a_service_is_not_passed_on():
     async def main() -> None:
         built = await builders.start_cluster()
--- a/tests/scenarios/test_batches.py
+++ b/tests/scenarios/test_batches.py
@@ -1,6 +1,7 @@
 """Prove what trainers are promised, under random faults."""
 
 import asyncio
+import itertools
 import json
 import random
 
@@ -87,6 +88,17 @@
         for one in get_samples(first):
             check_sample(run.built, one)
         check_staleness(run.built, step, first)
+    batches = [run.batches_by_step[step][0] for step in range(1, STEPS + 1)]
+    check_carried(batches)
+
+
+def check_carried(batches: list[dict]) -> None:
+    """Assert that a carried group comes up in the next batch."""
+    for before, after in itertools.pairwise(batches):
+        known = {group['id'] for group in after['groups']}
+        known.update(after['carried_groups'])
+        known.update(one['id'] for one in after['failed_groups'])
+        assert set(before['carried_groups']) <= known
 
 
 def get_samples(body: dict) -> list[dict]:
--- a/tests/scenarios/test_configurations.py
+++ b/tests/scenarios/test_configurations.py
@@ -191,6 +191,28 @@
     virtualloop.run(main())
 
 
+def test_version_without_a_kept_marker_is_not_in_force():
+    async def main() -> None:
+        built = await builders.start_cluster()
+        built.objects.app.faults['refuse_prefix'] = 'config/accepted/'
+        text = '// second\n' + builders.make_configuration_text()
+        reply = await built.propose('entry-0', 1, text)
+        assert reply.status == 200
+        assert json.loads(reply.body)['in_force_here'] is False
+        await asyncio.sleep(5)
+        built.table.app.faults['down'] = 1
+        fresh = built.add_member('fresh', 'north')
+        await asyncio.sleep(5)
+        members = built.member_by_name.values()
+        versions = {one.context.adoption.head.version for one in members}
+        assert versions == {1}
+        faults.mend(built)
+        await asyncio.sleep(5)
+        assert fresh.context.adoption.head.version == 2
+
+    virtualloop.run(main())
+
+
 def test_fresh_fleet_starts_while_the_table_service_is_down():
     async def main() -> None:
         built = await builders.start_cluster()
