Keep engines busy for trainers and eject on the median pace

(1) slots were refilled only every 100 ms and asks seen every 500 ms; (2) races took slots from samples that still waited; (3) one slow sample ejected its engine; (4) losers of a race, cancelled by us, counted as failures of the engine. Ruled out: score calls and the hand-over, 40 ms together.

Change: refill and asks wake the holder at once, steps are indexed by phase, races wait for idle slots, ejection compares medians of recent and running requests, an attempt says whether it succeeded, failed or was cancelled.

In-memory calls now go on at the far side when their caller gives up, as a real server does; a weight load of 5 s never ended before.

--- /dev/null
+++ b/bench/training.py
@@ -0,0 +1,274 @@
+"""Measure trainer idle time, staleness and shares of the engines."""
+
+import asyncio
+import dataclasses
+import json
+
+from bench import deployment
+from bench import target
+from standins import cluster
+from standins import virtualloop
+
+__all__ = ['measure_idle_time', 'measure_shares', 'measure_staleness']
+
+IDLE_TARGET = target.Target(
+    'trainer wait over the bound of work and slots, 2 stragglers in 16',
+    1.10,
+    'x',
+)
+STALE_TARGET = target.Target(
+    'samples handed over beyond the staleness bound', 0, 'samples'
+)
+THROWN_TARGET = target.Target(
+    'finished samples thrown away, new weights every 3 minutes', 2.0, '%'
+)
+SHARE_TARGET = target.Target(
+    'largest error of a trainer share on shared engines', 5.0, '%'
+)
+UNUSED_TARGET = target.Target(
+    'slots in use while only one trainer asks', 0.90, 'share', True
+)
+ENGINES = 4
+IDLE_GROUPS = 32
+IDLE_GROUP_SIZE = 16
+IDLE_TOKENS = 16
+TOKEN_MS = 20.0
+STRAGGLE_SHARE = 2 / 16
+STEPS = 3
+ASK_PAUSE_S = 0.05
+STALE_TOKEN_MS = 400.0
+STALE_RUN_S = 900.0
+PUBLISH_EVERY_S = 180.0
+SHARES = {'first': 1.0, 'second': 2.0, 'third': 5.0}
+SHARE_RUN_S = 60.0
+
+
+@dataclasses.dataclass(slots=True)
+class TrainerRun:
+    """Hold the batches of one trainer and how long it waited."""
+
+    built: cluster.Cluster
+    name: str
+    prompts: int
+    batches: list[dict] = dataclasses.field(default_factory=list)
+    waited_ms: float = 0.0
+
+    async def ask(self, step: int) -> dict:
+        """Ask for a step until its batch is there."""
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        prompts = [
+            f'{self.name} {step} {index}' for index in range(self.prompts)
+        ]
+        target_path = f'/trainers/{self.name}/batches/{step}'
+        while True:
+            reply = await self.built.ask(
+                'entry-1', 'POST', target_path, {'prompts': prompts}
+            )
+            if reply.status == 200:
+                break
+            await asyncio.sleep(ASK_PAUSE_S)
+        self.waited_ms += (loop.time() - began) * 1000
+        batch = json.loads(reply.body)
+        self.batches.append(batch)
+        return batch
+
+
+def measure_idle_time(seed: int) -> list[target.Outcome]:
+    """Compare the wait for batches with what the slots allow."""
+    raced = virtualloop.run(_run_idle(seed, 100, True))
+    plain = virtualloop.run(_run_idle(seed, 100, False))
+    return [target.Outcome(IDLE_TARGET, raced, {'no races': plain})]
+
+
+def measure_staleness(seed: int) -> list[target.Outcome]:
+    """Count stale and thrown away samples over many weight changes."""
+    stale, thrown = virtualloop.run(_run_staleness(seed))
+    return [
+        target.Outcome(STALE_TARGET, stale),
+        target.Outcome(THROWN_TARGET, thrown),
+    ]
+
+
+def measure_shares(seed: int) -> list[target.Outcome]:
+    """Compare what trainers got with their shares."""
+    error = virtualloop.run(_run_shares(seed))
+    used = virtualloop.run(_run_unused(seed))
+    return [
+        target.Outcome(SHARE_TARGET, error),
+        target.Outcome(UNUSED_TARGET, used),
+    ]
+
+
+def _get_samples(batch: dict) -> list[dict]:
+    return [one for group in batch['groups'] for one in group['samples']]
+
+
+def _count_tokens(samples: list[dict]) -> int:
+    return sum(part['tokens'] for one in samples for part in one['segments'])
+
+
+def _read(changes: dict) -> dict:
+    value = deployment.read_example('sinaleira')
+    value['pools']['part-engines']['sample_percent'] = 75
+    value['trainers']['part-matching-trainer'].update(changes)
+    return value
+
+
+async def _run_idle(seed: int, share: int, races: bool) -> float:
+    value = _read(
+        {
+            'group_size': IDLE_GROUP_SIZE,
+            'max_tokens': IDLE_TOKENS,
+            'hand_over_percent': share,
+            'race_percent': 10 if races else 0,
+        }
+    )
+    built = await deployment.build(
+        'sinaleira',
+        value,
+        {'part-engines': ENGINES},
+        {'order-desk': 2},
+        seed,
+        token_ms=TOKEN_MS,
+        straggle_share=STRAGGLE_SHARE,
+    )
+    run = TrainerRun(built, 'part-matching-trainer', IDLE_GROUPS)
+    for step in range(1, STEPS + 1):
+        await run.ask(step)
+    slots = ENGINES * 6
+    tokens = sum(_count_tokens(_get_samples(one)) for one in run.batches)
+    straggling = 1 + STRAGGLE_SHARE * 7
+    bound_ms = tokens * TOKEN_MS * straggling / slots
+    return run.waited_ms / bound_ms
+
+
+async def _run_staleness(seed: int) -> tuple[int, float]:
+    value = _read({'group_size': 8, 'max_tokens': 64})
+    built = await deployment.build(
+        'sinaleira',
+        value,
+        {'part-engines': ENGINES},
+        {'order-desk': 2},
+        seed,
+        token_ms=STALE_TOKEN_MS,
+        entries=3,
+        load_ms=5000.0,
+    )
+    run = TrainerRun(built, 'part-matching-trainer', 8)
+    publisher = asyncio.ensure_future(_publish(built))
+    loop = asyncio.get_running_loop()
+    end = loop.time() + STALE_RUN_S
+    step = 0
+    while loop.time() < end:
+        step += 1
+        await run.ask(step)
+    publisher.cancel()
+    stale = sum(
+        min(one['weight_versions']) < batch['published_version'] - 1
+        for batch in run.batches
+        for one in _get_samples(batch)
+    )
+    done = sum(len(_get_samples(one)) for one in run.batches)
+    thrown = _count_thrown(built)
+    return stale, 100 * thrown / (done + thrown)
+
+
+async def _publish(built: cluster.Cluster) -> None:
+    version = 1
+    while True:
+        await asyncio.sleep(PUBLISH_EVERY_S)
+        version += 1
+        body = {'version': version, 'object': f'w{version}'}
+        path = '/trainers/part-matching-trainer/weights'
+        await built.ask('entry-2', 'POST', path, body)
+
+
+def _count_thrown(built: cluster.Cluster) -> int:
+    total = 0
+    for member in built.member_by_name.values():
+        for event in member.context.log.events:
+            if event.kind == 'samples-thrown-away':
+                total += int(event.detail)
+    return total
+
+
+def _read_shares() -> dict:
+    value = deployment.read_example('sinaleira')
+    base = value['trainers'].pop('part-matching-trainer')
+    models = [f'model-{name}' for name in SHARES]
+    value['pools']['part-engines']['models'] += models
+    value['pools']['part-engines']['sample_percent'] = 75
+    for name, share in SHARES.items():
+        model = f'model-{name}'
+        start = f'{name}-start'
+        value['weight_versions'][start] = {
+            'model': model,
+            'number': 1,
+            'object': start,
+        }
+        value['trainers'][name] = {
+            **base,
+            'model': model,
+            'start_weights': start,
+            'share': share,
+            'group_size': 16,
+            'max_tokens': 16,
+        }
+    return value
+
+
+async def _build_shares(seed: int) -> cluster.Cluster:
+    built = await deployment.build(
+        'sinaleira',
+        _read_shares(),
+        {'part-engines': ENGINES},
+        {'order-desk': 2},
+        seed,
+        token_ms=TOKEN_MS,
+    )
+    await asyncio.sleep(5)
+    return built
+
+
+async def _run_shares(seed: int) -> float:
+    built = await _build_shares(seed)
+    runs = [TrainerRun(built, name, 400) for name in SHARES]
+    asks = [asyncio.ensure_future(one.ask(1)) for one in runs]
+    await asyncio.sleep(5)
+    before = _count_made(built)
+    await asyncio.sleep(SHARE_RUN_S)
+    after = _count_made(built)
+    for one in asks:
+        one.cancel()
+    made = {name: after[name] - before[name] for name in SHARES}
+    total = sum(made.values())
+    whole = sum(SHARES.values())
+    return max(
+        100 * abs(made[name] / total - share / whole) / (share / whole)
+        for name, share in SHARES.items()
+    )
+
+
+def _count_made(built: cluster.Cluster) -> dict[str, float]:
+    made = dict.fromkeys(SHARES, 0.0)
+    for member in built.member_by_name.values():
+        for state in member.context.batches_by_duty.values():
+            for name, share in SHARES.items():
+                used = state.fairness.used_by_trainer.get(name, 0.0)
+                made[name] += used * share
+    return made
+
+
+async def _run_unused(seed: int) -> float:
+    built = await _build_shares(seed)
+    run = TrainerRun(built, 'first', 200)
+    ask = asyncio.ensure_future(run.ask(1))
+    await asyncio.sleep(3)
+    looks = []
+    for _ in range(100):
+        running = sum(one.running for one in built.engine_by_name.values())
+        looks.append(running / (ENGINES * 6))
+        await asyncio.sleep(0.1)
+    ask.cancel()
+    return sum(looks) / len(looks)
--- a/pomelopass/askreader.py
+++ b/pomelopass/askreader.py
@@ -18,6 +18,13 @@
     context: contexts.Context, state: batchstate.BatchesState
 ) -> None:
     """Refresh published versions and take in steps newly asked for."""
+    async with state.lock:
+        await _look(context, state)
+
+
+async def _look(
+    context: contexts.Context, state: batchstate.BatchesState
+) -> None:
     trainers = context.configuration.trainers
     for name in set(state.steps_by_trainer) - set(trainers):
         del state.steps_by_trainer[name]
--- a/pomelopass/batchstate.py
+++ b/pomelopass/batchstate.py
@@ -3,9 +3,9 @@
 import asyncio
 import dataclasses
 
-from . import published
 from .core import batch
 from .core import fairness
+from .core import publication
 
 __all__ = ['BatchesState', 'OpenStep']
 
@@ -30,8 +30,8 @@
     steps_by_trainer: dict[str, dict[int, OpenStep]] = dataclasses.field(
         default_factory=dict
     )
-    published_by_trainer: dict[str, published.Published] = dataclasses.field(
-        default_factory=dict
+    published_by_trainer: dict[str, publication.Publication] = (
+        dataclasses.field(default_factory=dict)
     )
     carried_by_trainer: dict[str, list[batch.GroupState]] = dataclasses.field(
         default_factory=dict
@@ -39,5 +39,5 @@
     attempt_tasks: dict[str, asyncio.Task] = dataclasses.field(
         default_factory=dict
     )
-    last_attempt: int = 0
-    last_look_ms: float = float('-inf')
+    lock: asyncio.Lock = dataclasses.field(default_factory=asyncio.Lock)
+    wake: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
--- a/pomelopass/context.py
+++ b/pomelopass/context.py
@@ -7,12 +7,14 @@
 import dataclasses
 import random
 
+from . import batchstate
 from . import configuration
 from . import metrics
 from . import policy
 from . import poolstate
 from . import ports
 from . import settings
+from . import signals
 from .core import admission
 from .core import adoption
 from .core import claims
@@ -73,6 +75,12 @@
     duty_tasks: dict[str, asyncio.Task] = dataclasses.field(
         default_factory=dict
     )
+    batches_by_duty: dict[str, batchstate.BatchesState] = dataclasses.field(
+        default_factory=dict
+    )
+    wake_batches: signals.Signal = dataclasses.field(
+        default_factory=signals.Signal
+    )
     claim_queue: list = dataclasses.field(default_factory=list)
     work_in_flight: int = 0
     last_number: int = 0
--- a/pomelopass/core/batch.py
+++ b/pomelopass/core/batch.py
@@ -1,5 +1,7 @@
 """Put together the samples of one training step."""
 
+from __future__ import annotations
+
 import dataclasses
 import enum
 
@@ -10,6 +12,7 @@
     'GroupState',
     'SampleState',
     'add_group',
+    'adopt_group',
     'drop_stale',
     'fail_group',
     'find_complete_groups',
@@ -28,13 +31,14 @@
     DONE = 'done'
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(slots=True, eq=False)
 class SampleState:
     """Hold one sample with its running attempts by start time."""
 
     id: str
     group_id: str
     index: int
+    batch: BatchState
     phase: Phase = Phase.WAITING
     started_ms_by_attempt: dict[str, float] = dataclasses.field(
         default_factory=dict
@@ -45,7 +49,7 @@
     result: sample.Sample | None = None
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(slots=True, eq=False)
 class GroupState:
     """Hold the samples that share one prompt."""
 
@@ -56,15 +60,19 @@
     failure: str | None = None
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(slots=True, eq=False)
 class BatchState:
-    """Hold the work of one step of one trainer."""
+    """Hold the work of one step of one trainer, indexed by phase."""
 
     trainer: str
     step: int
     wanted_groups: int
     by_group: dict[str, GroupState] = dataclasses.field(default_factory=dict)
-    by_sample: dict[str, SampleState] = dataclasses.field(default_factory=dict)
+    by_phase: dict[Phase, dict[str, SampleState]] = dataclasses.field(
+        default_factory=lambda: {phase: {} for phase in Phase}
+    )
+    complete_groups: set[str] = dataclasses.field(default_factory=set)
+    failed_groups: set[str] = dataclasses.field(default_factory=set)
     done_ms: list[float] = dataclasses.field(default_factory=list)
     races: int = 0
     thrown_away: int = 0
@@ -81,73 +89,68 @@
     if group_id in state.by_group:
         return
     samples = [
-        SampleState(f'{group_id}/{index}', group_id, index)
+        SampleState(f'{group_id}/{index}', group_id, index, state)
         for index in range(size)
     ]
-    group = GroupState(group_id, prompt, ask_object, samples)
-    state.by_group[group_id] = group
-    for one in samples:
-        state.by_sample[one.id] = one
+    adopt_group(state, GroupState(group_id, prompt, ask_object, samples))
 
 
 def adopt_group(state: BatchState, group: GroupState) -> None:
     """Take over a group with all that is done or running of it."""
     state.by_group[group.id] = group
+    if group.failure is not None:
+        state.failed_groups.add(group.id)
+        return
     for one in group.samples:
-        state.by_sample[one.id] = one
+        one.batch = state
+        state.by_phase[one.phase][one.id] = one
+    _note_complete(state, group)
+
+
+def count_samples(state: BatchState) -> int:
+    """Return how many samples the batch has in all phases."""
+    return sum(len(ids) for ids in state.by_phase.values())
 
 
 def find_next_sample(state: BatchState) -> SampleState | None:
-    """Return the first waiting sample in the order of the groups."""
-    for one in state.by_sample.values():
-        if one.phase == Phase.WAITING:
-            return one
-    return None
+    """Return the sample that has waited longest, or None."""
+    return next(iter(state.by_phase[Phase.WAITING].values()), None)
 
 
 def note_started(
-    state: BatchState,
-    sample_id: str,
-    attempt_id: str,
-    endpoint_key: str,
-    now_ms: float,
+    one: SampleState, attempt_id: str, endpoint_key: str, now_ms: float
 ) -> None:
     """Record a new attempt."""
-    one = state.by_sample[sample_id]
-    one.phase = Phase.RUNNING
+    _move(one, Phase.RUNNING)
     one.started_ms_by_attempt[attempt_id] = now_ms
     one.endpoint_by_attempt[attempt_id] = endpoint_key
 
 
-def note_failed(state: BatchState, sample_id: str, attempt_id: str) -> None:
+def note_failed(one: SampleState, attempt_id: str) -> None:
     """Let the sample wait again when its last attempt failed."""
-    one = state.by_sample.get(sample_id)
-    if one is None:
-        return
     one.started_ms_by_attempt.pop(attempt_id, None)
     one.endpoint_by_attempt.pop(attempt_id, None)
     if one.phase == Phase.RUNNING and not one.started_ms_by_attempt:
-        one.phase = Phase.WAITING
+        _move(one, Phase.WAITING)
 
 
 def note_done(
-    state: BatchState,
+    one: SampleState,
     attempt_id: str,
     result: sample.Sample,
     now_ms: float,
 ) -> list[str]:
     """Keep the first result of a sample; return attempts to cancel."""
-    one = state.by_sample.get(result.id)
-    if one is None:
-        return []
     started_ms = one.started_ms_by_attempt.pop(attempt_id, None)
     if one.phase == Phase.DONE or started_ms is None:
         return []
-    state.done_ms.append(now_ms - started_ms)
+    one.batch.done_ms.append(now_ms - started_ms)
     losers = list(one.started_ms_by_attempt)
     one.started_ms_by_attempt.clear()
-    one.phase = Phase.DONE
+    one.endpoint_by_attempt.clear()
     one.result = result
+    _move(one, Phase.DONE)
+    _note_complete(one.batch, one.batch.by_group[one.group_id])
     return losers
 
 
@@ -156,8 +159,7 @@
     return [
         group
         for group in state.by_group.values()
-        if group.failure is None
-        and all(one.phase == Phase.DONE for one in group.samples)
+        if group.id in state.complete_groups
     ]
 
 
@@ -165,20 +167,33 @@
     """Give a group up, so that the rest of the step can go on."""
     group = state.by_group[group_id]
     group.failure = reason
+    state.failed_groups.add(group_id)
     for one in group.samples:
-        state.by_sample.pop(one.id, None)
+        state.by_phase[one.phase].pop(one.id, None)
+        one.phase = Phase.DONE
 
 
 def drop_stale(state: BatchState, oldest_allowed: int) -> int:
     """Send samples below the version back to waiting; return how many."""
-    dropped = 0
-    for one in state.by_sample.values():
-        if one.result is None:
-            continue
-        if sample.get_oldest_version(one.result) >= oldest_allowed:
-            continue
-        one.phase = Phase.WAITING
+    stale = [
+        one
+        for one in state.by_phase[Phase.DONE].values()
+        if sample.get_oldest_version(one.result) < oldest_allowed
+    ]
+    for one in stale:
         one.result = None
-        dropped += 1
-    state.thrown_away += dropped
-    return dropped
+        _move(one, Phase.WAITING)
+        state.complete_groups.discard(one.group_id)
+    state.thrown_away += len(stale)
+    return len(stale)
+
+
+def _move(one: SampleState, phase: Phase) -> None:
+    del one.batch.by_phase[one.phase][one.id]
+    one.phase = phase
+    one.batch.by_phase[phase][one.id] = one
+
+
+def _note_complete(state: BatchState, group: GroupState) -> None:
+    if all(one.phase == Phase.DONE for one in group.samples):
+        state.complete_groups.add(group.id)
--- a/pomelopass/core/ejection.py
+++ b/pomelopass/core/ejection.py
@@ -8,7 +8,7 @@
 __all__ = ['is_in_rotation', 'note_probe_sent', 'review']
 
 SLOW_FACTOR = 3.0
-EJECT_MS = 5000
+EJECT_MS = 2500
 EJECT_MAX_MS = 40_000
 MAX_EJECTED_SHARE = 0.34
 FAILURES_TO_EJECT = 3
@@ -24,7 +24,7 @@
     ejected. The cap holds in any case.
     """
     paces = {
-        key: health.get_slowness(one, now_ms)
+        key: health.get_typical_pace(one, now_ms)
         for key, one in by_key.items()
         if one.samples + len(one.started_by_request) > 0
     }
@@ -62,17 +62,16 @@
         one.probing = True
 
 
-def note_result(
-    one: health.EndpointHealth, succeeded: bool, pace_ok: bool
-) -> None:
+def note_result(one: health.EndpointHealth, did_well: bool) -> None:
     """End a probe and put the endpoint back when it did well."""
     if not one.probing:
         return
     one.probing = False
-    if succeeded and pace_ok:
+    if did_well:
         one.ejections_in_row = 0
         one.failures_in_row = 0
         one.samples = 0
+        one.recent_paces.clear()
 
 
 def _is_bad(one: health.EndpointHealth, pace: float, typical: float) -> bool:
--- a/pomelopass/core/handover.py
+++ b/pomelopass/core/handover.py
@@ -61,17 +61,23 @@
 
     Samples older than the bound go back to waiting first.
     """
+    needed = math.ceil(state.wanted_groups * share_percent / 100)
+    if _count_settled(state) < max(1, needed):
+        return None
     batch.drop_stale(state, oldest_allowed)
+    if _count_settled(state) < max(1, needed):
+        return None
     complete = batch.find_complete_groups(state)
     failed = [one for one in state.by_group.values() if one.failure]
-    needed = math.ceil(state.wanted_groups * share_percent / 100)
-    if len(complete) + len(failed) < max(1, needed):
-        return None
     chosen = {group.id for group in (*complete, *failed)}
     rest = [one for one in state.by_group.values() if one.id not in chosen]
     return HandOver(complete, rest, failed)
 
 
+def _count_settled(state: batch.BatchState) -> int:
+    return len(state.complete_groups) + len(state.failed_groups)
+
+
 def make_transaction(
     state: batch.BatchState,
     rows: Rows,
--- a/pomelopass/core/health.py
+++ b/pomelopass/core/health.py
@@ -1,7 +1,10 @@
 """Track latency and load of one endpoint as this instance sees them."""
 
+import collections
 import dataclasses
+import statistics
 
+from . import attemptend
 from . import workclass
 
 __all__ = [
@@ -14,6 +17,7 @@
 
 SMOOTHING = 0.25
 MIN_SAMPLES = 3
+RECENT_PACES = 16
 REPORT_FRESH_MS = 10_000
 
 
@@ -36,6 +40,9 @@
     )
     samples: int = 0
     ms_per_unit: float = 0.0
+    recent_paces: collections.deque[float] = dataclasses.field(
+        default_factory=lambda: collections.deque(maxlen=RECENT_PACES)
+    )
     reported_load: float = 0.0
     reported_at_ms: float = float('-inf')
     failures_in_row: int = 0
@@ -66,7 +73,7 @@
     health: EndpointHealth,
     request_id: str,
     units: float,
-    succeeded: bool,
+    end: attemptend.AttemptEnd,
     now_ms: float,
 ) -> None:
     """Take in the end of a request; units are its true length."""
@@ -75,8 +82,9 @@
         return
     health.in_flight -= 1
     _count(health, started.work_class, -1)
-    if not succeeded:
+    if end == attemptend.AttemptEnd.FAILED:
         health.failures_in_row += 1
+    if end != attemptend.AttemptEnd.SUCCEEDED:
         return
     health.failures_in_row = 0
     pace = (now_ms - started.at_ms) / max(units, 1.0)
@@ -84,6 +92,7 @@
         health.ms_per_unit = pace
     else:
         health.ms_per_unit += SMOOTHING * (pace - health.ms_per_unit)
+    health.recent_paces.append(pace)
     health.samples += 1
 
 
@@ -98,16 +107,28 @@
 
 def get_slowness(health: EndpointHealth, now_ms: float) -> float:
     """Return milliseconds per unit, counting requests still running."""
-    running = [
-        (now_ms - one.at_ms) / max(one.units, 1.0)
-        for one in health.started_by_request.values()
-    ]
-    worst_running = max(running, default=0.0)
+    worst_running = max(_get_running_paces(health, now_ms), default=0.0)
     if health.samples < MIN_SAMPLES:
         return worst_running
     return max(health.ms_per_unit, worst_running)
 
 
+def get_typical_pace(health: EndpointHealth, now_ms: float) -> float:
+    """Return the median of recent and running requests.
+
+    A few slow requests do not move it, a slow endpoint does.
+    """
+    paces = [*health.recent_paces, *_get_running_paces(health, now_ms)]
+    return statistics.median_low(paces) if paces else 0.0
+
+
+def _get_running_paces(health: EndpointHealth, now_ms: float) -> list[float]:
+    return [
+        (now_ms - one.at_ms) / max(one.units, 1.0)
+        for one in health.started_by_request.values()
+    ]
+
+
 def get_load(health: EndpointHealth, now_ms: float) -> float:
     """Return own requests plus a fading hint of the reported load."""
     age_ms = now_ms - health.reported_at_ms
--- a/pomelopass/core/straggler.py
+++ b/pomelopass/core/straggler.py
@@ -8,44 +8,41 @@
 __all__ = ['find_sample_to_race']
 
 NEAR_END_SHARE = 0.75
-BUDGET_SHARE = 0.1
 SLOW_FACTOR = 1.5
 MIN_DONE = 4
+MAX_ATTEMPTS = 3
 
 
 def find_sample_to_race(
-    state: batch.BatchState, now_ms: float
+    state: batch.BatchState, race_percent: float, now_ms: float
 ) -> batch.SampleState | None:
     """Return the slowest sample that deserves a second attempt.
 
-    Races start near the end of the step and stay within a budget.
+    Races start near the end of the step, take no slot from a sample that
+    still waits and stay within the budget in percent.
     """
-    total = len(state.by_sample)
-    done = [
-        one
-        for one in state.by_sample.values()
-        if one.phase == batch.Phase.DONE
-    ]
-    if len(done) < max(MIN_DONE, NEAR_END_SHARE * total):
+    if state.by_phase[batch.Phase.WAITING]:
         return None
-    if state.races >= max(1, math.ceil(BUDGET_SHARE * total)):
+    total = batch.count_samples(state)
+    done = len(state.by_phase[batch.Phase.DONE])
+    if done < max(MIN_DONE, NEAR_END_SHARE * total):
+        return None
+    if state.races >= math.ceil(race_percent * total / 100):
         return None
     typical_ms = statistics.median(state.done_ms)
     slow = [
         one
-        for one in state.by_sample.values()
+        for one in state.by_phase[batch.Phase.RUNNING].values()
         if _is_slow(one, typical_ms, now_ms)
     ]
-    return min(slow, key=_get_start_ms, default=None)
+    return min(slow, key=_get_last_start_ms, default=None)
 
 
 def _is_slow(one: batch.SampleState, typical_ms: float, now_ms: float) -> bool:
-    if one.phase != batch.Phase.RUNNING:
-        return False
-    if len(one.started_ms_by_attempt) != 1:
+    if len(one.started_ms_by_attempt) >= MAX_ATTEMPTS:
         return False
-    return now_ms - _get_start_ms(one) > SLOW_FACTOR * typical_ms
+    return now_ms - _get_last_start_ms(one) > SLOW_FACTOR * typical_ms
 
 
-def _get_start_ms(one: batch.SampleState) -> float:
-    return min(one.started_ms_by_attempt.values())
+def _get_last_start_ms(one: batch.SampleState) -> float:
+    return max(one.started_ms_by_attempt.values())
--- a/pomelopass/delivery.py
+++ b/pomelopass/delivery.py
@@ -8,10 +8,12 @@
 from . import askreader
 from . import batchstate
 from . import context as contexts
+from . import gossip
 from . import published
 from .core import batch
 from .core import handover
 from .core import lease
+from .core import publication
 from .core import sample
 
 __all__ = ['try_hand_over']
@@ -23,13 +25,25 @@
     name: str,
 ) -> None:
     """Hand over the lowest open step when enough groups are whole."""
-    steps = state.steps_by_trainer[name]
-    if not steps:
+    steps = state.steps_by_trainer.get(name)
+    trainer = context.configuration.trainers.get(name)
+    known = state.published_by_trainer.get(name)
+    if not steps or trainer is None or known is None:
         return
     opened = steps[min(steps)]
+    if _select(opened, trainer, known):
+        async with state.lock:
+            await _hand_over(context, state, name, opened)
+
+
+async def _hand_over(
+    context: contexts.Context,
+    state: batchstate.BatchesState,
+    name: str,
+    opened: batchstate.OpenStep,
+) -> None:
     trainer = context.configuration.trainers[name]
-    known = state.published_by_trainer.get(name)
-    if known is None or not _select(opened, trainer, known):
+    if opened.batch.step not in state.steps_by_trainer[name]:
         return
     # The published version is read again, so that the choice is made for
     # the version that the transaction then requires.
@@ -45,7 +59,7 @@
 
 
 def _select(
-    opened: batchstate.OpenStep, trainer, known: published.Published
+    opened: batchstate.OpenStep, trainer, known: publication.Publication
 ) -> handover.HandOver | None:
     oldest = known.target.version - trainer.max_staleness_versions
     return handover.select(opened.batch, oldest, trainer.hand_over_percent)
@@ -56,7 +70,7 @@
     state: batchstate.BatchesState,
     opened: batchstate.OpenStep,
     chosen: handover.HandOver,
-    known: published.Published,
+    known: publication.Publication,
 ) -> bool:
     built = opened.batch
     token = contexts.make_id(context)
@@ -107,12 +121,14 @@
     steps.pop(built.step, None)
     state.carried_by_trainer[built.trainer] = chosen.carried
     context.metrics.batches.inc({'trainer': built.trainer})
+    _note_thrown(context, built)
+    subject = f'{built.trainer}/{built.step}'
+    await gossip.announce(context, gossip.BATCH_KIND, subject)
     versions = handover.get_versions(chosen.groups)
     detail = (
         f'{len(chosen.groups)} groups, {len(chosen.carried)} carried, '
         f'versions {versions}, {built.thrown_away} samples thrown away'
     )
-    subject = f'{built.trainer}/{built.step}'
     contexts.note(context, 'batch-handed-over', subject, detail)
     if steps:
         following = steps[min(steps)]
@@ -120,6 +136,13 @@
             steps.pop(following.batch.step)
 
 
+def _note_thrown(context: contexts.Context, built: batch.BatchState) -> None:
+    if built.thrown_away:
+        subject = f'{built.trainer}/{built.step}'
+        count = str(built.thrown_away)
+        contexts.note(context, 'samples-thrown-away', subject, count)
+
+
 def _make_carry(chosen: handover.HandOver) -> str | None:
     if not chosen.carried:
         return None
@@ -132,7 +155,7 @@
 def _make_body(
     built: batch.BatchState,
     chosen: handover.HandOver,
-    known: published.Published,
+    known: publication.Publication,
 ) -> str:
     body = {
         'trainer': built.trainer,
--- a/pomelopass/dispatch.py
+++ b/pomelopass/dispatch.py
@@ -6,6 +6,7 @@
 from . import message
 from . import slots
 from . import work
+from .core import attemptend
 from .core import ejection
 from .core import length
 from .core import refusal
@@ -144,14 +145,17 @@
 ) -> message.Reply:
     state = contexts.get_pool_state(context, item.pool)
     endpoint = slot.candidate.endpoint
-    succeeded = False
+    end = attemptend.AttemptEnd.CANCELLED
     try:
         claimflow.note_dispatched(context, item)
         contexts.note(context, 'dispatched', item.id, endpoint.key)
         reply = await _exchange(context, item, endpoint.address)
-        succeeded = True
+        end = attemptend.AttemptEnd.SUCCEEDED
+    except message.ExchangeError:
+        end = attemptend.AttemptEnd.FAILED
+        raise
     finally:
-        slots.release(context, state, slot, item.units, succeeded)
+        slots.release(context, state, slot, item.units, end)
     length.learn(state.lengths, item.shape, 1.0)
     crash.note_success(context, item)
     item.verdicts.append(verdict.Verdict.RAN)
--- a/pomelopass/duties/batches.py
+++ b/pomelopass/duties/batches.py
@@ -1,5 +1,6 @@
 """Make the batches of all trainers that share a pool."""
 
+import asyncio
 import functools
 
 from .. import askreader
@@ -9,6 +10,7 @@
 from .. import generation
 from .. import places
 from .. import sampling
+from .. import work
 from ..core import batch
 from ..core import fairness
 from ..core import lease
@@ -22,7 +24,6 @@
 
 STEP_EVERY_MS = 100
 LOOK_EVERY_MS = 500
-RETRY_PAUSE_MS = 300
 
 
 async def run(context: contexts.Context, name: str, pool_name: str) -> None:
@@ -30,25 +31,44 @@
     state = batchstate.BatchesState(
         name, pool_name, fairness.FairnessState({})
     )
+    context.batches_by_duty[name] = state
+    looking = contexts.spawn(context, _keep_looking(context, state))
     try:
         while True:
             await _step(context, state)
-            await context.ports.clock.sleep(STEP_EVERY_MS)
+            await _pause(state)
     finally:
+        looking.cancel()
+        context.batches_by_duty.pop(name, None)
         for task in list(state.attempt_tasks.values()):
             task.cancel()
 
 
+async def _keep_looking(
+    context: contexts.Context, state: batchstate.BatchesState
+) -> None:
+    while True:
+        state.fairness.share_by_trainer = _get_shares(context, state.pool)
+        await askreader.look(context, state)
+        state.wake.set()
+        await context.wake_batches.wait(LOOK_EVERY_MS)
+
+
+async def _pause(state: batchstate.BatchesState) -> None:
+    try:
+        async with asyncio.timeout(STEP_EVERY_MS / 1000):
+            await state.wake.wait()
+    except TimeoutError:
+        pass
+    state.wake.clear()
+
+
 async def _step(
     context: contexts.Context, state: batchstate.BatchesState
 ) -> None:
     now_ms = context.ports.clock.now_ms()
     if not lease.may_act(context.lease_by_duty[state.duty], now_ms):
         return
-    if now_ms - state.last_look_ms >= LOOK_EVERY_MS:
-        state.last_look_ms = now_ms
-        state.fairness.share_by_trainer = _get_shares(context, state.pool)
-        await askreader.look(context, state)
     _fill(context, state)
     _race(context, state)
     for name in list(state.steps_by_trainer):
@@ -94,9 +114,11 @@
 
 def _race(context: contexts.Context, state: batchstate.BatchesState) -> None:
     now_ms = context.ports.clock.now_ms()
-    for steps in state.steps_by_trainer.values():
+    trainers = context.configuration.trainers
+    for name, steps in state.steps_by_trainer.items():
+        percent = trainers[name].race_percent if name in trainers else 0
         for opened in steps.values():
-            one = straggler.find_sample_to_race(opened.batch, now_ms)
+            one = straggler.find_sample_to_race(opened.batch, percent, now_ms)
             if one is None:
                 continue
             slow = frozenset(one.endpoint_by_attempt.values())
@@ -130,33 +152,38 @@
         return False
     now_ms = context.ports.clock.now_ms()
     key = slot.candidate.endpoint.key
-    batch.note_started(built, one.id, item.id, key, now_ms)
+    batch.note_started(one, item.id, key, now_ms)
     fairness.charge(state.fairness, built.trainer, item.units)
     make = sampling.make_sample(context, state, item, slot, one.id, prompt)
     task = contexts.spawn(context, make)
     state.attempt_tasks[item.id] = task
-    task.add_done_callback(
-        functools.partial(_end, context, state, built, one, item)
-    )
+    task.add_done_callback(functools.partial(_end, context, state, one, item))
     return True
 
 
-def _end(context, state, built, one, item, task) -> None:
+def _end(
+    context: contexts.Context,
+    state: batchstate.BatchesState,
+    one: batch.SampleState,
+    item: work.Work,
+    task: asyncio.Task,
+) -> None:
     state.attempt_tasks.pop(item.id, None)
+    state.wake.set()
     result = None
     if not task.cancelled() and task.exception() is None:
         result = task.result()
     if result is None:
-        fairness.charge(state.fairness, built.trainer, -item.units)
-        batch.note_failed(built, one.id, item.id)
+        fairness.charge(state.fairness, item.service, -item.units)
+        batch.note_failed(one, item.id)
         return
     now_ms = context.ports.clock.now_ms()
-    losers = batch.note_done(built, item.id, result, now_ms)
+    losers = batch.note_done(one, item.id, result, now_ms)
     for loser in losers:
         if loser in state.attempt_tasks:
             state.attempt_tasks[loser].cancel()
-    _settle_charge(state, built.trainer, item.units, result)
-    context.metrics.samples.inc({'trainer': built.trainer})
+    _settle_charge(state, item.service, item.units, result)
+    context.metrics.samples.inc({'trainer': item.service})
     versions = ','.join(
         f'{part.version}x{part.tokens}' for part in result.segments
     )
--- a/pomelopass/generation.py
+++ b/pomelopass/generation.py
@@ -13,6 +13,7 @@
 from . import message
 from . import slots
 from . import work
+from .core import attemptend
 from .core import length
 from .core import verdict
 
@@ -80,7 +81,7 @@
     state = contexts.get_pool_state(context, item.pool)
     endpoint = slot.candidate.endpoint
     count = 0
-    succeeded = False
+    end = attemptend.AttemptEnd.CANCELLED
     try:
         claimflow.note_dispatched(context, item)
         contexts.note(context, 'dispatched', item.id, endpoint.key)
@@ -89,10 +90,14 @@
             async for piece in _read_pieces(item, reply):
                 count += len(piece.versions)
                 yield piece
-        succeeded = True
+        end = attemptend.AttemptEnd.SUCCEEDED
+    except message.ExchangeError:
+        end = attemptend.AttemptEnd.FAILED
+        raise
     finally:
+        succeeded = end == attemptend.AttemptEnd.SUCCEEDED
         units = float(max(count, 1)) if succeeded else item.units
-        slots.release(context, state, slot, units, succeeded)
+        slots.release(context, state, slot, units, end)
     length.learn(state.lengths, item.shape, count)
     crash.note_success(context, item)
     item.verdicts.append(verdict.Verdict.RAN)
--- a/pomelopass/gossip.py
+++ b/pomelopass/gossip.py
@@ -16,6 +16,9 @@
 
 LEAVING_KIND = 'leaving'
 CRASH_KIND = 'crash'
+ASK_KIND = 'ask'
+BATCH_KIND = 'batch'
+ANNOUNCE_TTL_MS = 5000
 LEAVING_TTL_MS = 600_000
 MAX_NEWS_PER_DIGEST = 256
 
@@ -126,6 +129,13 @@
     contexts.share_news(context, LEAVING_KIND, key, '1', LEAVING_TTL_MS)
 
 
+async def announce(context: contexts.Context, kind: str, subject: str) -> None:
+    """Wake instances that wait for a step, here and at partners."""
+    contexts.share_news(context, kind, subject, '1', ANNOUNCE_TTL_MS)
+    context.wake_batches.send()
+    await tell_peers(context)
+
+
 async def _exchange(context: contexts.Context, address: str) -> None:
     digest, number = make_digest(context, address)
     reply = await context.ports.peers.exchange(address, digest)
@@ -146,6 +156,8 @@
     if one.kind == LEAVING_KIND:
         if membership.note_leaving(context.membership, one.key, now_ms):
             contexts.note(context, 'endpoint-leaving', one.key, 'by a peer')
+    elif one.kind in (ASK_KIND, BATCH_KIND):
+        context.wake_batches.send()
     elif one.kind == CRASH_KIND and one.value.isdecimal():
         quarantine.learn(
             context.quarantine,
--- a/pomelopass/kinds/trainer.py
+++ b/pomelopass/kinds/trainer.py
@@ -39,6 +39,12 @@
         le=100,
         description='Share of the groups that is enough, in percent.',
     )
+    race_percent: int = pydantic.Field(
+        default=10,
+        ge=0,
+        le=20,
+        description='Samples that may be raced near the end, in percent.',
+    )
     max_staleness_versions: int = pydantic.Field(
         default=1,
         ge=0,
--- a/pomelopass/routes/batches.py
+++ b/pomelopass/routes/batches.py
@@ -8,6 +8,7 @@
 from returns import result
 
 from .. import context as contexts
+from .. import gossip
 from .. import message
 from .. import problemdetails
 from .. import trainerrequest
@@ -74,7 +75,9 @@
     applied = isinstance(answer, result.Success) and answer.unwrap() is None
     if not applied and not await _find_known(context, keys, digest):
         raise _unavailable()
-    contexts.note(context, 'batch-asked', f'{name}/{step}', digest[:12])
+    subject = f'{name}/{step}'
+    contexts.note(context, 'batch-asked', subject, digest[:12])
+    await gossip.announce(context, gossip.ASK_KIND, subject)
 
 
 async def _find_known(
@@ -113,7 +116,7 @@
             reply = problemdetails.make_json_reply({'status': 'open'}, 202)
             headers = (*reply.headers, ('retry-after', '1'))
             return message.Reply(202, headers, reply.body)
-        await context.ports.clock.sleep(POLL_MS)
+        await context.wake_batches.wait(POLL_MS)
 
 
 async def _read_batch(
--- a/pomelopass/sampling.py
+++ b/pomelopass/sampling.py
@@ -76,6 +76,7 @@
     built.endpoints.append(slot.candidate.endpoint.key)
     try:
         await _generate(context, item, slot, built)
+        state.wake.set()
         built.score = await _score(context, item, built, prompt)
     except message.ExchangeError as error:
         await _judge(context, item, slot, error)
--- a/pomelopass/slots.py
+++ b/pomelopass/slots.py
@@ -7,6 +7,7 @@
 from . import poolstate
 from . import work
 from .core import admission
+from .core import attemptend
 from .core import ejection
 from .core import health
 from .core import length
@@ -62,14 +63,17 @@
     state: poolstate.PoolState,
     slot: work.Slot,
     units: float,
-    succeeded: bool,
+    end: attemptend.AttemptEnd,
 ) -> None:
     """Free a place and learn from how the attempt went."""
     now_ms = context.ports.clock.now_ms()
     one = slot.candidate.health
     pace = (now_ms - slot.started_at_ms) / max(units, 1.0)
-    health.note_finished(one, slot.attempt_id, units, succeeded, now_ms)
-    ejection.note_result(one, succeeded, _is_pace_ok(state, one, pace))
+    health.note_finished(one, slot.attempt_id, units, end, now_ms)
+    did_well = end == attemptend.AttemptEnd.SUCCEEDED and _is_pace_ok(
+        state, one, pace
+    )
+    ejection.note_result(one, did_well)
     review(context, state)
     pump(context, state)
 
@@ -139,7 +143,8 @@
     waiter: asyncio.Future,
 ) -> None:
     if waiter.done() and not waiter.cancelled() and not waiter.exception():
-        release(context, state, waiter.result(), 1.0, False)
+        end = attemptend.AttemptEnd.CANCELLED
+        release(context, state, waiter.result(), 1.0, end)
 
 
 def _reserve(
--- a/standins/memory.py
+++ b/standins/memory.py
@@ -109,7 +109,10 @@
         if _take(network.reset_after_write, address):
             raise message.ExchangeError('reset', written)
         try:
-            reply = await handler(request)
+            # The far side goes on when its caller has given up.
+            reply = await asyncio.shield(
+                asyncio.ensure_future(handler(request))
+            )
         except OSError:
             raise message.ExchangeError('reset', written) from None
         await asyncio.sleep(delay_s)
