Refuse early in overload, bound gossip and choice by fleet size

Cause: at twice the capacity a request waited almost to its deadline, was sent and timed out at the engine: 53 % of refusals could not say "not run" and came after 1.07 of the timeout. Admission now counts the expected time of the request itself and a margin on the wait, and drops what would end too late before it is sent.

Slopes: a digest went to every partner twice a second, 9,120 bytes/s at 12 instances in 11 zones and 18,240 at 1,500; the budget is 2 KB/s. An endpoint choice scanned the whole pool; callers' work now spreads over a subset of 64 endpoints that rendezvous hashing gives.

--- a/bench/training.py
+++ b/bench/training.py
@@ -9,7 +9,12 @@
 from standins import cluster
 from standins import virtualloop
 
-__all__ = ['measure_idle_time', 'measure_shares', 'measure_staleness']
+__all__ = [
+    'measure_idle_time',
+    'measure_shares',
+    'measure_staleness',
+    'read_example',
+]
 
 IDLE_TARGET = target.Target(
     'trainer wait over the bound of work and slots, 2 stragglers in 16',
@@ -108,7 +113,8 @@
     return sum(part['tokens'] for one in samples for part in one['segments'])
 
 
-def _read(changes: dict) -> dict:
+def read_example(changes: dict) -> dict:
+    """Return Sinaleira's example with a changed trainer."""
     value = deployment.read_example('sinaleira')
     value['pools']['part-engines']['sample_percent'] = 75
     value['trainers']['part-matching-trainer'].update(changes)
@@ -116,7 +122,7 @@
 
 
 async def _run_idle(seed: int, share: int, races: bool) -> float:
-    value = _read(
+    value = read_example(
         {
             'group_size': IDLE_GROUP_SIZE,
             'max_tokens': IDLE_TOKENS,
@@ -144,7 +150,7 @@
 
 
 async def _run_staleness(seed: int) -> tuple[int, float]:
-    value = _read({'group_size': 8, 'max_tokens': 64})
+    value = read_example({'group_size': 8, 'max_tokens': 64})
     built = await deployment.build(
         'sinaleira',
         value,
--- a/pomelopass/context.py
+++ b/pomelopass/context.py
@@ -84,6 +84,7 @@
     claim_queue: list = dataclasses.field(default_factory=list)
     work_in_flight: int = 0
     last_number: int = 0
+    next_partner: int = 0
     tasks: set[asyncio.Task] = dataclasses.field(default_factory=set)
     wake_config: asyncio.Event = dataclasses.field(
         default_factory=asyncio.Event
--- a/pomelopass/core/admission.py
+++ b/pomelopass/core/admission.py
@@ -7,6 +7,7 @@
 __all__ = ['AdmissionState', 'Limits', 'Waiting', 'enqueue', 'pop_expired']
 
 AGEING_MS = 2000
+WAIT_MARGIN = 1.5
 RETRY_AFTER_MS = 1000
 
 
@@ -31,6 +32,7 @@
     arrived_at_ms: float
     deadline_ms: float
     is_long: bool = False
+    expected_ms: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -76,8 +78,12 @@
 
 
 def pop_expired(state: AdmissionState, now_ms: float) -> list[Waiting]:
-    """Remove and return the requests whose deadline has passed."""
-    late = [one for one in state.by_id.values() if one.deadline_ms <= now_ms]
+    """Remove and return the requests that would end too late."""
+    late = [
+        one
+        for one in state.by_id.values()
+        if one.deadline_ms - one.expected_ms <= now_ms
+    ]
     for one in late:
         del state.by_id[one.id]
     return late
@@ -130,7 +136,8 @@
             f'The queue holds {limits.queue} requests.',
         )
     wait_ms = _estimate_wait_ms(state, item, now_ms)
-    if now_ms + wait_ms >= item.deadline_ms:
+    needed_ms = WAIT_MARGIN * wait_ms + item.expected_ms
+    if now_ms + needed_ms >= item.deadline_ms:
         return _refuse(
             refusal.Code.DEADLINE_TOO_SHORT,
             f'The wait is about {int(wait_ms)} ms.',
--- a/pomelopass/core/health.py
+++ b/pomelopass/core/health.py
@@ -129,6 +129,12 @@
     ]
 
 
+def get_expected_ms(by_key: dict[str, EndpointHealth], units: float) -> float:
+    """Return how long a request of so many units takes, in milliseconds."""
+    paces = [one.ms_per_unit for one in by_key.values() if one.samples > 0]
+    return units * statistics.median_low(paces) if paces else 0.0
+
+
 def get_load(health: EndpointHealth, now_ms: float) -> float:
     """Return own requests plus a fading hint of the reported load."""
     age_ms = now_ms - health.reported_at_ms
--- a/pomelopass/core/membership.py
+++ b/pomelopass/core/membership.py
@@ -3,16 +3,19 @@
 import dataclasses
 
 from . import endpoint
+from . import rendezvous
 
 __all__ = [
     'MembershipState',
     'apply_list',
+    'find_subset',
     'find_usable',
     'is_leaving',
     'note_leaving',
 ]
 
 LEAVING_RETENTION_MS = 3_600_000
+MAX_SUBSET = 64
 
 
 @dataclasses.dataclass(slots=True)
@@ -23,6 +26,9 @@
     by_key: dict[str, endpoint.Endpoint] = dataclasses.field(
         default_factory=dict
     )
+    subset_by_pool: dict[str, list[endpoint.Endpoint]] = dataclasses.field(
+        default_factory=dict
+    )
     leaving_since_ms_by_key: dict[str, float] = dataclasses.field(
         default_factory=dict
     )
@@ -43,6 +49,7 @@
         return []
     state.list_number = number
     state.by_key = {one.key: one for one in listed}
+    state.subset_by_pool.clear()
     fresh = [
         one.key
         for one in listed
@@ -57,6 +64,7 @@
     if key in state.leaving_since_ms_by_key:
         return False
     state.leaving_since_ms_by_key[key] = now_ms
+    state.subset_by_pool.clear()
     return True
 
 
@@ -74,6 +82,23 @@
     ]
 
 
+def find_subset(
+    state: MembershipState, pool: str, own_id: str
+) -> list[endpoint.Endpoint]:
+    """Return the usable endpoints that one instance spreads work over.
+
+    Their number stays the same however large the pool is.
+    """
+    known = state.subset_by_pool.get(pool)
+    if known is not None:
+        return known
+    by_key = {one.key: one for one in find_usable(state, pool)}
+    ranked = rendezvous.rank(own_id, list(by_key))
+    chosen = [by_key[key] for key in ranked[:MAX_SUBSET]]
+    state.subset_by_pool[pool] = chosen
+    return chosen
+
+
 def _forget_old(state: MembershipState, now_ms: float) -> None:
     old = [
         key
--- a/pomelopass/core/peers.py
+++ b/pomelopass/core/peers.py
@@ -6,7 +6,7 @@
 
 __all__ = ['EntryView', 'PeerState', 'choose_partners', 'find_entries']
 
-LOST_AFTER_MS = 6000
+LOST_AFTER_MS = 8000
 MAX_NEAR_PARTNERS = 4
 MAX_FAR_PARTNERS = 2
 
--- a/pomelopass/gossip.py
+++ b/pomelopass/gossip.py
@@ -12,7 +12,13 @@
 from .routes import entries
 from .wire.gen.peer import ttypes
 
-__all__ = ['PeerHandler', 'find_partners', 'share_leaving', 'tell_peers']
+__all__ = [
+    'PeerHandler',
+    'exchange_some',
+    'find_partners',
+    'share_leaving',
+    'tell_peers',
+]
 
 LEAVING_KIND = 'leaving'
 CRASH_KIND = 'crash'
@@ -21,6 +27,7 @@
 ANNOUNCE_TTL_MS = 5000
 LEAVING_TTL_MS = 600_000
 MAX_NEWS_PER_DIGEST = 256
+PARTNERS_PER_ROUND = 2
 
 
 class PeerHandler:
@@ -69,6 +76,21 @@
     )
 
 
+async def exchange_some(context: contexts.Context) -> None:
+    """Exchange with the next few partners in turn.
+
+    The bytes at rest stay the same however many partners there are.
+    """
+    partners = find_partners(context)
+    first = context.next_partner
+    chosen = [
+        partners[(first + offset) % len(partners)]
+        for offset in range(min(PARTNERS_PER_ROUND, len(partners)))
+    ]
+    context.next_partner = first + len(chosen)
+    await asyncio.gather(*(_exchange(context, one) for one in chosen))
+
+
 def take_in(context: contexts.Context, digest: ttypes.Digest) -> None:
     """Learn from the digest of a peer."""
     now_ms = context.ports.clock.now_ms()
@@ -127,6 +149,7 @@
 def share_leaving(context: contexts.Context, key: str) -> None:
     """Tell peers that an endpoint is leaving."""
     contexts.share_news(context, LEAVING_KIND, key, '1', LEAVING_TTL_MS)
+    contexts.spawn(context, tell_peers(context))
 
 
 async def announce(context: contexts.Context, kind: str, subject: str) -> None:
--- a/pomelopass/loops.py
+++ b/pomelopass/loops.py
@@ -35,7 +35,7 @@
     steps = (
         (watch_configuration, CONFIG_EVERY_MS),
         (watch_listing, LISTING_EVERY_MS),
-        (gossip.tell_peers, GOSSIP_EVERY_MS),
+        (gossip.exchange_some, GOSSIP_EVERY_MS),
         (poll_endpoints, POLL_EVERY_MS),
         (pump_pools, PUMP_EVERY_MS),
         (expire, EXPIRE_EVERY_MS),
--- a/pomelopass/places.py
+++ b/pomelopass/places.py
@@ -8,6 +8,7 @@
 from . import work
 from .core import affinity
 from .core import ejection
+from .core import endpoint
 from .core import health
 from .core import membership
 from .core import quota
@@ -38,9 +39,7 @@
     """Reserve a place, or return None when none is free."""
     now_ms = context.ports.clock.now_ms()
     request = _make_request(context, state, wish, now_ms)
-    endpoints = membership.find_usable(context.membership, state.name)
-    if wish.usable is not None:
-        endpoints = [one for one in endpoints if one.key in wish.usable]
+    endpoints = _find_endpoints(context, state, wish)
     found = routing.find_candidates(endpoints, state.health_by_key, request)
     if not found:
         return None
@@ -55,6 +54,17 @@
     return work.Slot(chosen, wish.attempt_id, now_ms)
 
 
+def _find_endpoints(
+    context: contexts.Context, state: poolstate.PoolState, wish: Wish
+) -> list[endpoint.Endpoint]:
+    if wish.usable is None:
+        return membership.find_subset(
+            context.membership, state.name, context.settings.id
+        )
+    usable = membership.find_usable(context.membership, state.name)
+    return [one for one in usable if one.key in wish.usable]
+
+
 def _make_request(
     context: contexts.Context,
     state: poolstate.PoolState,
--- a/pomelopass/slots.py
+++ b/pomelopass/slots.py
@@ -191,6 +191,7 @@
         context.ports.clock.now_ms(),
         item.deadline_ms,
         length.is_long(state.lengths, item.units),
+        health.get_expected_ms(state.health_by_key, item.units),
     )
 
 
@@ -204,7 +205,7 @@
 def _make_late() -> refusal.Refusal:
     return refusal.Refusal(
         refusal.Code.DEADLINE_PASSED,
-        'The deadline passed while the request waited.',
+        'The request would not end before its deadline.',
         verdict.Verdict.NOT_RUN,
     )
 
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -23,7 +23,7 @@
     """Hold weights, slots and faults of one engine.
 
     Faults: slow_factor, truncate, end_early, mix_up, stall_s, swap_fail,
-    swap_lose_answer, leaving, crash_on (a text in the prompt).
+    swap_lose_answer, leaving, fail_share, crash_on (a text in the prompt).
     """
 
     def __init__(self, app: server.App, arguments):
@@ -134,6 +134,9 @@
         straggles = self.rng.random() < self.straggle_share
         pace = STRAGGLE_FACTOR if straggles else 1.0
         produced = self.versions_by_request.setdefault(request_id, [])
+        if self.rng.random() < self.app.faults.get('fail_share', 0):
+            self._give_slot()
+            raise ConnectionResetError
         if self.app.take_fault('mix_up'):
             request_id = f'{request_id}-other'
             tokens = ['other ', *tokens]
--- a/tests/core/test_bounds.py
+++ b/tests/core/test_bounds.py
@@ -4,7 +4,9 @@
 
 from pomelopass.core import affinity
 from pomelopass.core import decisions
+from pomelopass.core import endpoint
 from pomelopass.core import length
+from pomelopass.core import membership
 from pomelopass.core import news
 from pomelopass.core import peers
 from pomelopass.core import rendezvous
@@ -43,6 +45,19 @@
     assert len(polled) <= loops.MAX_POLLED_PER_POOL
 
 
+def test_subset_of_a_pool_is_bounded_and_never_leaving():
+    state = membership.MembershipState()
+    listed = [
+        endpoint.Endpoint(f'e{number}', '1', 'p', 'a:1', 'z0')
+        for number in range(10_000)
+    ]
+    membership.apply_list(state, 1, listed, 0.0)
+    chosen = membership.find_subset(state, 'p', 'i')
+    assert len(chosen) == membership.MAX_SUBSET
+    membership.note_leaving(state, chosen[0].key, 1.0)
+    assert chosen[0] not in membership.find_subset(state, 'p', 'i')
+
+
 def test_news_affinity_lengths_and_events_are_bounded():
     told = news.NewsState()
     known = affinity.AffinityState()
