--- /dev/null
+++ b/scripts/write_reference.py
@@ -0,0 +1,91 @@
+"""Write the reference parts of the documentation from the models."""
+
+import pathlib
+import sys
+import typing
+
+import pydantic
+
+from pomelopass import kind
+from pomelopass import settings
+from pomelopass.core import refusal
+
+__all__ = ['main', 'make_api_part', 'make_configuration_part']
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+BEGIN = '<!-- generated: begin -->'
+END = '<!-- generated: end -->'
+
+
+def main() -> int:
+    """Write both parts between their marks."""
+    write(ROOT / 'docs' / 'CONFIGURATION.md', make_configuration_part())
+    write(ROOT / 'docs' / 'API.md', make_api_part())
+    return 0
+
+
+def write(path: pathlib.Path, part: str) -> None:
+    """Replace what stands between the marks of a file."""
+    text = path.read_text(encoding='utf-8')
+    head, _, rest = text.partition(BEGIN)
+    tail = rest.partition(END)[2]
+    path.write_text(f'{head}{BEGIN}\n{part}{END}{tail}', encoding='utf-8')
+
+
+def make_configuration_part() -> str:
+    """Return tables of all settings and configuration fields."""
+    parts = [_make_table('Settings of a daemon', settings.Settings)]
+    for one in kind.get_all_kinds():
+        parts.append(_make_table(f'`{one.collection}`', one.model))
+    return '\n'.join(parts)
+
+
+def make_api_part() -> str:
+    """Return the table of refusal codes."""
+    lines = ['| code | HTTP status |', '| --- | --- |']
+    for code in refusal.get_all_codes():
+        lines.append(f'| `{code}` | {refusal.get_status(code)} |')
+    return '\n'.join(lines) + '\n'
+
+
+def _make_table(title: str, model: type[pydantic.BaseModel]) -> str:
+    lines = [
+        f'### {title}',
+        '',
+        '| field | type | default | range | meaning |',
+        '| --- | --- | --- | --- | --- |',
+    ]
+    for name, field in model.model_fields.items():
+        default = 'required' if field.is_required() else f'`{field.default}`'
+        cells = (
+            f'`{name}`',
+            _get_type_name(field.annotation),
+            default,
+            _get_range(field),
+            field.description or '',
+        )
+        lines.append(f'| {" | ".join(cells)} |')
+    return '\n'.join(lines) + '\n'
+
+
+def _get_type_name(annotation: object) -> str:
+    if typing.get_origin(annotation) is typing.Literal:
+        values = typing.get_args(annotation)
+        return ' or '.join(f'`"{value}"`' for value in values)
+    if isinstance(annotation, type):
+        return annotation.__name__
+    return str(annotation).replace('|', 'or')
+
+
+def _get_range(field: pydantic.fields.FieldInfo) -> str:
+    words = []
+    for mark in field.metadata:
+        for name, sign in (('ge', '≥'), ('gt', '>'), ('le', '≤')):
+            value = getattr(mark, name, None)
+            if value is not None:
+                words.append(f'{sign} {value}')
+    return ', '.join(words) or '-'
+
+
+if __name__ == '__main__':
+    sys.exit(main())
