--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -7,6 +7,7 @@
 from bench import outages
 from bench import processes
 from bench import report
+from bench import sharing
 from bench import training
 
 SEED = 1
@@ -15,7 +16,7 @@
     latency.measure_short_behind_long,
     training.measure_idle_time,
     training.measure_staleness,
-    training.measure_shares,
+    sharing.measure_shares,
     outages.measure_overload,
     outages.measure_retries,
     outages.measure_poison,
--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -10,8 +10,6 @@
 from bench import deployment
 from bench import training
 from pomelopass import context as contexts
-from pomelopass import gossip
-from pomelopass import places
 from pomelopass.core import attemptend
 from pomelopass.core import batch
 from pomelopass.core import endpoint
@@ -20,6 +18,8 @@
 from pomelopass.core import peers
 from pomelopass.core import workclass
 from pomelopass.edges import peerframe
+from pomelopass import gossip
+from pomelopass import places
 from pomelopass.wire.gen.peer import Peer
 from standins import virtualloop
 
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -7,9 +7,10 @@
 
 from bench import load
 from bench import target
-from pomelopass import message
 from pomelopass.edges import httpclient
+from pomelopass import message
 from scripts import fleet
+from scripts import probe
 
 __all__ = ['measure_processes']
 
@@ -77,11 +78,11 @@
     entry = running.get_entries()[0]
     table = running.process_by_name['table'].address
     pid = entry.popen.pid
-    before = fleet.call(table, 'GET', '/counts')[1]
+    before = probe.call(table, 'GET', '/counts')[1]
     cpu_s = _read_cpu_s(pid)
     time.sleep(REST_S)
     used_s = _read_cpu_s(pid) - cpu_s
-    after = fleet.call(table, 'GET', '/counts')[1]
+    after = probe.call(table, 'GET', '/counts')[1]
     reads = (after['reads'] - before['reads']) / REST_S
     writes = (after['writes'] - before['writes']) / REST_S
     memory_mb = _read_memory_kb(pid) / 1024
@@ -173,8 +174,8 @@
 def _measure_start(running: fleet.Fleet) -> list[target.Outcome]:
     began = time.monotonic()
     fresh = running.start_entry(20)
-    fleet.wait_for(
-        lambda: fleet.call(fresh.address, 'GET', '/readyz')[0] == 200
+    probe.wait_for(
+        lambda: probe.call(fresh.address, 'GET', '/readyz')[0] == 200
     )
     took = time.monotonic() - began
     return [target.Outcome(START_TARGET, took)]
--- a/pomelopass/callerwork.py
+++ b/pomelopass/callerwork.py
@@ -70,6 +70,7 @@
         shape=shape,
         prefix=affinity.get_prefix(prompt),
         units=length.estimate(state.lengths, shape, limit),
+        began_ms=now_ms,
         key=_get_key(headers, repeatable),
     )
 
@@ -85,6 +86,8 @@
     """Count a request that has ended."""
     labels = {'service': item.service, 'outcome': outcome}
     context.metrics.requests.inc(labels)
+    took_ms = context.ports.clock.now_ms() - item.began_ms
+    context.metrics.latency.observe({'service': item.service}, took_ms / 1000)
     contexts.note(context, 'request-ended', item.id, outcome)
 
 
--- a/pomelopass/claimflow.py
+++ b/pomelopass/claimflow.py
@@ -8,6 +8,7 @@
 from . import context as contexts
 from . import message
 from . import work
+from .core import claimbook
 from .core import claimreply
 from .core import claims
 from .core import refusal
@@ -25,13 +26,13 @@
     admission = claims.admit(
         context.claims, item.key, item.fingerprint, now_ms
     )
-    if admission.step == claims.Step.WRITE_CLAIM:
+    if admission.step == claimbook.Step.WRITE_CLAIM:
         admission = await _write_claim(context, item)
-    if admission.step == claims.Step.ASK_OWNER:
+    if admission.step == claimbook.Step.ASK_OWNER:
         admission = await _ask_owner(context, item, admission.owner)
-    if admission.step == claims.Step.REFUSE:
+    if admission.step == claimbook.Step.REFUSE:
         raise work.Refused(admission.refusal, key_checked=True)
-    if admission.step == claims.Step.REPLAY:
+    if admission.step == claimbook.Step.REPLAY:
         return _make_reply(admission.reply)
     return None
 
@@ -77,7 +78,7 @@
 
 async def _write_claim(
     context: contexts.Context, item: work.Work, old_version: int = 0
-) -> claims.Admission:
+) -> claimbook.Admission:
     claim = context.claims.by_key[item.key]
     value = json.dumps({'token': claim.token, 'fingerprint': item.fingerprint})
     outcome = await claimwriter.write(
@@ -100,7 +101,7 @@
 
 async def _ask_owner(
     context: contexts.Context, item: work.Work, owner: str
-) -> claims.Admission:
+) -> claimbook.Admission:
     view = context.peers.by_incarnation.get(owner)
     answer = None
     if view is not None:
@@ -113,7 +114,7 @@
     if answer.state == ttypes.ClaimState.DONE:
         claims.forget(context.claims, item.key)
         reply = _read_recorded(answer.reply)
-        return claims.Admission(claims.Step.REPLAY, reply=reply)
+        return claimbook.Admission(claimbook.Step.REPLAY, reply=reply)
     if answer.state == ttypes.ClaimState.KEY_REUSED:
         claims.forget(context.claims, item.key)
         return _refuse(refusal.Code.KEY_REUSED, verdict.Verdict.NOT_RUN)
@@ -125,7 +126,7 @@
 
 async def _take_over(
     context: contexts.Context, item: work.Work, owner: str
-) -> claims.Admission:
+) -> claimbook.Admission:
     if item.key not in context.claims.by_key:
         return _refuse(refusal.Code.KEY_RELEASED, verdict.Verdict.NOT_RUN)
     found = await context.ports.table.get(get_row_key(item))
@@ -136,7 +137,7 @@
         claims.forget(context.claims, item.key)
         return _refuse(refusal.Code.KEY_IN_PROGRESS, _may_have_run())
     admission = await _write_claim(context, item, row.version)
-    if admission.step == claims.Step.ASK_OWNER:
+    if admission.step == claimbook.Step.ASK_OWNER:
         claims.forget(context.claims, item.key)
         return _refuse(refusal.Code.KEY_IN_PROGRESS, _may_have_run())
     return admission
@@ -151,10 +152,12 @@
     return verdict.Verdict.MAY_HAVE_RUN
 
 
-def _refuse(code: refusal.Code, outcome: verdict.Verdict) -> claims.Admission:
+def _refuse(
+    code: refusal.Code, outcome: verdict.Verdict
+) -> claimbook.Admission:
     detail = f'Another instance has the key: {code}.'
     reason = refusal.Refusal(code, detail, outcome, claims.RETRY_AFTER_MS)
-    return claims.Admission(claims.Step.REFUSE, refusal=reason)
+    return claimbook.Admission(claimbook.Step.REFUSE, refusal=reason)
 
 
 def _make_reply(recorded: claimreply.RecordedReply) -> message.Reply:
--- a/pomelopass/context.py
+++ b/pomelopass/context.py
@@ -17,7 +17,7 @@
 from . import signals
 from .core import admission
 from .core import adoption
-from .core import claims
+from .core import claimbook
 from .core import decisions
 from .core import lease
 from .core import membership
@@ -38,7 +38,7 @@
     ports: ports.Ports
     incarnation: str
     log: decisions.EventLog
-    claims: claims.ClaimBook
+    claims: claimbook.ClaimBook
     metrics: metrics.Metrics
     configuration: configuration.Configuration | None = None
     configuration_text: str = ''
--- a/pomelopass/gossip.py
+++ b/pomelopass/gossip.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from . import context as contexts
+from .core import claimbook
 from .core import claims
 from .core import decisions
 from .core import membership
@@ -191,10 +192,12 @@
         )
 
 
-def _make_answer(claim: claims.Claim, fingerprint: str) -> ttypes.ClaimAnswer:
+def _make_answer(
+    claim: claimbook.Claim, fingerprint: str
+) -> ttypes.ClaimAnswer:
     if claim.fingerprint != fingerprint:
         return ttypes.ClaimAnswer(ttypes.ClaimState.KEY_REUSED)
-    if claim.phase == claims.Phase.DONE:
+    if claim.phase == claimbook.Phase.DONE:
         reply = ttypes.RecordedReply(
             claim.reply.status,
             [
@@ -204,6 +207,6 @@
             claim.reply.body,
         )
         return ttypes.ClaimAnswer(ttypes.ClaimState.DONE, reply)
-    if claim.phase == claims.Phase.RELEASED:
+    if claim.phase == claimbook.Phase.RELEASED:
         return ttypes.ClaimAnswer(ttypes.ClaimState.NEVER_DISPATCHED)
     return ttypes.ClaimAnswer(ttypes.ClaimState.IN_PROGRESS)
--- a/pomelopass/instance.py
+++ b/pomelopass/instance.py
@@ -7,7 +7,7 @@
 from . import metrics
 from . import ports
 from . import settings
-from .core import claims
+from .core import claimbook
 from .core import decisions
 from .core import stopping
 
@@ -27,7 +27,7 @@
         ports=given_ports,
         incarnation=incarnation,
         log=decisions.EventLog(incarnation),
-        claims=claims.ClaimBook(incarnation),
+        claims=claimbook.ClaimBook(incarnation),
         metrics=metrics.Metrics(given.id),
         operator_token=token,
     )
--- a/pomelopass/loops.py
+++ b/pomelopass/loops.py
@@ -4,7 +4,7 @@
 from collections import abc
 import json
 
-from . import configstore
+from . import configadoption
 from . import context as contexts
 from . import duty
 from . import gossip
@@ -48,7 +48,7 @@
 async def watch_configuration(context: contexts.Context) -> None:
     """Adopt a newer configuration when there is one."""
     try:
-        await configstore.adopt_newest(context)
+        await configadoption.adopt_newest(context)
     except work.Refused as refused:
         contexts.note(
             context, 'config-unavailable', 'config', refused.reason.detail
--- a/pomelopass/metrics.py
+++ b/pomelopass/metrics.py
@@ -8,51 +8,47 @@
 LATENCY_BUCKETS_S = (0.002, 0.008, 0.03, 0.1, 0.3, 1.0, 3.0, 10.0, 60.0)
 
 
+COUNTERS = {
+    'requests': ('pomelopass_requests_total', 'Requests by service, outcome.'),
+    'retries': ('pomelopass_retries_total', 'Retries by service.'),
+    'refusals': ('pomelopass_refusals_total', 'Refusals by code.'),
+    'samples': ('pomelopass_samples_total', 'Samples made, by trainer.'),
+    'batches': ('pomelopass_batches_total', 'Batches given, by trainer.'),
+    'ejections': ('pomelopass_ejections_total', 'Ejections by pool.'),
+    'bad_frames': ('pomelopass_bad_frames_total', 'Peer frames dropped.'),
+}
+
+
 class Metrics:
     """Hold the metrics of one instance in a registry of its own."""
 
+    requests: aioprometheus.Counter
+    retries: aioprometheus.Counter
+    refusals: aioprometheus.Counter
+    samples: aioprometheus.Counter
+    batches: aioprometheus.Counter
+    ejections: aioprometheus.Counter
+    bad_frames: aioprometheus.Counter
+
     def __init__(self, instance: str):
         self.registry = aioprometheus.Registry()
-        labels = {'instance': instance}
-
-        def counter(name: str, doc: str) -> aioprometheus.Counter:
-            return aioprometheus.Counter(
-                name, doc, const_labels=labels, registry=self.registry
-            )
-
-        self.requests = counter(
-            'pomelopass_requests_total', 'Requests by service and verdict.'
-        )
-        self.retries = counter(
-            'pomelopass_retries_total', 'Retries by service.'
-        )
-        self.refusals = counter(
-            'pomelopass_refusals_total', 'Refusals by code.'
-        )
-        self.samples = counter(
-            'pomelopass_samples_total', 'Samples by trainer and outcome.'
-        )
-        self.batches = counter(
-            'pomelopass_batches_total', 'Batches handed over by trainer.'
-        )
-        self.ejections = counter(
-            'pomelopass_ejections_total', 'Endpoints ejected by pool.'
-        )
-        self.bad_frames = counter(
-            'pomelopass_bad_frames_total', 'Peer frames that were dropped.'
-        )
+        common = {
+            'const_labels': {'instance': instance},
+            'registry': self.registry,
+        }
+        for name, (title, doc) in COUNTERS.items():
+            counter = aioprometheus.Counter(title, doc, **common)
+            setattr(self, name, counter)
         self.latency = aioprometheus.Histogram(
             'pomelopass_request_seconds',
             'Time from request to whole reply.',
-            const_labels=labels,
-            registry=self.registry,
             buckets=list(LATENCY_BUCKETS_S),
+            **common,
         )
         self.config_version = aioprometheus.Gauge(
             'pomelopass_config_version',
             'Configuration version in force.',
-            const_labels=labels,
-            registry=self.registry,
+            **common,
         )
 
 
--- a/pomelopass/routes/operatorconfig.py
+++ b/pomelopass/routes/operatorconfig.py
@@ -6,6 +6,7 @@
 import pydantic
 from returns import result
 
+from .. import configadoption
 from .. import configstore
 from .. import context as contexts
 from .. import message
@@ -41,6 +42,7 @@
         return problemdetails.make_refusal_reply(
             reason, {'problems': problems}
         )
+    await configadoption.adopt_newest(context)
     head = outcome.unwrap()
     body = {
         'version': head.version,
--- a/pomelopass/work.py
+++ b/pomelopass/work.py
@@ -30,6 +30,7 @@
     shape: str
     prefix: str
     units: float
+    began_ms: float = 0.0
     key: str | None = None
     verdicts: list[verdict.Verdict] = dataclasses.field(default_factory=list)
     tried: set[str] = dataclasses.field(default_factory=set)
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -9,6 +9,7 @@
 import tempfile
 
 from scripts import fleet
+from scripts import probe
 
 __all__ = ['main']
 
@@ -17,6 +18,7 @@
 PROMPTS = 4
 GROUP_SIZE = 4
 CALLS = 6
+ENTRIES = 12
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -41,7 +43,7 @@
             {'order-desk': 2},
             ('part-engines',),
             EXAMPLES / 'sinaleira.jsonc',
-            6,
+            ENTRIES,
         ),
         'part-matching-trainer',
         'spares-ordering',
@@ -57,7 +59,7 @@
             {'ledger-desk': 2},
             ('ledger-engines',),
             EXAMPLES / 'al-nakheel.jsonc',
-            6,
+            ENTRIES,
         ),
         'notice-trainer',
         'member-ledger',
@@ -104,9 +106,9 @@
     """Wait until /entries names several instances."""
     wanted = min(8, len(running.get_entries()))
     address = running.get_entries()[0].address
-    fleet.wait_for(
+    probe.wait_for(
         lambda: (
-            len(fleet.call(address, 'GET', '/entries')[1]['entries']) >= wanted
+            len(probe.call(address, 'GET', '/entries')[1]['entries']) >= wanted
         )
     )
 
@@ -116,7 +118,7 @@
     faults = []
     first = running.get_entries()[0].address
     zone = scenario.deployment.zones[1]
-    listed = fleet.call(first, 'GET', f'/entries?zone={zone}')[1]
+    listed = probe.call(first, 'GET', f'/entries?zone={zone}')[1]
     addresses = [one['address'] for one in listed['entries']]
     print(f'caller in {zone}: entries {", ".join(addresses)}')
     for index in range(CALLS):
@@ -128,21 +130,21 @@
 def call_once(address: str, scenario: Scenario, index: int) -> list[str]:
     """Make one call of each sort at an instance."""
     faults = []
-    status, body = fleet.call(address, 'GET', scenario.question)
+    status, body = probe.call(address, 'GET', scenario.question)
     print(f'caller {index}: question -> {status} {json.dumps(body)}')
     if status != 200 or body['asked'] not in scenario.question:
         faults.append(f'question {index}: {status} {body}')
     order = {'order': f'order-{index}'}
     headers = {'Idempotency-Key': f'demo-{index}'}
     for send in ('first', 'second'):
-        status, body = fleet.call(
+        status, body = probe.call(
             address, 'POST', scenario.order_target, order, headers
         )
         print(f'caller {index}: order, {send} send -> {status} {body}')
         if status != 200 or body['order'] != order['order']:
             faults.append(f'order {index}: {status} {body}')
     ask = {'model': scenario.model, 'prompt': f'p {index}', 'max_tokens': 8}
-    status, body = fleet.call(address, 'POST', '/v1/completions', ask)
+    status, body = probe.call(address, 'POST', '/v1/completions', ask)
     text = body.get('choices', [{}])[0].get('text')
     print(f'caller {index}: completion -> {status} {text!r}')
     if status != 200 or not text:
@@ -210,7 +212,7 @@
     for pool, number in scenario.deployment.services_by_pool.items():
         for index in range(number):
             address = running.process_by_name[f'{pool}-{index}'].address
-            seen = fleet.call(address, 'GET', '/ran')[1]['counts']
+            seen = probe.call(address, 'GET', '/ran')[1]['counts']
             for key, count in seen.items():
                 counts[key] = counts.get(key, 0) + count
     print(f'orders that ran, by the services: {counts}')
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -4,17 +4,13 @@
 import json
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
-import time
-import urllib.error
-import urllib.request
+
+from scripts import probe
 
 __all__ = ['Deployment', 'Fleet', 'Process']
 
-START_TIMEOUT_S = 20.0
-POLL_S = 0.1
 TOKEN = 'operator-token-for-tests'
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 
@@ -141,13 +137,13 @@
             'leaving': leaving,
         }
         listing = self.process_by_name['instances'].address
-        call(listing, 'PUT', f'/instances/{name}', value)
+        probe.call(listing, 'PUT', f'/instances/{name}', value)
 
     def start_entry(self, index: int, **changes: object) -> Process:
         """Start one entry instance and list it."""
         name = f'entry-{index}'
         zones = self.deployment.zones
-        ports = take_ports(3)
+        ports = probe.take_ports(3)
         settings = {
             'id': name,
             'availability_zone': zones[index % len(zones)],
@@ -196,7 +192,7 @@
             'availability_zone': zones[index % len(zones)],
         }
         listing = self.process_by_name['instances'].address
-        call(listing, 'PUT', f'/instances/{name}', value)
+        probe.call(listing, 'PUT', f'/instances/{name}', value)
 
     def get_entries(self) -> list[Process]:
         """Return the entry instances that run."""
@@ -209,15 +205,19 @@
     def wait_live(self) -> None:
         """Wait until every entry instance answers."""
         for one in self.get_entries():
-            wait_for(
-                lambda one=one: call(one.address, 'GET', '/livez')[0] == 200
+            probe.wait_for(
+                lambda one=one: (
+                    probe.call(one.address, 'GET', '/livez')[0] == 200
+                )
             )
 
     def wait_ready(self) -> None:
         """Wait until every entry instance has a configuration in force."""
         for one in self.get_entries():
-            wait_for(
-                lambda one=one: call(one.address, 'GET', '/readyz')[0] == 200
+            probe.wait_for(
+                lambda one=one: (
+                    probe.call(one.address, 'GET', '/readyz')[0] == 200
+                )
             )
 
     def run_tool(self, *arguments: str) -> subprocess.CompletedProcess:
@@ -243,7 +243,7 @@
     def set_faults(self, name: str, **faults: object) -> None:
         """Give a stand-in its faults; none clears them."""
         address = self.process_by_name[name].address
-        call(address, 'POST', '/faults', faults)
+        probe.call(address, 'POST', '/faults', faults)
 
     def kill(self, name: str) -> None:
         """Kill a process without warning."""
@@ -262,49 +262,3 @@
     def terminate(self, name: str) -> None:
         """Ask a process to stop gracefully."""
         self.process_by_name[name].popen.terminate()
-
-
-def call(
-    address: str,
-    method: str,
-    target: str,
-    value: object = None,
-    headers: dict[str, str] | None = None,
-    timeout_s: float = 30.0,
-) -> tuple[int, dict]:
-    """Return status and JSON body; status 0 when there was no answer."""
-    data = None if value is None else json.dumps(value).encode()
-    request = urllib.request.Request(
-        f'http://{address}{target}',
-        data=data,
-        method=method,
-        headers={'content-type': 'application/json', **(headers or {})},
-    )
-    try:
-        with urllib.request.urlopen(request, timeout=timeout_s) as reply:
-            return reply.status, json.loads(reply.read())
-    except urllib.error.HTTPError as error:
-        return error.code, json.loads(error.read() or b'{}')
-    except (OSError, ValueError):
-        return 0, {}
-
-
-def wait_for(check, timeout_s: float = START_TIMEOUT_S) -> None:
-    """Wait until a check holds; raise TimeoutError."""
-    deadline = time.monotonic() + timeout_s
-    while time.monotonic() < deadline:
-        if check():
-            return
-        time.sleep(POLL_S)
-    raise TimeoutError('The state was not reached in time.')
-
-
-def take_ports(count: int) -> list[int]:
-    """Return ports that the system has free."""
-    sockets = [socket.socket() for _ in range(count)]
-    for one in sockets:
-        one.bind(('127.0.0.1', 0))
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
-    return ports
--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -9,7 +9,9 @@
 import sys
 import tempfile
 
-from scripts import mutantlist
+from scripts import fleetmutants
+from scripts import mutant
+from scripts import requestmutants
 
 __all__ = ['main']
 
@@ -24,7 +26,7 @@
 class Outcome:
     """Hold whether a mutant was caught."""
 
-    mutant: mutantlist.Mutant
+    name: str
     caught: bool
     detail: str
 
@@ -32,29 +34,30 @@
 def main() -> int:
     """Run all mutants, or those whose name holds an argument."""
     wanted = sys.argv[1] if len(sys.argv) > 1 else ''
-    chosen = [one for one in mutantlist.MUTANTS if wanted in one.name]
+    mutants = (*requestmutants.MUTANTS, *fleetmutants.MUTANTS)
+    chosen = [one for one in mutants if wanted in one.name]
     with concurrent.futures.ThreadPoolExecutor(WORKERS) as pool:
         outcomes = list(pool.map(run_mutant, chosen))
     for one in outcomes:
         state = 'caught' if one.caught else 'SURVIVED'
-        print(f'{state:9s} {one.mutant.name}: {one.detail}')
+        print(f'{state:9s} {one.name}: {one.detail}')
     missed = sum(not one.caught for one in outcomes)
     print(f'{len(outcomes) - missed} caught, {missed} survived')
     return 1 if missed else 0
 
 
-def run_mutant(mutant: mutantlist.Mutant) -> Outcome:
+def run_mutant(broken: mutant.Mutant) -> Outcome:
     """Break the line in a copy of the project and run its tests."""
     with tempfile.TemporaryDirectory() as folder:
         copy = pathlib.Path(folder)
         _copy_project(copy)
-        path = copy / mutant.path
+        path = copy / broken.path
         text = path.read_text(encoding='utf-8')
-        if text.count(mutant.old) != 1:
-            return Outcome(mutant, False, 'the line was not found once')
-        changed = text.replace(mutant.old, mutant.new)
+        if text.count(broken.old) != 1:
+            return Outcome(broken.name, False, 'the line was not found once')
+        changed = text.replace(broken.old, broken.new)
         path.write_text(changed, encoding='utf-8')
-        return _run_tests(mutant, copy)
+        return _run_tests(broken, copy)
 
 
 def _copy_project(copy: pathlib.Path) -> None:
@@ -65,10 +68,10 @@
         shutil.copy(ROOT / name, copy / name)
 
 
-def _run_tests(mutant: mutantlist.Mutant, copy: pathlib.Path) -> Outcome:
+def _run_tests(broken: mutant.Mutant, copy: pathlib.Path) -> Outcome:
     command = [
         *(sys.executable, '-m', 'pytest', '-x', '-q', '--no-header'),
-        *('-p', 'no:cacheprovider', *mutant.tests),
+        *('-p', 'no:cacheprovider', *broken.tests),
     ]
     try:
         done = subprocess.run(
@@ -81,13 +84,13 @@
             env={**os.environ, 'PYTHONPATH': str(copy)},
         )
     except subprocess.TimeoutExpired:
-        return Outcome(mutant, True, 'the tests did not end')
+        return Outcome(broken.name, True, 'the tests did not end')
     failed = [
         line for line in done.stdout.splitlines() if line.startswith('FAILED ')
     ]
     detail = failed[0][:100] if failed else done.stdout[-200:]
     caught = done.returncode == 1 and bool(failed)
-    return Outcome(mutant, caught, detail)
+    return Outcome(broken.name, caught, detail)
 
 
 if __name__ == '__main__':
--- a/scripts/write_reference.py
+++ b/scripts/write_reference.py
@@ -6,9 +6,9 @@
 
 import pydantic
 
+from pomelopass.core import refusal
 from pomelopass import kind
 from pomelopass import settings
-from pomelopass.core import refusal
 
 __all__ = ['main', 'make_api_part', 'make_configuration_part']
 
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -8,49 +8,24 @@
 KEY = 'idempotency-key'
 
 
-def make_configuration_text(**changes: object) -> str:
+def make_configuration_text(**changes: dict[str, object]) -> str:
     """Return a small configuration with an order desk and a trainer."""
-    trainer = {
-        'pool': 'engines',
-        'model': 'matcher',
-        'start_weights': 'matcher-start',
-        'scorer': 'scores',
-        'group_size': 2,
-        'max_tokens': 8,
-        'max_staleness_versions': 1,
-        **changes.get('trainer', {}),
-    }
-    desk = {'pool': 'desk', 'kind': 'plain', 'timeout_ms': 3000}
     value = {
         'format': 1,
-        'services': {
-            'orders': {**desk, 'repeatable': False},
-            'stock': desk,
-            'scores': desk,
-            'matching': {
+        'services': _make_services(changes.get('service', {})),
+        'pools': _make_pools(changes.get('pool', {})),
+        'trainers': {
+            'learner': {
                 'pool': 'engines',
-                'kind': 'model',
                 'model': 'matcher',
-                **changes.get('service', {}),
-            },
+                'start_weights': 'matcher-start',
+                'scorer': 'scores',
+                'group_size': 2,
+                'max_tokens': 8,
+                'max_staleness_versions': 1,
+                **changes.get('trainer', {}),
+            }
         },
-        'pools': {
-            'desk': {
-                'kind': 'plain',
-                'slots_per_endpoint': 16,
-                'echoes_request_id': True,
-            },
-            'engines': {
-                'kind': 'model',
-                'models': ['matcher'],
-                'resumes': True,
-                'honours_priority': True,
-                'echoes_request_id': True,
-                'max_concurrent_loads': 3,
-                **changes.get('pool', {}),
-            },
-        },
-        'trainers': {'learner': trainer},
         'weight_versions': {
             'matcher-start': {'model': 'matcher', 'number': 1, 'object': 'w1'}
         },
@@ -59,6 +34,40 @@
     return json.dumps(value)
 
 
+def _make_services(changes: dict[str, object]) -> dict[str, dict]:
+    desk = {'pool': 'desk', 'kind': 'plain', 'timeout_ms': 3000}
+    return {
+        'orders': {**desk, 'repeatable': False},
+        'stock': desk,
+        'scores': desk,
+        'matching': {
+            'pool': 'engines',
+            'kind': 'model',
+            'model': 'matcher',
+            **changes,
+        },
+    }
+
+
+def _make_pools(changes: dict[str, object]) -> dict[str, dict]:
+    return {
+        'desk': {
+            'kind': 'plain',
+            'slots_per_endpoint': 16,
+            'echoes_request_id': True,
+        },
+        'engines': {
+            'kind': 'model',
+            'models': ['matcher'],
+            'resumes': True,
+            'honours_priority': True,
+            'echoes_request_id': True,
+            'max_concurrent_loads': 3,
+            **changes,
+        },
+    }
+
+
 async def start_cluster(
     seed: int = 1,
     members: int = 3,
--- a/tests/core/test_claims.py
+++ b/tests/core/test_claims.py
@@ -1,5 +1,6 @@
 """Check the claims of keys one step at a time."""
 
+from pomelopass.core import claimbook
 from pomelopass.core import claimreply
 from pomelopass.core import claims
 from pomelopass.core import issuedkey
@@ -8,15 +9,15 @@
 REPLY = claimreply.RecordedReply(200, (), b'done')
 
 
-def make_book(incarnation: str = 'a') -> claims.ClaimBook:
+def make_book(incarnation: str = 'a') -> claimbook.ClaimBook:
     """Return an empty book."""
-    return claims.ClaimBook(incarnation)
+    return claimbook.ClaimBook(incarnation)
 
 
 def test_issued_key_runs_once_and_is_replayed():
     book = make_book()
     key = issuedkey.make_issued_key('a', 1, 0)
-    assert claims.admit(book, key, 'f', 1).step == claims.Step.RUN
+    assert claims.admit(book, key, 'f', 1).step == claimbook.Step.RUN
     assert claims.note_dispatched(book, key)
     again = claims.admit(book, key, 'f', 2)
     assert again.refusal.verdict == verdict.Verdict.MAY_HAVE_RUN
@@ -46,7 +47,7 @@
     claims.note_failed(book, 'k', 0)
     claims.expire(book, claims.RETENTION_MS + 1)
     admission = claims.admit(book, 'k', 'f', claims.RETENTION_MS + 2)
-    assert admission.step == claims.Step.WRITE_CLAIM
+    assert admission.step == claimbook.Step.WRITE_CLAIM
     refused = claims.note_row(book, 'k', token, claims.RETENTION_MS + 3)
     assert refused.refusal.verdict == verdict.Verdict.MAY_HAVE_RUN
 
@@ -57,9 +58,9 @@
     refused = claims.note_store_unavailable(book, 'k')
     assert refused.refusal.verdict == verdict.Verdict.MAY_HAVE_RUN
     again = claims.admit(book, 'k', 'f', 1)
-    assert again.step == claims.Step.WRITE_CLAIM
+    assert again.step == claimbook.Step.WRITE_CLAIM
     token = book.by_key['k'].token
-    assert claims.note_row(book, 'k', token, 2).step == claims.Step.RUN
+    assert claims.note_row(book, 'k', token, 2).step == claimbook.Step.RUN
 
 
 def test_key_given_up_to_a_peer_never_runs_here():
@@ -67,10 +68,10 @@
     claims.admit(book, 'k', 'f', 0)
     claims.note_store_unavailable(book, 'k')
     given = claims.answer_peer(book, 'k', 'f', 1)
-    assert given.phase == claims.Phase.RELEASED
+    assert given.phase == claimbook.Phase.RELEASED
     assert not claims.note_dispatched(book, 'k')
     again = claims.admit(book, 'k', 'f', 2)
-    assert again.step == claims.Step.WRITE_CLAIM
+    assert again.step == claimbook.Step.WRITE_CLAIM
     moved = claims.note_row(book, 'k', 'b/1', 3)
     assert moved.owner == 'b'
 
@@ -79,7 +80,7 @@
     book = make_book()
     key = issuedkey.make_issued_key('a', 1, 0)
     given = claims.answer_peer(book, key, 'f', 1)
-    assert given.phase == claims.Phase.RELEASED
+    assert given.phase == claimbook.Phase.RELEASED
     refused = claims.admit(book, key, 'f', 2)
     assert refused.refusal.verdict == verdict.Verdict.NOT_RUN
 
@@ -89,14 +90,14 @@
     key = issuedkey.make_issued_key('a', 1, 0)
     claims.admit(book, key, 'f', 0)
     owned = claims.answer_peer(book, key, 'f', 1)
-    assert owned.phase == claims.Phase.OWNED
+    assert owned.phase == claimbook.Phase.OWNED
     assert claims.note_dispatched(book, key)
 
 
 def test_caller_key_that_its_owner_forgot_may_have_run():
     book = make_book()
     forgotten = claims.answer_peer(book, 'k', 'f', 0)
-    assert forgotten.phase == claims.Phase.FAILED
+    assert forgotten.phase == claimbook.Phase.FAILED
 
 
 def test_key_with_other_content_is_refused():
