--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -1,13 +1,14 @@
 """Measure the slopes that docs/CAPACITY.md is worked out from."""
 
 from collections import abc
-import dataclasses
 import random
 import sys
 import time
 import tracemalloc
 
 from bench import deployment
+from bench import documents
+from bench import slope
 from bench import training
 from pomelopass import context as contexts
 from pomelopass.core import attemptend
@@ -36,16 +37,6 @@
 REST_S = 20.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Point:
-    """Hold one value of a slope."""
-
-    name: str
-    size: int
-    value: float
-    unit: str
-
-
 def main() -> int:
     """Print every slope at several sizes."""
     measures = (
@@ -54,6 +45,9 @@
         measure_decision_time,
         measure_gossip_bytes,
         measure_batch,
+        documents.measure_listing,
+        documents.measure_configuration,
+        documents.measure_claims,
         measure_rest_time,
     )
     for measure in measures:
@@ -66,7 +60,7 @@
     return 0
 
 
-def measure_endpoint_bytes() -> list[Point]:
+def measure_endpoint_bytes() -> list[slope.Point]:
     """Return the memory of one endpoint in list and health."""
     points = []
     for size in ENDPOINTS:
@@ -81,11 +75,13 @@
             return state, known
 
         value = _measure_bytes(build) / size
-        points.append(Point('memory for each endpoint', size, value, 'bytes'))
+        points.append(
+            slope.Point('memory for each endpoint', size, value, 'bytes')
+        )
     return points
 
 
-def measure_peer_bytes() -> list[Point]:
+def measure_peer_bytes() -> list[slope.Point]:
     """Return the memory of one peer."""
     points = []
     for size in INSTANCES:
@@ -97,21 +93,23 @@
             return state
 
         value = _measure_bytes(build) / size
-        points.append(Point('memory for each peer', size, value, 'bytes'))
+        points.append(
+            slope.Point('memory for each peer', size, value, 'bytes')
+        )
     return points
 
 
-def measure_decision_time() -> list[Point]:
+def measure_decision_time() -> list[slope.Point]:
     """Return the processor time of one endpoint choice."""
     points = []
     for size in ENDPOINTS:
         value = virtualloop.run(_time_decisions(size))
         name = 'processor time of one endpoint choice'
-        points.append(Point(name, size, value, 'us'))
+        points.append(slope.Point(name, size, value, 'us'))
     return points
 
 
-def measure_gossip_bytes() -> list[Point]:
+def measure_gossip_bytes() -> list[slope.Point]:
     """Return the bytes of digests that one instance sends and gets."""
     points = []
     for size in INSTANCES:
@@ -125,11 +123,11 @@
         # Digests go both ways, and others start as many exchanges.
         both = 2 * 2 * each * GOSSIP_PER_S * frame
         name = 'control bytes between instances a second'
-        points.append(Point(name, size, both, 'bytes/s'))
+        points.append(slope.Point(name, size, both, 'bytes/s'))
     return points
 
 
-def measure_batch() -> list[Point]:
+def measure_batch() -> list[slope.Point]:
     """Return memory and time for the samples of one step."""
 
     def build():
@@ -146,19 +144,21 @@
         batch.note_started(one, one.id, 'e', 0.0)
     spent = (time.perf_counter() - began) * 1e6 / SAMPLES
     return [
-        Point('memory for each sample that waits', SAMPLES, value, 'bytes'),
-        Point('processor time to start a sample', SAMPLES, spent, 'us'),
+        slope.Point(
+            'memory for each sample that waits', SAMPLES, value, 'bytes'
+        ),
+        slope.Point('processor time to start a sample', SAMPLES, spent, 'us'),
     ]
 
 
-def measure_rest_time() -> list[Point]:
+def measure_rest_time() -> list[slope.Point]:
     """Return the processor time at rest of whole instances."""
     points = []
     for size in FLEETS:
         used = virtualloop.run(_run_rest(size))
         value = 100 * used / REST_S / size
         name = 'processor time at rest with in-memory ports, of a core'
-        points.append(Point(name, size, value, '%'))
+        points.append(slope.Point(name, size, value, '%'))
     return points
 
 
--- a/pomelopass/edges/platform.py
+++ b/pomelopass/edges/platform.py
@@ -12,7 +12,12 @@
 from ..core import tablerow
 from ..core import verdict
 
-__all__ = ['ObjectClient', 'TableClient', 'make_fetch_listing']
+__all__ = [
+    'ObjectClient',
+    'TableClient',
+    'make_fetch_listing',
+    'read_listing',
+]
 
 CALL_TIMEOUT_MS = 1500
 MAX_REPLY_BYTES = 268_435_456
@@ -129,7 +134,7 @@
 
     async def fetch_listing() -> ports.Listing | None:
         answer = await caller.call('GET', '/instances')
-        return answer.map(_read_listing).value_or(None)
+        return answer.map(read_listing).value_or(None)
 
     return fetch_listing
 
@@ -158,7 +163,8 @@
     return None
 
 
-def _read_listing(pair: tuple[int, bytes]) -> ports.Listing:
+def read_listing(pair: tuple[int, bytes]) -> ports.Listing:
+    """Return the list in a reply, given as status and body."""
     value = json.loads(pair[1])
     entries = tuple(
         ports.EntryAddress(one['id'], one['address'], one['availability_zone'])
