Pass on what one read brought in one piece

Cause: each token was an h11 event, a piece, an event out and a write of its own, also when one read had brought many. Ruled out by a profile: JSON (2 us) and the choice of endpoint. Change: the parts of one read are joined.

--- a/pomelopass/edges/httpclient.py
+++ b/pomelopass/edges/httpclient.py
@@ -34,9 +34,28 @@
             event = self.state.next_event()
             if event is not h11.NEED_DATA:
                 return event
-            async with asyncio.timeout_at(deadline):
-                data = await self.reader.read(READ_BYTES)
-            self.state.receive_data(data)
+            await self.receive(deadline)
+
+    async def read_data(self, deadline: float) -> tuple[bytes, bool]:
+        # Joins all parts that one read brought: fewer steps a token.
+        parts: list[bytes] = []
+        while True:
+            event = self.state.next_event()
+            if isinstance(event, h11.Data):
+                parts.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                return b''.join(parts), True
+            elif event is not h11.NEED_DATA:
+                raise h11.RemoteProtocolError('closed in a body')
+            elif parts:
+                return b''.join(parts), False
+            else:
+                await self.receive(deadline)
+
+    async def receive(self, deadline: float) -> None:
+        async with asyncio.timeout_at(deadline):
+            data = await self.reader.read(READ_BYTES)
+        self.state.receive_data(data)
 
 
 class HttpClient:
@@ -137,13 +156,11 @@
         written: int,
     ) -> abc.AsyncGenerator[bytes, None]:
         try:
-            while True:
-                event = await connection.next_event(deadline)
-                if isinstance(event, h11.EndOfMessage):
-                    break
-                if not isinstance(event, h11.Data):
-                    raise message.ExchangeError('truncated', written)
-                yield bytes(event.data)
+            ended = False
+            while not ended:
+                data, ended = await connection.read_data(deadline)
+                if data:
+                    yield data
         except TimeoutError:
             raise message.ExchangeError('timeout', written) from None
         except (OSError, h11.ProtocolError):
--- a/pomelopass/generation.py
+++ b/pomelopass/generation.py
@@ -149,15 +149,17 @@
             events.pop()
             whole = True
         if events:
-            piece = _make_piece(events, attempt_id, reply)
-            raw = piece.raw.replace(old_id, new_id)
-            yield dataclasses.replace(piece, raw=raw)
+            raw = EVENT_END.join(events).replace(old_id, new_id)
+            yield _make_piece(events, raw + EVENT_END, attempt_id, reply)
     if not whole or rest:
         raise message.ExchangeError('truncated', reply.bytes_written)
 
 
 def _make_piece(
-    events: list[bytes], attempt_id: str, reply: message.OpenReply
+    events: list[bytes],
+    raw: bytes,
+    attempt_id: str,
+    reply: message.OpenReply,
 ) -> Piece:
     texts = []
     versions = []
@@ -179,5 +181,4 @@
             texts.append(text)
             versions.append(value.get('weight_version', UNKNOWN_VERSION))
         finish_reason = choice.get('finish_reason') or finish_reason
-    raw = EVENT_END.join(events) + EVENT_END
     return Piece(raw, ''.join(texts), tuple(versions), finish_reason)
--- a/scripts/requestmutants.py
+++ b/scripts/requestmutants.py
@@ -89,8 +89,8 @@
     mutant.Mutant(
         'stale-samples-are-kept',
         f'{CORE}/batch.py',
-        'if sample.get_oldest_version(one.result) >= oldest_allowed:',
-        'if True:',
+        'if sample.get_oldest_version(one.result) < oldest_allowed',
+        'if False',
         (BATCHES,),
     ),
     mutant.Mutant(
