Cut an instance off from the table service between real processes

Cause: the relay stand-in had no test, and cuts were injected in memory only. The new test cuts one instance off through the relay: plain calls and issued keys go on, a key of the caller is refused with "may have run", and a configuration accepted elsewhere comes into force there through a peer's digest and the marker in the object store.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -1,10 +1,8 @@
 """Measure the slopes that docs/CAPACITY.md is worked out from."""
 
-from collections import abc
 import random
 import sys
 import time
-import tracemalloc
 
 from bench import deployment
 from bench import documents
@@ -12,7 +10,6 @@
 from bench import training
 from pomelopass import context as contexts
 from pomelopass.core import attemptend
-from pomelopass.core import batch
 from pomelopass.core import endpoint
 from pomelopass.core import health
 from pomelopass.core import membership
@@ -32,7 +29,6 @@
 DECISIONS = 2000
 GOSSIP_PER_S = 2
 FRAME_EXTRA_BYTES = 4
-SAMPLES = 8192
 FLEETS = (3, 6, 12, 24)
 REST_S = 20.0
 
@@ -44,7 +40,7 @@
         measure_peer_bytes,
         measure_decision_time,
         measure_gossip_bytes,
-        measure_batch,
+        documents.measure_batch,
         documents.measure_listing,
         documents.measure_configuration,
         documents.measure_claims,
@@ -74,7 +70,7 @@
             }
             return state, known
 
-        value = _measure_bytes(build) / size
+        value = slope.measure_bytes(build) / size
         points.append(
             slope.Point('memory for each endpoint', size, value, 'bytes')
         )
@@ -92,7 +88,7 @@
                 peers.note_heard(state, _make_view(number))
             return state
 
-        value = _measure_bytes(build) / size
+        value = slope.measure_bytes(build) / size
         points.append(
             slope.Point('memory for each peer', size, value, 'bytes')
         )
@@ -127,30 +123,6 @@
     return points
 
 
-def measure_batch() -> list[slope.Point]:
-    """Return memory and time for the samples of one step."""
-
-    def build():
-        built = batch.BatchState('t', 1, SAMPLES // 16)
-        for index in range(SAMPLES // 16):
-            batch.add_group(built, f't/1/{index}', 'p', 'asks/x', 16)
-        return built
-
-    value = _measure_bytes(build) / SAMPLES
-    built = build()
-    began = time.perf_counter()
-    for _ in range(SAMPLES):
-        one = batch.find_next_sample(built)
-        batch.note_started(one, one.id, 'e', 0.0)
-    spent = (time.perf_counter() - began) * 1e6 / SAMPLES
-    return [
-        slope.Point(
-            'memory for each sample that waits', SAMPLES, value, 'bytes'
-        ),
-        slope.Point('processor time to start a sample', SAMPLES, spent, 'us'),
-    ]
-
-
 def measure_rest_time() -> list[slope.Point]:
     """Return the processor time at rest of whole instances."""
     points = []
@@ -210,15 +182,6 @@
     return len(protocol.trans.getvalue()) + FRAME_EXTRA_BYTES
 
 
-def _measure_bytes(build: abc.Callable[[], object]) -> int:
-    tracemalloc.start()
-    kept = build()
-    size = tracemalloc.get_traced_memory()[0]
-    tracemalloc.stop()
-    del kept
-    return size
-
-
 def _make_endpoints(size: int) -> list[endpoint.Endpoint]:
     rng = random.Random(1)
     return [
--- a/bench/documents.py
+++ b/bench/documents.py
@@ -1,4 +1,4 @@
-"""Measure what lists, configurations and claims cost by their size."""
+"""Measure what lists, configurations, claims and steps cost."""
 
 import json
 import time
@@ -6,17 +6,24 @@
 from bench import deployment
 from bench import slope
 from pomelopass import configuration
+from pomelopass.core import batch
 from pomelopass.core import claimbook
 from pomelopass.core import claims
 from pomelopass.core import issuedkey
 from pomelopass.edges import platform
 
-__all__ = ['measure_claims', 'measure_configuration', 'measure_listing']
+__all__ = [
+    'measure_batch',
+    'measure_claims',
+    'measure_configuration',
+    'measure_listing',
+]
 
 LISTED = (100, 11_500)
 SERVICES = (10, 500)
 KEYS = 5000
 ROUNDS = 5
+SAMPLES = 8192
 
 
 def measure_listing() -> list[slope.Point]:
@@ -64,6 +71,30 @@
     return [slope.Point('processor time of one claim', KEYS, spent, 'us')]
 
 
+def measure_batch() -> list[slope.Point]:
+    """Return memory and time for the samples of one step."""
+
+    def build():
+        built = batch.BatchState('t', 1, SAMPLES // 16)
+        for index in range(SAMPLES // 16):
+            batch.add_group(built, f't/1/{index}', 'p', 'asks/x', 16)
+        return built
+
+    value = slope.measure_bytes(build) / SAMPLES
+    built = build()
+    began = time.perf_counter()
+    for _ in range(SAMPLES):
+        one = batch.find_next_sample(built)
+        batch.note_started(one, one.id, 'e', 0.0)
+    spent = (time.perf_counter() - began) * 1e6 / SAMPLES
+    return [
+        slope.Point(
+            'memory for each sample that waits', SAMPLES, value, 'bytes'
+        ),
+        slope.Point('processor time to start a sample', SAMPLES, spent, 'us'),
+    ]
+
+
 def _time(run) -> float:
     began = time.perf_counter()
     for _ in range(ROUNDS):
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -10,6 +10,7 @@
 from pomelopass.edges import httpclient
 from pomelopass import message
 from scripts import fleet
+from scripts import layout
 from scripts import probe
 
 __all__ = ['measure_processes']
@@ -41,7 +42,7 @@
 
 def measure_processes() -> list[target.Outcome]:
     """Run a fleet of 12 instances and measure one of them."""
-    deployment = fleet.Deployment(
+    deployment = layout.Deployment(
         ('recife', 'fortaleza', 'natal'),
         {'part-engines': 4, 'spares-engines': 3},
         {'order-desk': 2},
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -9,6 +9,7 @@
 import tempfile
 
 from scripts import fleet
+from scripts import layout
 from scripts import probe
 
 __all__ = ['main']
@@ -26,7 +27,7 @@
     """Name what is asked of a deployment."""
 
     title: str
-    deployment: fleet.Deployment
+    deployment: layout.Deployment
     trainer: str
     model: str
     order_target: str
@@ -37,7 +38,7 @@
 SCENARIOS = (
     Scenario(
         'Sinaleira Nordeste Peças',
-        fleet.Deployment(
+        layout.Deployment(
             ('recife', 'fortaleza', 'natal'),
             {'part-engines': 4, 'spares-engines': 3},
             {'order-desk': 2},
@@ -53,7 +54,7 @@
     ),
     Scenario(
         'Al Nakheel Street Banner Power Cooperative',
-        fleet.Deployment(
+        layout.Deployment(
             ('ruwi', 'seeb', 'qurum'),
             {'notice-engines': 5, 'ledger-engines': 4},
             {'ledger-desk': 2},
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -1,50 +1,27 @@
 """Start instances and stand-ins as processes and stop them."""
 
-import dataclasses
 import json
 import pathlib
 import signal
 import subprocess
 import sys
 
+from scripts import layout
 from scripts import probe
 
-__all__ = ['Deployment', 'Fleet', 'Process']
+__all__ = ['Fleet']
 
 TOKEN = 'operator-token-for-tests'
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Deployment:
-    """Describe a fleet: zones, pools with sizes, and the configuration."""
-
-    zones: tuple[str, ...]
-    engines_by_pool: dict[str, int]
-    services_by_pool: dict[str, int]
-    checking_pools: tuple[str, ...]
-    configuration: pathlib.Path
-    entries: int = 6
-
-
-@dataclasses.dataclass(slots=True)
-class Process:
-    """Hold a running process and where it listens."""
-
-    name: str
-    popen: subprocess.Popen
-    address: str
-    operator_address: str = ''
-    peer_address: str = ''
-
-
 class Fleet:
     """Hold all processes of one run; use it as a context manager."""
 
-    def __init__(self, folder: pathlib.Path, deployment: Deployment):
+    def __init__(self, folder: pathlib.Path, deployment: layout.Deployment):
         self.folder = folder
         self.deployment = deployment
-        self.process_by_name: dict[str, Process] = {}
+        self.process_by_name: dict[str, layout.Process] = {}
         self.token_file = folder / 'token'
         folder.mkdir(parents=True, exist_ok=True)
         self.token_file.write_text(TOKEN)
@@ -103,7 +80,9 @@
         self.start_standin(name, 'engine', *arguments)
         self.list_endpoint(name, pool, index, incarnation)
 
-    def start_standin(self, name: str, kind: str, *options: str) -> Process:
+    def start_standin(
+        self, name: str, kind: str, *options: str
+    ) -> layout.Process:
         """Start a stand-in and read where it listens."""
         log = open(self.folder / f'{name}.log', 'ab')  # noqa: SIM115
         popen = subprocess.Popen(
@@ -113,7 +92,7 @@
             stderr=log,
         )
         line = popen.stdout.readline()
-        process = Process(name, popen, json.loads(line)['address'])
+        process = layout.Process(name, popen, json.loads(line)['address'])
         self.process_by_name[name] = process
         return process
 
@@ -139,23 +118,10 @@
         listing = self.process_by_name['instances'].address
         probe.call(listing, 'PUT', f'/instances/{name}', value)
 
-    def start_entry(self, index: int, **changes: object) -> Process:
+    def start_entry(self, index: int, **changes: object) -> layout.Process:
         """Start one entry instance and list it."""
         name = f'entry-{index}'
-        zones = self.deployment.zones
-        ports = probe.take_ports(3)
-        settings = {
-            'id': name,
-            'availability_zone': zones[index % len(zones)],
-            'caller_address': f'127.0.0.1:{ports[0]}',
-            'operator_address': f'127.0.0.1:{ports[1]}',
-            'peer_address': f'127.0.0.1:{ports[2]}',
-            'operator_token_file': str(self.token_file),
-            'table_address': self.process_by_name['table'].address,
-            'object_address': self.process_by_name['objects'].address,
-            'list_address': self.process_by_name['instances'].address,
-            **changes,
-        }
+        settings = self._make_settings(name, index, **changes)
         path = self.folder / f'{name}.jsonc'
         path.write_text(json.dumps(settings, indent=2))
         log = open(self.folder / f'{name}.log', 'ab')  # noqa: SIM115
@@ -170,7 +136,7 @@
             cwd=ROOT,
             stderr=log,
         )
-        process = Process(
+        process = layout.Process(
             name,
             popen,
             settings['caller_address'],
@@ -181,6 +147,24 @@
         self.list_entry(name)
         return process
 
+    def _make_settings(
+        self, name: str, index: int, **changes: object
+    ) -> dict[str, object]:
+        zones = self.deployment.zones
+        ports = probe.take_ports(3)
+        return {
+            'id': name,
+            'availability_zone': zones[index % len(zones)],
+            'caller_address': f'127.0.0.1:{ports[0]}',
+            'operator_address': f'127.0.0.1:{ports[1]}',
+            'peer_address': f'127.0.0.1:{ports[2]}',
+            'operator_token_file': str(self.token_file),
+            'table_address': self.process_by_name['table'].address,
+            'object_address': self.process_by_name['objects'].address,
+            'list_address': self.process_by_name['instances'].address,
+            **changes,
+        }
+
     def list_entry(self, name: str) -> None:
         """Put an entry instance on the platform's list."""
         index = int(name.rpartition('-')[2])
@@ -194,7 +178,7 @@
         listing = self.process_by_name['instances'].address
         probe.call(listing, 'PUT', f'/instances/{name}', value)
 
-    def get_entries(self) -> list[Process]:
+    def get_entries(self) -> list[layout.Process]:
         """Return the entry instances that run."""
         return [
             one
--- a/tests/processes/fleets.py
+++ b/tests/processes/fleets.py
@@ -3,6 +3,7 @@
 import time
 
 from scripts import fleet
+from scripts import layout
 from scripts import probe
 
 EXAMPLE = fleet.ROOT / 'examples' / 'sinaleira.jsonc'
@@ -11,9 +12,9 @@
 DUTY = 'batches/part-engines'
 
 
-def make_deployment(checking: bool = True) -> fleet.Deployment:
+def make_deployment(checking: bool = True) -> layout.Deployment:
     """Return a small fleet with two engines and one order desk."""
-    return fleet.Deployment(
+    return layout.Deployment(
         ('recife', 'fortaleza', 'natal'),
         {'part-engines': 2},
         {'order-desk': 1},
@@ -30,7 +31,7 @@
     return [one['address'] for one in body.get('entries', [])]
 
 
-def get_status(process: fleet.Process) -> dict:
+def get_status(process: layout.Process) -> dict:
     """Return the status of one instance."""
     headers = {'authorization': f'Bearer {fleet.TOKEN}'}
     return probe.call(
@@ -38,7 +39,7 @@
     )[1]
 
 
-def find_holder(running: fleet.Fleet) -> fleet.Process | None:
+def find_holder(running: fleet.Fleet) -> layout.Process | None:
     """Return the instance that holds the batches duty."""
     for one in running.get_entries():
         if DUTY in get_status(one).get('duties', []):
@@ -47,7 +48,7 @@
 
 
 def send_order(
-    process: fleet.Process, order: str, key: str, timeout_s: float = 12.0
+    process: layout.Process, order: str, key: str, timeout_s: float = 12.0
 ) -> tuple[int, dict]:
     """Send an order with a key."""
     headers = {'Idempotency-Key': key}
@@ -62,7 +63,7 @@
     return probe.call(address, 'GET', '/ran')[1]['counts']
 
 
-def ask_batch(process: fleet.Process, step: int) -> tuple[int, dict]:
+def ask_batch(process: layout.Process, step: int) -> tuple[int, dict]:
     """Ask one instance for the batch of a step."""
     value = {'prompts': [f'{step} a', f'{step} b', f'{step} c']}
     target = f'{TRAINER}/batches/{step}'
@@ -75,7 +76,7 @@
     return bool(probe.call(address, 'GET', '/ran')[1]['ran'])
 
 
-def ask_until_there(process: fleet.Process, step: int) -> dict:
+def ask_until_there(process: layout.Process, step: int) -> dict:
     """Ask until the batch is there."""
     deadline = time.monotonic() + 60
     while time.monotonic() < deadline:
@@ -86,7 +87,7 @@
     raise TimeoutError('no batch')
 
 
-def get_leaving(process: fleet.Process) -> list[str]:
+def get_leaving(process: layout.Process) -> list[str]:
     """Return the endpoints that an instance knows to be leaving."""
     endpoints = get_status(process).get('endpoints', [])
     return [one['key'] for one in endpoints if one['leaving']]
--- a/tests/processes/test_operation.py
+++ b/tests/processes/test_operation.py
@@ -143,3 +143,26 @@
         assert second.popen.wait(timeout=20) == 3
         log = (tmp_path / 'entry-1.log').read_text()
         assert json.loads(log.splitlines()[0])['event'] == 'listen-failed'
+
+
+def test_instance_cut_off_from_the_table_serves_and_follows(running):
+    port = probe.take_ports(1)[0]
+    running.start_standin(
+        'relay',
+        'relay',
+        *('--listen', f'127.0.0.1:{port}'),
+        *('--target', running.process_by_name['table'].address),
+    )
+    cut = running.start_entry(5, table_address=f'127.0.0.1:{port}')
+    probe.wait_for(lambda: probe.call(cut.address, 'GET', '/readyz')[0] == 200)
+    running.set_faults('relay', cut=1)
+    target = '/services/stock/stock?part=lamp'
+    assert probe.call(cut.address, 'GET', target)[0] == 200
+    _, issued = probe.call(cut.address, 'POST', '/idempotency-keys')
+    assert fleets.send_order(cut, 'issued', issued['key'])[0] == 200
+    status, body = fleets.send_order(cut, 'own', 'own-key')
+    assert (status, body['verdict']) == (503, 'may-have-run')
+    path = str(fleets.EXAMPLE)
+    running.run_tool('config', 'propose', path, '--base', '1')
+    probe.wait_for(lambda: fleets.get_status(cut)['config_version'] == 2)
+    assert fleets.count_orders(running) == {'issued': 1}
