Refuse at once on an empty pool, retry on a lone endpoint

Cause: a request to a pool without endpoints waited for its whole deadline, and a retry in a pool of one endpoint waited for another one that never came. Ruled out: the queue itself, which held the requests in order. The code "no-endpoint" was declared and never used. Change: an empty pool is refused at once with "not run", and endpoints already tried are avoided only while there are others.

--- a/pomelopass/places.py
+++ b/pomelopass/places.py
@@ -75,11 +75,14 @@
     holder = None
     if wish.prefix:
         holder = affinity.find_holder(state.affinity, wish.prefix, now_ms)
+    avoid = wish.avoid
+    if wish.work_class != workclass.WorkClass.SAMPLE:
+        avoid = _drop_useless(context, state, avoid)
     return routing.RouteRequest(
         availability_zone=context.settings.availability_zone,
         places=_get_places(context, state, wish.work_class),
         now_ms=now_ms,
-        avoid=wish.avoid,
+        avoid=avoid,
         zones=rule.zones if rule else (),
         spill_over=rule.spill_over if rule else True,
         prefix_holder=holder,
@@ -87,6 +90,19 @@
     )
 
 
+def _drop_useless(
+    context: contexts.Context,
+    state: poolstate.PoolState,
+    avoid: frozenset[str],
+) -> frozenset[str]:
+    # A retry goes back to a tried endpoint when there is no other.
+    subset = membership.find_subset(
+        context.membership, state.name, context.settings.id
+    )
+    keys = {one.key for one in subset}
+    return avoid if keys - avoid else frozenset()
+
+
 def _get_places(
     context: contexts.Context,
     state: poolstate.PoolState,
--- a/pomelopass/slots.py
+++ b/pomelopass/slots.py
@@ -11,18 +11,22 @@
 from .core import ejection
 from .core import health
 from .core import length
+from .core import membership
 from .core import refusal
 from .core import verdict
 from .core import workclass
 
 __all__ = ['acquire', 'finish', 'pump', 'release', 'review']
 
+NO_ENDPOINT_RETRY_AFTER_MS = 1000
+
 
 async def acquire(
     context: contexts.Context, item: work.Work, again: bool = False
 ) -> work.Slot:
     """Wait for a place; raise Refused when the request can't have one."""
     state = contexts.get_pool_state(context, item.pool)
+    _check_pool(context, item)
     waiting = _make_waiting(context, state, item)
     now_ms = context.ports.clock.now_ms()
     if again:
@@ -147,6 +151,19 @@
         release(context, state, waiter.result(), 1.0, end)
 
 
+def _check_pool(context: contexts.Context, item: work.Work) -> None:
+    if membership.find_usable(context.membership, item.pool):
+        return
+    raise work.Refused(
+        refusal.Refusal(
+            refusal.Code.NO_ENDPOINT,
+            f'The pool {item.pool!r} has no endpoint.',
+            verdict.Verdict.NOT_RUN,
+            NO_ENDPOINT_RETRY_AFTER_MS,
+        )
+    )
+
+
 def _reserve(
     context: contexts.Context,
     state: poolstate.PoolState,
