Let fresh evidence alone decide after a spell out of rotation

An endpoint without traffic was ejected again and again, for longer each time, on the evidence from before its spell; and a probe that did badly brought no new spell. Ruled out: the cap, which held. Change: an endpoint that waits for its probe is not reviewed, a spell clears the evidence, a bad probe ejects for longer, a cancelled one says nothing. Two mutants added for this and the empty pool.

--- a/pomelopass/core/ejection.py
+++ b/pomelopass/core/ejection.py
@@ -20,8 +20,8 @@
 ) -> list[str]:
     """Eject endpoints far slower than the median; return their keys.
 
-    When all are slow at once the median is slow as well, and none is
-    ejected. The cap holds in any case.
+    When all become slow together the median follows; until then the cap
+    keeps most of them in rotation.
     """
     paces = {
         key: health.get_typical_pace(one, now_ms)
@@ -35,7 +35,9 @@
         one = by_key[key]
         if not _is_bad(one, paces[key], typical):
             continue
-        if one.ejected_until_ms > now_ms or not _has_room(by_key, now_ms):
+        if one.ejected_until_ms > now_ms or _awaits_probe(one):
+            continue
+        if not _has_room(by_key, now_ms):
             continue
         _eject(one, now_ms)
         ejected.append(key)
@@ -62,16 +64,28 @@
         one.probing = True
 
 
-def note_result(one: health.EndpointHealth, did_well: bool) -> None:
-    """End a probe and put the endpoint back when it did well."""
+def note_result(
+    one: health.EndpointHealth, did_well: bool, now_ms: float
+) -> None:
+    """End a probe: put the endpoint back or eject it for longer."""
     if not one.probing:
         return
+    if not did_well:
+        _eject(one, now_ms)
+        return
+    one.probing = False
+    one.ejections_in_row = 0
+    one.failures_in_row = 0
+
+
+def note_cancelled(one: health.EndpointHealth) -> None:
+    """End a probe that says nothing about the endpoint."""
     one.probing = False
-    if did_well:
-        one.ejections_in_row = 0
-        one.failures_in_row = 0
-        one.samples = 0
-        one.recent_paces.clear()
+
+
+def _awaits_probe(one: health.EndpointHealth) -> bool:
+    # Evidence from before the spell must not prolong it.
+    return one.ejections_in_row > 0 and not one.probing
 
 
 def _is_bad(one: health.EndpointHealth, pace: float, typical: float) -> bool:
@@ -90,3 +104,5 @@
     spell_ms = EJECT_MS * 2 ** (one.ejections_in_row - 1)
     one.ejected_until_ms = now_ms + min(spell_ms, EJECT_MAX_MS)
     one.probing = False
+    one.recent_paces.clear()
+    one.failures_in_row = 0
--- a/pomelopass/slots.py
+++ b/pomelopass/slots.py
@@ -77,7 +77,10 @@
     did_well = end == attemptend.AttemptEnd.SUCCEEDED and _is_pace_ok(
         state, one, pace
     )
-    ejection.note_result(one, did_well)
+    if end == attemptend.AttemptEnd.CANCELLED:
+        ejection.note_cancelled(one)
+    else:
+        ejection.note_result(one, did_well, now_ms)
     review(context, state)
     pump(context, state)
 
--- a/scripts/fleetmutants.py
+++ b/scripts/fleetmutants.py
@@ -168,4 +168,18 @@
         'return True',
         ('tests/core/test_ejection.py',),
     ),
+    mutant.Mutant(
+        'old-evidence-prolongs-a-spell',
+        f'{CORE}/ejection.py',
+        'return one.ejections_in_row > 0 and not one.probing',
+        'return False',
+        ('tests/core/test_ejection.py', 'tests/scenarios/test_pools.py'),
+    ),
+    mutant.Mutant(
+        'empty-pool-waits',
+        'pomelopass/slots.py',
+        '    _check_pool(context, item)\n',
+        '',
+        ('tests/scenarios/test_pools.py',),
+    ),
 )
--- a/tests/core/test_ejection.py
+++ b/tests/core/test_ejection.py
@@ -23,10 +23,29 @@
     assert ejection.is_in_rotation(by_key['0'], late_ms)
     ejection.note_probe_sent(by_key['0'])
     assert not ejection.is_in_rotation(by_key['0'], late_ms)
-    ejection.note_result(by_key['0'], True)
+    ejection.note_result(by_key['0'], True, late_ms)
     assert ejection.is_in_rotation(by_key['0'], late_ms)
 
 
+def test_old_evidence_does_not_prolong_a_spell():
+    by_key = {str(n): make_health(10.0) for n in range(4)}
+    by_key['0'] = make_health(100.0)
+    assert ejection.review(by_key, 0) == ['0']
+    assert ejection.review(by_key, ejection.EJECT_MS + 1) == []
+    assert by_key['0'].ejections_in_row == 1
+
+
+def test_failed_probe_ejects_for_longer():
+    by_key = {str(n): make_health(10.0) for n in range(4)}
+    by_key['0'] = make_health(100.0)
+    ejection.review(by_key, 0)
+    now_ms = ejection.EJECT_MS + 1
+    ejection.note_probe_sent(by_key['0'])
+    ejection.note_result(by_key['0'], False, now_ms)
+    until_ms = by_key['0'].ejected_until_ms
+    assert until_ms == now_ms + 2 * ejection.EJECT_MS
+
+
 def test_running_requests_are_evidence_before_they_end():
     by_key = {str(n): make_health(10.0) for n in range(4)}
     for name in range(health.RECENT_PACES + 1):
