--- a/pomelopass/cmdline.py
+++ b/pomelopass/cmdline.py
@@ -43,14 +43,19 @@
 def main() -> None:
     """Parse the arguments and run the command."""
     tool = cappa.parse(Tool, completion=False)
-    access = None
-    offline = isinstance(tool.action, config.Config) and isinstance(
-        tool.action.action, config.Check
-    )
-    if not offline:
-        access = command.make_access(tool.instance, tool.token_file)
     try:
-        tool.action.run(access)
+        _run(tool)
     except cappa.Exit as error:
         cappa.Output().exit(error, '')
         raise SystemExit(error.code) from None
+
+
+def _run(tool: Tool) -> None:
+    action = tool.action
+    offline = isinstance(action, config.Config) and isinstance(
+        action.action, config.Check
+    )
+    access = None
+    if not offline:
+        access = command.make_access(tool.instance, tool.token_file)
+    action.run(access)
--- /dev/null
+++ b/tests/test_timelinepage.py
@@ -0,0 +1,21 @@
+"""Check the page of the time line."""
+
+from pomelopass import timelinepage
+
+
+def test_page_has_a_row_an_event_and_escapes_text():
+    events = [
+        {
+            'utc_ms': 1500.0,
+            'process': name,
+            'kind': 'kind',
+            'subject': '<b>',
+            'detail': '',
+        }
+        for name in ('one', 'two')
+    ]
+    page = timelinepage.make_page(events)
+    assert page.count('<tr><td>1970-01-01T00:00:01.500Z') == 2
+    assert '<th scope="col">one</th><th scope="col">two</th>' in page
+    assert '<b>' not in page
+    assert '&lt;b&gt;' in page
