Make one piece of code serve where it stood twice

Cause: reading the whole change again showed the same logic in two places: asking an endpoint for its state (poll and weights duty), turning errors of a body into a refusal (completions and trainers), writing a problem as a line (tool and daemon), and a number that was made and thrown away. Change: endpointstate.fetch, trainerrequest.read_body and problem.format_problem serve both. Behaviour and assertions stay as they were.

--- a/pomelopass/command.py
+++ b/pomelopass/command.py
@@ -10,6 +10,7 @@
 import cappa
 
 from . import message
+from . import problem
 from .edges import httpclient
 
 __all__ = ['Access', 'CommandError', 'call', 'call_all', 'find_instances']
@@ -77,11 +78,7 @@
     lines = [f'{body["code"]}: {body["detail"]}']
     lines.append(f'verdict: {body["verdict"]}')
     for one in body.get('problems', []):
-        line = f'line {one["line"]}: {one["path"]}: {one["code"]}'
-        line += f': {one["detail"]}'
-        if one['nearest']:
-            line += f' Nearest valid name: {one["nearest"]}.'
-        lines.append(line)
+        lines.append(problem.format_problem(problem.Problem(**one)))
     return '\n'.join(lines)
 
 
--- a/pomelopass/completionrequest.py
+++ b/pomelopass/completionrequest.py
@@ -4,6 +4,7 @@
 
 import pydantic
 
+from . import trainerrequest
 from . import work
 from .core import refusal
 
@@ -45,16 +46,7 @@
 
 def read_request(body: bytes, is_chat: bool) -> CompletionRequest:
     """Return the request; raise Refused with every error."""
-    try:
-        read = CompletionRequest.model_validate_json(body)
-    except pydantic.ValidationError as error:
-        details = '; '.join(
-            f'{".".join(str(part) for part in one["loc"])}: {one["msg"]}'
-            for one in error.errors()
-        )
-        raise work.Refused(
-            refusal.Refusal(refusal.Code.BAD_REQUEST, f'{details}.')
-        ) from None
+    read = trainerrequest.read_body(CompletionRequest, body)
     missing = read.messages is None if is_chat else read.prompt is None
     if missing:
         name = 'messages' if is_chat else 'prompt'
--- a/pomelopass/duties/weights.py
+++ b/pomelopass/duties/weights.py
@@ -6,6 +6,7 @@
 from returns import result
 
 from .. import context as contexts
+from .. import endpointstate
 from .. import message
 from .. import published
 from ..core import lease
@@ -15,9 +16,8 @@
 __all__ = ['run']
 
 STEP_EVERY_MS = 400
-STATE_TIMEOUT_MS = 800
 ORDER_TIMEOUT_MS = 2000
-MAX_STATE_BYTES = 65_536
+MAX_REPLY_BYTES = 65_536
 
 
 async def run(context: contexts.Context, name: str, pool_name: str) -> None:
@@ -69,15 +69,8 @@
     state: rollout.RolloutState,
     one: membership.endpoint.Endpoint,
 ) -> None:
-    request = message.Request('GET', '/state')
-    try:
-        reply = await context.ports.http.open(
-            one.address, request, STATE_TIMEOUT_MS
-        )
-        value = json.loads(await reply.read(MAX_STATE_BYTES))
-    except (message.ExchangeError, ValueError):
-        return
-    if value.get('incarnation') == one.incarnation:
+    value = await endpointstate.fetch(context, one)
+    if value is not None:
         versions = value.get('versions', {})
         rollout.note_report(state, one.key, versions)
         context.loaded_by_endpoint[one.key] = versions
@@ -109,6 +102,6 @@
         reply = await context.ports.http.open(
             order.address, request, ORDER_TIMEOUT_MS
         )
-        await reply.read(MAX_STATE_BYTES)
+        await reply.read(MAX_REPLY_BYTES)
     except message.ExchangeError as error:
         contexts.note(context, 'order-failed', order.endpoint_key, error.kind)
--- /dev/null
+++ b/pomelopass/endpointstate.py
@@ -0,0 +1,26 @@
+"""Ask an endpoint for its own state."""
+
+import json
+from typing import Any
+
+from . import context as contexts
+from . import message
+from .core import endpoint
+
+__all__ = ['fetch']
+
+TIMEOUT_MS = 800
+MAX_STATE_BYTES = 65_536
+
+
+async def fetch(
+    context: contexts.Context, one: endpoint.Endpoint
+) -> dict[str, Any] | None:
+    """Return the state, or None without one of this incarnation."""
+    request = message.Request('GET', '/state')
+    try:
+        reply = await context.ports.http.open(one.address, request, TIMEOUT_MS)
+        value = json.loads(await reply.read(MAX_STATE_BYTES))
+    except (message.ExchangeError, ValueError):
+        return None
+    return value if value.get('incarnation') == one.incarnation else None
--- a/pomelopass/gossip.py
+++ b/pomelopass/gossip.py
@@ -40,11 +40,7 @@
     def exchange(self, digest: ttypes.Digest) -> ttypes.Digest:
         """Take in a digest and return the own one."""
         take_in(self.context, digest)
-        reply, number = make_digest(self.context, digest.incarnation)
-        # A reply that is lost is not sent again by this side; the next
-        # exchange that this instance starts carries the news.
-        del number
-        return reply
+        return make_digest(self.context, digest.incarnation)[0]
 
     def ask_claim(self, key: str, fingerprint: str) -> ttypes.ClaimAnswer:
         """Tell how far the request of a key has come."""
--- a/pomelopass/loops.py
+++ b/pomelopass/loops.py
@@ -2,13 +2,12 @@
 
 import asyncio
 from collections import abc
-import json
 
 from . import configadoption
 from . import context as contexts
 from . import duty
+from . import endpointstate
 from . import gossip
-from . import message
 from . import slots
 from . import work
 from .core import claims
@@ -23,11 +22,9 @@
 LISTING_EVERY_MS = 1000
 GOSSIP_EVERY_MS = 500
 POLL_EVERY_MS = 1000
-POLL_TIMEOUT_MS = 800
 PUMP_EVERY_MS = 250
 EXPIRE_EVERY_MS = 10_000
 MAX_POLLED_PER_POOL = 16
-MAX_STATE_BYTES = 65_536
 
 
 def start_loops(context: contexts.Context) -> None:
@@ -88,15 +85,8 @@
     context: contexts.Context, one: membership.endpoint.Endpoint
 ) -> None:
     """Learn versions, load and leaving from an endpoint itself."""
-    request = message.Request('GET', '/state')
-    try:
-        reply = await context.ports.http.open(
-            one.address, request, POLL_TIMEOUT_MS
-        )
-        value = json.loads(await reply.read(MAX_STATE_BYTES))
-    except (message.ExchangeError, ValueError):
-        return
-    if value.get('incarnation') != one.incarnation:
+    value = await endpointstate.fetch(context, one)
+    if value is None:
         return
     now_ms = context.ports.clock.now_ms()
     state = contexts.get_pool_state(context, one.pool)
