Call gossip directly instead of through a field of the context

Cause: the context held a closure that only called gossip.tell_peers, and the kind of crash news was named in two modules. Change: crash.py calls gossip itself and uses its constant; field and closure are gone, and the mutant names the new line. Behaviour stays.

--- a/pomelopass/context.py
+++ b/pomelopass/context.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections import abc
 import dataclasses
 import random
 
@@ -93,7 +92,6 @@
     peer_address: str = ''
     operator_address: str = ''
     operator_token: str = ''
-    tell_peers: abc.Callable[[], abc.Awaitable[None]] | None = None
 
 
 def make_id(context: Context) -> str:
--- a/pomelopass/crash.py
+++ b/pomelopass/crash.py
@@ -3,6 +3,7 @@
 import json
 
 from . import context as contexts
+from . import gossip
 from . import message
 from . import work
 from .core import ejection
@@ -14,7 +15,6 @@
 
 PROBE_TIMEOUT_MS = 400
 CRASH_KINDS = ('reset', 'truncated')
-NEWS_KIND = 'crash'
 
 
 def check_quarantine(context: contexts.Context, item: work.Work) -> None:
@@ -48,12 +48,12 @@
     contexts.note(context, 'endpoint-crashed', item.id, key)
     contexts.share_news(
         context,
-        NEWS_KIND,
+        gossip.CRASH_KIND,
         item.fingerprint,
         str(suspect.crashes),
         suspect.expires_at_ms - now_ms,
     )
-    await context.tell_peers()
+    await gossip.tell_peers(context)
     if decision == quarantine.Decision.QUARANTINED:
         contexts.note(context, 'quarantined', item.id, item.fingerprint)
         raise work.Refused(
--- a/pomelopass/instance.py
+++ b/pomelopass/instance.py
@@ -35,10 +35,6 @@
     context.peer_address = given.peer_address
     context.operator_address = given.operator_address
 
-    async def tell_peers() -> None:
-        await gossip.tell_peers(context)
-
-    context.tell_peers = tell_peers
     return context
 
 
--- a/scripts/fleetmutants.py
+++ b/scripts/fleetmutants.py
@@ -72,7 +72,7 @@
     mutant.Mutant(
         'crash-is-not-told',
         'pomelopass/crash.py',
-        '    await context.tell_peers()\n',
+        '    await gossip.tell_peers(context)\n',
         '',
         (POISON,),
     ),
