--- a/pomelopass/__init__.py
+++ b/pomelopass/__init__.py
@@ -4,11 +4,7 @@
 a configuration, load settings, look policies and duties up by name.
 """
 
-from .configuration import check_configuration
-from .duty import get_duty_by_name
-from .instance import build_instance
-from .policy import get_policy_by_name
-from .settings import load_settings
+import importlib
 
 __all__ = [
     'build_instance',
@@ -17,3 +13,19 @@
     'get_policy_by_name',
     'load_settings',
 ]
+
+MODULE_BY_VERB = {
+    'build_instance': 'instance',
+    'check_configuration': 'configuration',
+    'get_duty_by_name': 'duty',
+    'get_policy_by_name': 'policy',
+    'load_settings': 'settings',
+}
+
+
+def __getattr__(name: str):
+    # A process imports only what its role needs.
+    if name not in MODULE_BY_VERB:
+        raise AttributeError(f'module {__name__!r} has no attribute {name!r}')
+    module = importlib.import_module(f'.{MODULE_BY_VERB[name]}', __name__)
+    return getattr(module, name)
--- a/pomelopass/edges/httpclient.py
+++ b/pomelopass/edges/httpclient.py
@@ -13,18 +13,39 @@
 IDLE_LIMIT_MS = 5000
 MAX_IDLE_PER_ADDRESS = 32
 READ_BYTES = 65_536
+# Time between the decision to reuse a connection and the arrival of bytes.
+KEEP_ALIVE_MARGIN_MS = 300
+
+
+class _CountingReader(asyncio.StreamReader):
+    """Know how many bytes came in that nobody has read."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop):
+        super().__init__(READ_BYTES, loop)
+        self.unread = 0
+
+    def feed_data(self, data: bytes) -> None:
+        self.unread += len(data)
+        super().feed_data(data)
+
+    async def read(self, n: int = -1) -> bytes:
+        data = await super().read(n)
+        self.unread -= len(data)
+        return data
 
 
 class _Connection:
     def __init__(
         self,
-        reader: asyncio.StreamReader,
+        reader: _CountingReader,
         writer: asyncio.StreamWriter,
     ):
         self.reader = reader
         self.writer = writer
         self.state = h11.Connection(h11.CLIENT)
         self.idle_since = 0.0
+        self.idle_limit_ms = float(IDLE_LIMIT_MS)
+        self.stall_ms: float | None = None
 
     def close(self) -> None:
         self.writer.close()
@@ -53,7 +74,11 @@
                 await self.receive(deadline)
 
     async def receive(self, deadline: float) -> None:
-        async with asyncio.timeout_at(deadline):
+        limit = deadline
+        if self.stall_ms is not None:
+            now = asyncio.get_running_loop().time()
+            limit = min(deadline, now + self.stall_ms / 1000)
+        async with asyncio.timeout_at(limit):
             data = await self.reader.read(READ_BYTES)
         self.state.receive_data(data)
 
@@ -74,18 +99,22 @@
         request: message.Request,
         timeout_ms: float,
         fresh: bool = False,
+        stall_ms: float | None = None,
     ) -> message.OpenReply:
-        """Return the head of the reply; raise ExchangeError."""
+        """Return the head of the reply; raise ExchangeError.
+
+        The stall time bounds each wait for more bytes, in milliseconds.
+        """
         loop = asyncio.get_running_loop()
         deadline = loop.time() + timeout_ms / 1000
         connection = await self._connect(address, deadline, fresh)
+        connection.stall_ms = stall_ms
         written = 0
         try:
             data = _encode(connection.state, request, address)
             written = len(data)
+            # No wait for the write: a reply may come before the whole body.
             connection.writer.write(data)
-            async with asyncio.timeout_at(deadline):
-                await connection.writer.drain()
             event = await connection.next_event(deadline)
             while isinstance(event, h11.InformationalResponse):
                 event = await connection.next_event(deadline)
@@ -105,8 +134,11 @@
             (name.decode(), value.decode('latin-1'))
             for name, value in event.headers
         )
+        connection.idle_limit_ms = _get_idle_limit_ms(headers)
         chunks = self._read_chunks(address, connection, deadline, written)
-        return message.OpenReply(event.status_code, headers, chunks, written)
+        return message.OpenReply(
+            event.status_code, headers, chunks, written, connection.close
+        )
 
     async def close(self) -> None:
         """Close the idle connections."""
@@ -127,22 +159,22 @@
         host, _, port = address.rpartition(':')
         try:
             async with asyncio.timeout_at(limit):
-                reader, writer = await asyncio.open_connection(
-                    host.strip('[]'), int(port)
-                )
+                return await _open_connection(host.strip('[]'), int(port))
         except TimeoutError:
             raise message.ExchangeError('connect-timeout', 0) from None
         except OSError:
             raise message.ExchangeError('connect-failed', 0) from None
-        return _Connection(reader, writer)
 
     def _take_idle(self, address: str) -> _Connection | None:
         now = asyncio.get_running_loop().time()
         connections = self.idle_by_address.get(address, [])
         while connections:
             connection = connections.pop()
-            old = now - connection.idle_since > IDLE_LIMIT_MS / 1000
-            if old or connection.reader.at_eof():
+            idle_ms = (now - connection.idle_since) * 1000
+            old = idle_ms > connection.idle_limit_ms
+            # Bytes that nobody asked for belong to no request of ours.
+            dirty = connection.reader.at_eof() or connection.reader.unread
+            if old or dirty or connection.writer.is_closing():
                 connection.close()
                 continue
             return connection
@@ -171,7 +203,12 @@
     def _keep_or_close(self, address: str, connection: _Connection) -> None:
         connections = self.idle_by_address.setdefault(address, [])
         done = connection.state.their_state is h11.DONE
-        leftover = connection.state.trailing_data[0]
+        transport = connection.writer.transport
+        leftover = (
+            connection.state.trailing_data[0]
+            or connection.reader.unread
+            or transport.get_write_buffer_size()
+        )
         if not done or leftover or len(connections) >= MAX_IDLE_PER_ADDRESS:
             connection.close()
             return
@@ -180,14 +217,33 @@
         connections.append(connection)
 
 
+async def _open_connection(host: str, port: int) -> _Connection:
+    loop = asyncio.get_running_loop()
+    reader = _CountingReader(loop)
+    protocol = asyncio.StreamReaderProtocol(reader, loop=loop)
+    transport, _ = await loop.create_connection(lambda: protocol, host, port)
+    writer = asyncio.StreamWriter(transport, protocol, reader, loop)
+    return _Connection(reader, writer)
+
+
+def _get_idle_limit_ms(headers: message.Headers) -> float:
+    # RFC 9112 leaves the parameters of Keep-Alive to its senders.
+    value = message.find_header(headers, 'keep-alive') or ''
+    for part in value.split(','):
+        name, _, number = part.strip().partition('=')
+        if name.lower() == 'timeout' and number.isdecimal():
+            told_ms = int(number) * 1000 - KEEP_ALIVE_MARGIN_MS
+            return min(float(told_ms), float(IDLE_LIMIT_MS))
+    return float(IDLE_LIMIT_MS)
+
+
 def _encode(
     state: h11.Connection, request: message.Request, address: str
 ) -> bytes:
-    headers = [
-        ('host', address),
-        *request.headers,
-        ('content-length', str(len(request.body))),
-    ]
+    headers = list(request.headers)
+    if message.find_header(request.headers, 'host') is None:
+        headers.insert(0, ('host', address))
+    headers.append(('content-length', str(len(request.body))))
     head = h11.Request(
         method=request.method, target=request.target, headers=headers
     )
--- a/pomelopass/edges/httpserver.py
+++ b/pomelopass/edges/httpserver.py
@@ -6,16 +6,17 @@
 
 import h11
 
+from . import requestreader
 from .. import message
 
 __all__ = ['HttpServer', 'start_server']
 
 READ_BYTES = 65_536
 WRITE_BUFFER_BYTES = 65_536
-HEAD_TIMEOUT_MS = 60_000
+HEAD_TIMEOUT_MS = 10_000
+IDLE_TIMEOUT_MS = 60_000
 STALL_LIMIT_MS = 30_000
 MAX_HEAD_BYTES = 32_768
-HEADER_EXTRA_BYTES = 4
 
 Handler = abc.Callable[[message.Request], abc.Awaitable[message.Reply]]
 MakeRefusal = abc.Callable[[int, str], message.Reply]
@@ -33,8 +34,10 @@
     ):
         self.handler = handler
         self.make_refusal = make_refusal
-        self.max_body_bytes = max_body_bytes
         self.max_connections = max_connections
+        self.limits = requestreader.Limits(
+            MAX_HEAD_BYTES, max_body_bytes, HEAD_TIMEOUT_MS, IDLE_TIMEOUT_MS
+        )
         self.closing = False
         self.in_flight = 0
         self.connections = 0
@@ -59,16 +62,14 @@
         """Serve the requests of one connection in turn."""
         self.connections += 1
         writer.transport.set_write_buffer_limits(WRITE_BUFFER_BYTES)
-        state = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES
-        )
+        requests = requestreader.RequestReader(reader, writer)
         try:
             if self.connections > self.max_connections:
                 refusal = self.make_refusal(503, 'Too many connections.')
-                await self._write(state, writer, refusal)
+                await self._write(requests.state, writer, refusal)
                 return
-            while await self._serve_one(state, reader, writer):
-                state.start_next_cycle()
+            while await self._serve_one(requests, writer):
+                requests.start_next()
         except (OSError, TimeoutError, h11.LocalProtocolError):
             pass
         finally:
@@ -78,72 +79,61 @@
 
     async def _serve_one(
         self,
-        state: h11.Connection,
-        reader: asyncio.StreamReader,
+        requests: requestreader.RequestReader,
         writer: asyncio.StreamWriter,
     ) -> bool:
         try:
             self.idle.add(writer)
-            request = await self._read(state, reader, writer)
-        except h11.RemoteProtocolError as error:
-            detail = f'The request is not HTTP: {error}.'
-            await self._refuse(state, writer, error.error_status_hint, detail)
-            return False
-        except _TooLargeError:
-            detail = f'The limit is {self.max_body_bytes} bytes.'
-            await self._refuse(state, writer, 413, detail)
+            request = await requests.read(self.limits)
+        except requestreader.BadRequestError as error:
+            refusal = self.make_refusal(error.status, error.detail)
+            await self._write(requests.state, writer, refusal, close=True)
             return False
+        finally:
+            self.idle.discard(writer)
         if request is None:
             return False
         self.in_flight += 1
         try:
-            reply = await self.handler(request)
-            await self._write(state, writer, reply)
+            answered = await self._answer(requests, writer, request)
         finally:
             self.in_flight -= 1
+        state = requests.state
         done = state.our_state is h11.DONE and state.their_state is h11.DONE
-        return done and not self.closing
+        return answered and done and not self.closing
 
-    async def _read(
+    async def _answer(
         self,
-        state: h11.Connection,
-        reader: asyncio.StreamReader,
+        requests: requestreader.RequestReader,
         writer: asyncio.StreamWriter,
-    ) -> message.Request | None:
-        head = None
-        parts: list[bytes] = []
-        size = 0
-        async with asyncio.timeout(HEAD_TIMEOUT_MS / 1000):
-            while True:
-                event = state.next_event()
-                if event is h11.NEED_DATA:
-                    if state.they_are_waiting_for_100_continue:
-                        writer.write(_encode_continue(state))
-                    state.receive_data(await reader.read(READ_BYTES))
-                elif isinstance(event, h11.Request):
-                    _check_head(event)
-                    head = event
-                    self.idle.discard(writer)
-                elif isinstance(event, h11.Data):
-                    size += len(event.data)
-                    if size > self.max_body_bytes:
-                        raise _TooLargeError
-                    parts.append(bytes(event.data))
-                elif isinstance(event, h11.EndOfMessage):
-                    return _make_request(head, b''.join(parts))
-                else:
-                    return None
-
-    async def _refuse(
+        request: message.Request,
+    ) -> bool:
+        # A caller that closes ends the work done for it.
+        work = asyncio.ensure_future(
+            self._handle(requests.state, writer, request)
+        )
+        closed = asyncio.ensure_future(requests.wait_for_close())
+        try:
+            await asyncio.wait(
+                (work, closed), return_when=asyncio.FIRST_COMPLETED
+            )
+            if work.done():
+                work.result()
+                return True
+            return False
+        finally:
+            for task in (work, closed):
+                task.cancel()
+            await asyncio.gather(work, closed, return_exceptions=True)
+
+    async def _handle(
         self,
         state: h11.Connection,
         writer: asyncio.StreamWriter,
-        status: int,
-        detail: str,
+        request: message.Request,
     ) -> None:
-        if state.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            reply = self.make_refusal(status, detail)
-            await self._write(state, writer, reply, close=True)
+        reply = await self.handler(request)
+        await self._write(state, writer, reply)
 
     async def _write(
         self,
@@ -171,10 +161,6 @@
         await _write_chunks(state, writer, reply.chunks)
 
 
-class _TooLargeError(Exception):
-    pass
-
-
 async def start_server(
     server: HttpServer, address: str
 ) -> tuple[str, asyncio.Server]:
@@ -207,32 +193,3 @@
             await writer.drain()
     elif writer.transport.is_closing():
         raise ConnectionResetError
-
-
-def _encode_continue(state: h11.Connection) -> bytes:
-    event = h11.InformationalResponse(status_code=100, headers=[])
-    return state.send(event)
-
-
-def _check_head(head: h11.Request) -> None:
-    # h11 limits only heads that come in several reads.
-    size = len(head.target)
-    for name, value in head.headers:
-        size += len(name) + len(value) + HEADER_EXTRA_BYTES
-    if size > MAX_HEAD_BYTES:
-        raise h11.RemoteProtocolError(
-            f'over {MAX_HEAD_BYTES} bytes', error_status_hint=431
-        )
-
-
-def _make_request(head: h11.Request, body: bytes) -> message.Request:
-    headers = tuple(
-        (name.decode('ascii'), value.decode('latin-1'))
-        for name, value in head.headers
-    )
-    return message.Request(
-        head.method.decode('ascii'),
-        head.target.decode('ascii'),
-        headers,
-        body,
-    )
--- /dev/null
+++ b/pomelopass/edges/requestreader.py
@@ -0,0 +1,160 @@
+"""Read the requests of one connection within limits."""
+
+import asyncio
+import dataclasses
+
+import h11
+
+from .. import message
+
+__all__ = ['BadRequestError', 'Limits', 'RequestReader']
+
+READ_BYTES = 65_536
+HEAD_END = b'\r\n\r\n'
+HEADER_EXTRA_BYTES = 4
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limits:
+    """Bound what a caller may send and how long it may take."""
+
+    max_head_bytes: int
+    max_body_bytes: int
+    head_timeout_ms: float
+    idle_timeout_ms: float
+
+
+class BadRequestError(Exception):
+    """Carry the status and the reason of a request that is refused."""
+
+    def __init__(self, status: int, detail: str):
+        super().__init__(detail)
+        self.status = status
+        self.detail = detail
+
+
+class RequestReader:
+    """Hold the unread bytes of a connection and the state of its request."""
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ):
+        self.reader = reader
+        self.writer = writer
+        self.unread = b''
+        self.state = h11.Connection(h11.SERVER)
+
+    def start_next(self) -> None:
+        """Get ready for the next request of the connection."""
+        self.unread = bytes(self.state.trailing_data[0]) + self.unread
+        self.state = h11.Connection(h11.SERVER)
+
+    async def read(self, limits: Limits) -> message.Request | None:
+        """Return the next request, or None at the end of the connection."""
+        if not self.unread:
+            try:
+                async with asyncio.timeout(limits.idle_timeout_ms / 1000):
+                    self.unread = await self.reader.read(READ_BYTES)
+            except TimeoutError:
+                return None
+            if not self.unread:
+                return None
+        try:
+            async with asyncio.timeout(limits.head_timeout_ms / 1000):
+                await self._read_head(limits)
+        except TimeoutError:
+            raise BadRequestError(408, 'The head took too long.') from None
+        try:
+            return await self._read_body(limits)
+        except h11.RemoteProtocolError as error:
+            status = error.error_status_hint
+            detail = f'The request is not HTTP: {error}.'
+            raise BadRequestError(status, detail) from None
+
+    async def wait_for_close(self) -> None:
+        """Return when the caller has closed; keep what it sends until then."""
+        while True:
+            data = await self.reader.read(READ_BYTES)
+            if not data:
+                return
+            self.unread += data
+            if len(self.unread) > READ_BYTES:
+                # The transport stops reading; a close shows with the reply.
+                await asyncio.Event().wait()
+
+    async def _read_head(self, limits: Limits) -> None:
+        while True:
+            # Some callers end a body with an extra empty line.
+            self.unread = self.unread.lstrip(b'\r\n')
+            end = self.unread.find(HEAD_END)
+            head = self.unread if end < 0 else self.unread[: end + 4]
+            if len(head) > limits.max_head_bytes:
+                raise BadRequestError(431, 'The head is too long.')
+            if head.count(b'\n') != head.count(b'\r\n'):
+                raise BadRequestError(400, 'A line ends without CR.')
+            if end >= 0:
+                return
+            data = await self.reader.read(READ_BYTES)
+            if not data:
+                raise ConnectionResetError
+            self.unread += data
+
+    async def _read_body(self, limits: Limits) -> message.Request:
+        self.state.receive_data(self.unread)
+        self.unread = b''
+        head = None
+        parts: list[bytes] = []
+        size = 0
+        while True:
+            event = self.state.next_event()
+            if event is h11.NEED_DATA:
+                await self._receive(limits)
+            elif isinstance(event, h11.Request):
+                _check_framing(event, limits)
+                head = event
+            elif isinstance(event, h11.Data):
+                size += len(event.data)
+                if size > limits.max_body_bytes:
+                    raise BadRequestError(413, 'The body is too long.')
+                parts.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                return _make_request(head, b''.join(parts))
+            else:
+                raise ConnectionResetError
+
+    async def _receive(self, limits: Limits) -> None:
+        if self.state.they_are_waiting_for_100_continue:
+            event = h11.InformationalResponse(status_code=100, headers=[])
+            self.writer.write(self.state.send(event))
+        try:
+            async with asyncio.timeout(limits.idle_timeout_ms / 1000):
+                data = await self.reader.read(READ_BYTES)
+        except TimeoutError:
+            raise BadRequestError(408, 'The body took too long.') from None
+        if not data:
+            raise ConnectionResetError
+        self.state.receive_data(data)
+
+
+def _check_framing(head: h11.Request, limits: Limits) -> None:
+    names = [name for name, _ in head.headers]
+    if b'content-length' in names and b'transfer-encoding' in names:
+        raise BadRequestError(400, 'The body has two lengths.')
+    for name, value in head.headers:
+        if name != b'content-length':
+            continue
+        if int(value) > limits.max_body_bytes:
+            raise BadRequestError(413, 'The body is too long.')
+
+
+def _make_request(head: h11.Request, body: bytes) -> message.Request:
+    headers = tuple(
+        (name.decode('ascii'), value.decode('latin-1'))
+        for name, value in head.headers
+    )
+    return message.Request(
+        head.method.decode('ascii'),
+        head.target.decode('ascii'),
+        headers,
+        body,
+    )
--- /dev/null
+++ b/pomelopass/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Run one entry instance on the platform."""
--- /dev/null
+++ b/pomelopass/entry/__main__.py
@@ -0,0 +1,162 @@
+"""Run an entry instance as a process."""
+
+import asyncio
+import contextlib
+import logging
+import os
+import random
+import signal
+import sys
+import time
+
+from returns import result
+
+from . import eventlog
+from . import node as nodes
+from . import settings as entrysettings
+from .. import problem
+from ..edges import httpclient
+from ..edges import httpserver
+from ..edges import requestreader
+from ..platform import endpointclient
+from ..platform import ingress
+from ..platform import rowclient
+
+__all__ = ['main']
+
+USAGE = 'usage: python3 -m pomelopass.entry --settings PATH [--check]'
+BAD_SETTINGS_STATUS = 2
+MAX_BODY_BYTES = 33_554_432
+MAX_CONNECTIONS = 6000
+POLL_MS = 100.0
+# Callers that hold an older answer of the directory still come this long.
+LINGER_MS = 3500.0
+# Time kept back at the end of the stop limit.
+STOP_MARGIN_MS = 700.0
+
+
+def main() -> int:
+    """Serve until SIGTERM or SIGINT; return the exit status."""
+    words = sys.argv[1:]
+    if len(words) < 2 or words[0] != '--settings':
+        print(USAGE, file=sys.stderr)
+        return BAD_SETTINGS_STATUS
+    loaded = entrysettings.load_entry_settings(words[1])
+    if isinstance(loaded, result.Failure):
+        for one in loaded.failure():
+            print(problem.format_problem(one), file=sys.stderr)
+        return BAD_SETTINGS_STATUS
+    if '--check' in words:
+        print('The settings are valid.')
+        return 0
+    return asyncio.run(run(loaded.unwrap()))
+
+
+async def run(given: entrysettings.EntrySettings) -> int:
+    """Serve until a signal comes."""
+    log = eventlog.set_up_event_log(given.log_level)
+    logger = logging.getLogger('pomelopass')
+    write_event = eventlog.make_write_event(logger, instance=given.name)
+    log_task = asyncio.ensure_future(log.run())
+    rng = random.SystemRandom()
+    http = httpclient.HttpClient()
+    ports = nodes.NodePorts(
+        table=rowclient.RowClient(http, given.table_address),
+        endpoints=endpointclient.EndpointClient(http),
+        rng=rng,
+        write_event=write_event,
+        get_lease_now=lambda: time.clock_gettime(time.CLOCK_BOOTTIME),
+        incarnation=f'{given.name}-{rng.getrandbits(48):012x}',
+    )
+    node = nodes.build_node(given, ports)
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    loop.add_signal_handler(
+        signal.SIGHUP, lambda: write_event('settings-reload-asked')
+    )
+    servers = await _listen(node)
+    node.start()
+    write_event('started', start=ports.incarnation, process=os.getpid())
+    await stopped.wait()
+    await _stop(node, servers, write_event)
+    await http.close()
+    log_task.cancel()
+    with contextlib.suppress(asyncio.CancelledError):
+        await log_task
+    log.write_some()
+    return 0
+
+
+async def _listen(node: nodes.Node) -> list[httpserver.HttpServer]:
+    given = node.settings
+    handlers = (
+        (given.caller_address, node.ingress.handle),
+        (given.readiness_address, node.ingress.handle_readiness),
+        (given.directory_address, node.ingress.handle_directory),
+    )
+    servers = []
+    for address, handler in handlers:
+        server = httpserver.HttpServer(
+            _make_guarded(handler, node.write_event),
+            ingress.make_refusal,
+            MAX_BODY_BYTES,
+            MAX_CONNECTIONS,
+        )
+        await httpserver.start_server(server, address)
+        servers.append(server)
+    node.view.on_limits = lambda limits: _set_limits(servers[0], limits)
+    host, _, port = given.relay_address.rpartition(':')
+    await asyncio.start_server(node.relay_server.serve, host, int(port))
+    return servers
+
+
+def _set_limits(server: httpserver.HttpServer, limits) -> None:
+    server.limits = requestreader.Limits(
+        limits.max_head_bytes,
+        limits.max_body_bytes,
+        limits.head_timeout_ms,
+        limits.idle_timeout_ms,
+    )
+
+
+def _make_guarded(handler: httpserver.Handler, write_event):
+    async def handle(request):
+        try:
+            return await handler(request)
+        except OSError:
+            raise
+        except Exception as error:
+            # One request must not end the process; its cause is logged.
+            logging.getLogger('pomelopass').exception('request-failed')
+            write_event('request-failed', detail=repr(error))
+            return ingress.make_refusal(500, 'The instance failed.')
+
+    return handle
+
+
+async def _stop(
+    node: nodes.Node,
+    servers: list[httpserver.HttpServer],
+    write_event,
+) -> None:
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    limit = began + node.settings.stop_limit_s - STOP_MARGIN_MS / 1000
+    write_event('stopping', owned=len(node.keeper.task_by_id))
+    node.begin_stop()
+    servers[0].stop_keeping()
+    while loop.time() < min(began + LINGER_MS / 1000, limit):
+        await asyncio.sleep(POLL_MS / 1000)
+    await node.keeper.stop()
+    while servers[0].in_flight and loop.time() < limit:
+        await asyncio.sleep(POLL_MS / 1000)
+    for server in servers:
+        await server.close()
+    await node.end_stop()
+    write_event('stopped', in_flight=servers[0].in_flight)
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/pomelopass/entry/eventlog.py
@@ -0,0 +1,101 @@
+"""Write events to standard output as JSON lines without ever blocking."""
+
+import asyncio
+import collections
+import logging
+import os
+import sys
+import time
+
+import orjson
+
+from .. import isotime
+
+__all__ = ['EventLog', 'make_write_event']
+
+MAX_LINES = 4000
+FLUSH_EVERY_MS = 50.0
+MAX_WRITE_BYTES = 65_536
+
+
+class EventLog(logging.Handler):
+    """Hold the lines that a slow reader has not taken yet."""
+
+    def __init__(self, descriptor: int):
+        super().__init__()
+        self.descriptor = descriptor
+        self.lines: collections.deque[bytes] = collections.deque()
+        self.unwritten = b''
+        self.dropped = 0
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Keep a line; drop it when too many wait."""
+        if len(self.lines) >= MAX_LINES:
+            self.dropped += 1
+            return
+        fields = getattr(record, 'fields', {})
+        line = {
+            'time': isotime.format_utc(record.created * 1000),
+            'steady_ms': round(time.monotonic() * 1000),
+            'level': record.levelname,
+            'event': record.getMessage(),
+            **fields,
+        }
+        if record.exc_info:
+            line['detail'] = repr(record.exc_info[1])
+        self.lines.append(orjson.dumps(line, default=str) + b'\n')
+
+    async def run(self) -> None:
+        """Write the lines until cancelled."""
+        while True:
+            await asyncio.sleep(FLUSH_EVERY_MS / 1000)
+            self.write_some()
+
+    def write_some(self) -> None:
+        """Write as much as the reader takes now."""
+        while self.lines or self.unwritten:
+            if not self.unwritten:
+                self.unwritten = self._take_lines()
+            try:
+                written = os.write(self.descriptor, self.unwritten)
+            except BlockingIOError:
+                return
+            except OSError:
+                # Nobody reads any more; the lines have no other place to go.
+                self.lines.clear()
+                self.unwritten = b''
+                return
+            self.unwritten = self.unwritten[written:]
+
+    def _take_lines(self) -> bytes:
+        if self.dropped:
+            counted = {'event': 'lines-dropped', 'count': self.dropped}
+            self.lines.append(orjson.dumps(counted) + b'\n')
+            self.dropped = 0
+        parts = []
+        size = 0
+        while self.lines and size < MAX_WRITE_BYTES:
+            parts.append(self.lines.popleft())
+            size += len(parts[-1])
+        return b''.join(parts)
+
+
+def set_up_event_log(level: str) -> EventLog:
+    """Send all logs of the process to standard output."""
+    descriptor = sys.stdout.fileno()
+    os.set_blocking(descriptor, False)
+    log = EventLog(descriptor)
+    root = logging.getLogger()
+    root.handlers[:] = [log]
+    root.setLevel(level)
+    return log
+
+
+def make_write_event(logger: logging.Logger, **common):
+    """Return a function that logs an event with its fields."""
+
+    def write_event(kind: str, **fields) -> None:
+        if logger.isEnabledFor(logging.INFO):
+            logger.info(kind, extra={'fields': {**common, **fields}})
+
+    return write_event
--- /dev/null
+++ b/pomelopass/fleet/beats.py
@@ -0,0 +1,73 @@
+"""Tell the fleet that this instance lives, and hear the others."""
+
+import asyncio
+import dataclasses
+import random
+from collections import abc
+
+from . import member
+from ..table import rows
+
+__all__ = ['MEMBER_TABLE', 'Heartbeat']
+
+MEMBER_TABLE = 'members'
+BEAT_EVERY_MS = 500.0
+JITTER = 0.2
+
+
+class Heartbeat:
+    """Hold this instance's row and the version it was written at."""
+
+    def __init__(
+        self,
+        table: rows.RowTable,
+        own: member.Member,
+        get_runs: abc.Callable[[], dict[str, int]],
+        rng: random.Random,
+    ):
+        self.table = table
+        self.own = own
+        self.get_runs = get_runs
+        self.rng = rng
+        self.version = 0
+        self.now = asyncio.Event()
+
+    def stop_accepting(self) -> None:
+        """Leave the directory with the next heartbeat, which comes now."""
+        self.own = dataclasses.replace(self.own, accepting=False)
+        self.now.set()
+
+    async def run(self) -> None:
+        """Write heartbeats until cancelled."""
+        while True:
+            await self._beat()
+            pause = 1 + JITTER * (self.rng.random() - 0.5)
+            try:
+                async with asyncio.timeout(BEAT_EVERY_MS * pause / 1000):
+                    await self.now.wait()
+                self.now.clear()
+            except TimeoutError:
+                continue
+
+    async def _beat(self) -> None:
+        self.own = dataclasses.replace(
+            self.own,
+            beat=self.own.beat + 1,
+            runs_by_endpoint=self.get_runs(),
+        )
+        key = rows.Key(MEMBER_TABLE, '', self.own.name)
+        transaction = rows.Transaction(
+            expected=((key, self.version),),
+            puts=((key, member.encode_member(self.own)),),
+        )
+        try:
+            outcome = await self.table.transact(transaction)
+        except rows.TableError:
+            # The next heartbeat comes soon; the table logs its own loss.
+            return
+        if isinstance(outcome, rows.Applied):
+            self.version = outcome.version
+            return
+        versions = [one.version for one in outcome.rows if one.name == key]
+        self.version = versions[0] if versions else 0
+        self.now.set()
--- /dev/null
+++ b/pomelopass/fleet/member.py
@@ -0,0 +1,101 @@
+"""Describe an instance of the fleet and judge whether it lives."""
+
+import dataclasses
+
+import orjson
+
+__all__ = ['Member', 'Membership', 'decode_member', 'encode_member']
+
+# Heartbeats come twice a second.
+DEAD_AFTER_MS = 1700.0
+FRESH_MS = 900.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Member:
+    """Hold what an instance says of itself with each heartbeat."""
+
+    name: str
+    incarnation: str
+    availability_zone: str
+    caller_address: str
+    relay_address: str
+    accepting: bool
+    beat: int
+    runs_by_endpoint: dict[str, int]
+
+
+def encode_member(member: Member) -> bytes:
+    """Return the row value of a heartbeat."""
+    return orjson.dumps(member)
+
+
+def decode_member(value: bytes) -> Member | None:
+    """Return the member, or None for a row that can't be read."""
+    try:
+        return Member(**orjson.loads(value))
+    except (TypeError, ValueError):
+        return None
+
+
+@dataclasses.dataclass(slots=True)
+class Membership:
+    """Hold the last heartbeat of each instance and when it was seen.
+
+    Times are seconds on the clock of the event loop.
+    """
+
+    own_name: str
+    member_by_name: dict[str, Member] = dataclasses.field(default_factory=dict)
+    seen_at_by_name: dict[str, float] = dataclasses.field(default_factory=dict)
+    # Since when heartbeats have come in without a gap.
+    steady_since: float = float('inf')
+    fresh_at: float = float('-inf')
+
+    def note_fresh(self, now: float) -> None:
+        """Take in that the view of the fleet was up to date."""
+        if (now - self.fresh_at) * 1000 > FRESH_MS:
+            self.steady_since = now
+        self.fresh_at = now
+
+    def put(self, member: Member, now: float) -> None:
+        """Take in a heartbeat."""
+        self.member_by_name[member.name] = member
+        self.seen_at_by_name[member.name] = now
+
+    def remove(self, name: str) -> None:
+        """Forget an instance whose row was removed."""
+        self.member_by_name.pop(name, None)
+        self.seen_at_by_name.pop(name, None)
+
+    def is_alive(self, name: str, now: float) -> bool:
+        """Say whether an instance counts as alive.
+
+        Silence counts only for as long as the view was up to date.
+        """
+        if name == self.own_name:
+            return True
+        if name not in self.member_by_name:
+            return False
+        since = max(self.seen_at_by_name[name], self.steady_since)
+        return (min(now, self.fresh_at) - since) * 1000 < DEAD_AFTER_MS
+
+    def is_incarnation_alive(
+        self, name: str, incarnation: str, now: float
+    ) -> bool:
+        """Say whether this very start of an instance counts as alive."""
+        member = self.member_by_name.get(name)
+        if member is None:
+            # A start that was never seen may be about to send a heartbeat.
+            return (now - self.steady_since) * 1000 < DEAD_AFTER_MS
+        if member.incarnation != incarnation:
+            return False
+        return self.is_alive(name, now)
+
+    def get_alive(self, now: float) -> list[Member]:
+        """Return the instances that count as alive and accept work."""
+        return [
+            one
+            for name, one in self.member_by_name.items()
+            if one.accepting and self.is_alive(name, now)
+        ]
--- /dev/null
+++ b/pomelopass/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Accept jobs of trainers, run their items and keep the results."""
--- /dev/null
+++ b/pomelopass/jobs/desk.py
@@ -0,0 +1,175 @@
+"""Answer trainers: accept, read and end jobs."""
+
+import asyncio
+import dataclasses
+import enum
+from collections import abc
+
+from . import job as jobs
+from . import jobtable
+from . import keeper as keepers
+from . import rowcodec
+from ..table import rows
+
+__all__ = ['Acceptance', 'Desk', 'ResultPage']
+
+# Longest time in which the table service is asked to settle a write.
+SETTLE_MS = 1800.0
+MAX_PAGE_BYTES = 900_000
+# A known state is trusted this long without another read.
+READ_AGAIN_MS = 1000.0
+
+
+class Acceptance(enum.Enum):
+    """Say what is certain about a submitted job."""
+
+    ACCEPTED = 'accepted'
+    NOT_ACCEPTED = 'not-accepted'
+    UNKNOWN = 'unknown'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ResultPage:
+    """Hold results from a position on."""
+
+    total: int
+    first: int
+    results: tuple[jobs.Result, ...]
+
+
+class Desk:
+    """Serve the calls of trainers at any instance."""
+
+    def __init__(
+        self,
+        keeper: keepers.Keeper,
+        table: jobtable.JobTable,
+        get_table_ms: abc.Callable[[], int],
+        write_event: abc.Callable[..., None],
+    ):
+        self.keeper = keeper
+        self.table = table
+        self.get_table_ms = get_table_ms
+        self.write_event = write_event
+        self.results_by_id: dict[str, dict[int, jobs.Result]] = {}
+
+    async def accept(self, submission: jobs.Submission) -> Acceptance:
+        """Keep a job for good, once however often it comes."""
+        if self.keeper.get(submission.id) is not None:
+            return Acceptance.ACCEPTED
+        puts = rowcodec.encode_submission(submission)
+        record = jobs.JobRecord(
+            id=submission.id,
+            owner=self.keeper.incarnation,
+            owner_name=self.keeper.name,
+            total=len(submission.items),
+            chunks=len(puts),
+            accepted_ms=self.get_table_ms(),
+        )
+        *before, last = jobtable.split_writes(puts)
+        loop = asyncio.get_running_loop()
+        try:
+            for batch in before:
+                await self.table.write_parts(batch)
+        except rows.TableError:
+            return Acceptance.NOT_ACCEPTED
+        settled = await self.table.write(
+            record, 0, last, loop.time() + SETTLE_MS / 1000
+        )
+        if settled.applied:
+            self.keeper.start(settled.current, submission)
+        outcome = Acceptance.ACCEPTED
+        if not settled.is_settled:
+            outcome = Acceptance.NOT_ACCEPTED
+            if settled.may_be_applied:
+                outcome = Acceptance.UNKNOWN
+        self.write_event(
+            'job-submitted',
+            job=submission.id,
+            step=submission.step,
+            items=len(submission.items),
+            min_version=submission.min_version,
+            outcome=outcome.value,
+        )
+        return outcome
+
+    async def read(
+        self, job_id: str, first: int, wait_ms: float
+    ) -> ResultPage | None:
+        """Return results, or None if there is no such job.
+
+        Raise TableError where that can't be known.
+        """
+        loop = asyncio.get_running_loop()
+        limit = loop.time() + wait_ms / 1000
+        record = await self._fetch_record(job_id)
+        while record is not None and record.listed <= first:
+            left = limit - loop.time()
+            if left <= 0 or not record.is_open:
+                break
+            await self.keeper.wait_for_change(job_id, left)
+            known = self.keeper.get(job_id)
+            if known is None or known.record.listed <= first:
+                record = await self._fetch_record(job_id)
+            else:
+                record = known.record
+        if record is None:
+            return None
+        found = await self._get_results(job_id, first, record.listed)
+        return ResultPage(record.total, first, found)
+
+    async def read_item(self, job_id: str, item_id: str) -> bytes | None:
+        """Return the body of an item, or None; raise TableError."""
+        known = self.keeper.get(job_id)
+        if known is None and await self._fetch_record(job_id) is None:
+            return None
+        submission = await self.keeper.get_submission(job_id)
+        for item in submission.items:
+            if item.id == item_id:
+                return item.body
+        return None
+
+    async def end(self, job_id: str) -> bool:
+        """End a job; return False if there is none; raise TableError."""
+        loop = asyncio.get_running_loop()
+        limit = loop.time() + SETTLE_MS / 1000
+        stored = self.keeper.get(job_id) or await self.table.fetch(job_id)
+        while stored.record is not None and not stored.record.ended:
+            changed = rowcodec.next_record(stored.record, ended=True)
+            settled = await self.table.write(
+                changed, stored.version, [], limit
+            )
+            if not settled.is_settled:
+                raise rows.TableError('the end is not settled', True)
+            stored = settled.current
+            self.write_event('job-ended', job=job_id)
+        if stored.record is None:
+            return False
+        self.keeper.note(stored)
+        return True
+
+    async def _fetch_record(self, job_id: str) -> jobs.JobRecord | None:
+        stored = await self.table.fetch(job_id)
+        if stored.record is not None:
+            self.keeper.note(stored)
+        return stored.record
+
+    async def _get_results(
+        self, job_id: str, first: int, listed: int
+    ) -> tuple[jobs.Result, ...]:
+        if first >= listed:
+            return ()
+        cached = self.results_by_id.setdefault(job_id, {})
+        if first not in cached:
+            cached.update(await self.table.fetch_results(job_id, first))
+        found = []
+        size = 0
+        for position in range(first, listed):
+            one = cached.get(position)
+            if one is None or (found and size > MAX_PAGE_BYTES):
+                break
+            size += len(one.text)
+            found.append(one)
+        if not found:
+            raise rows.TableError('a listed result is missing', False)
+        return tuple(found)
--- /dev/null
+++ b/pomelopass/jobs/job.py
@@ -0,0 +1,78 @@
+"""Describe jobs, their items and their results."""
+
+import dataclasses
+
+from .. import message
+
+__all__ = ['Item', 'JobRecord', 'Result', 'RewardCall', 'Submission']
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RewardCall:
+    """Hold the request that scores the text of an item."""
+
+    id: str
+    host: str
+    path: str
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Item:
+    """Hold one generation of a job."""
+
+    id: str
+    path: str
+    headers: message.Headers
+    body: bytes
+    group: str
+    model: str
+    reward: RewardCall | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Submission:
+    """Hold a job as its trainer submitted it."""
+
+    id: str
+    host: str
+    target: str
+    model: str
+    step: int
+    min_version: int
+    target_groups: int
+    items: tuple[Item, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobRecord:
+    """Hold what the table service keeps of the state of a job.
+
+    Times are milliseconds on the steady clock of the table service.
+    """
+
+    id: str
+    owner: str
+    owner_name: str
+    total: int
+    chunks: int
+    accepted_ms: int
+    listed: int = 0
+    ended: bool = False
+    writes: int = 0
+
+    @property
+    def is_open(self) -> bool:
+        """Say whether items are still to be run."""
+        return not self.ended and self.listed < self.total
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Result:
+    """Hold the outcome of an item; a terminated one has no text."""
+
+    item_id: str
+    completed: bool
+    text: str = ''
+    versions: tuple[int, ...] = ()
+    score: str | None = None
--- /dev/null
+++ b/pomelopass/jobs/keeper.py
@@ -0,0 +1,240 @@
+"""Know all jobs, run the owned ones and adopt those without an owner."""
+
+import asyncio
+import dataclasses
+from collections import abc
+
+from . import adoption
+from . import itemrun
+from . import job as jobs
+from . import jobrun
+from . import jobtable
+from . import rowcodec
+from ..fleet import member
+from ..requests import routes
+from ..table import rows
+
+__all__ = ['Keeper', 'MakeContext']
+
+CHECK_EVERY_MS = 150.0
+# Ended jobs stay readable this much longer than they have to.
+CLEAN_UP_SLACK_MS = 15_000
+
+MakeContext = abc.Callable[
+    [jobs.Submission, jobs.JobRecord], itemrun.ItemContext | None
+]
+
+
+@dataclasses.dataclass(slots=True)
+class _Known:
+    stored: jobtable.StoredJob
+    changed: asyncio.Event
+    ownerless_since: float | None = None
+    busy: bool = False
+
+
+class Keeper:
+    """Hold the known jobs by id and the runs of those that are owned."""
+
+    def __init__(
+        self,
+        name: str,
+        incarnation: str,
+        table: jobtable.JobTable,
+        membership: member.Membership,
+        make_context: MakeContext,
+        write_event: abc.Callable[..., None],
+    ):
+        self.name = name
+        self.incarnation = incarnation
+        self.table = table
+        self.membership = membership
+        self.make_context = make_context
+        self.write_event = write_event
+        self.known_by_id: dict[str, _Known] = {}
+        self.run_by_id: dict[str, jobrun.JobRun] = {}
+        self.task_by_id: dict[str, asyncio.Task] = {}
+        self.submission_by_id: dict[str, jobs.Submission] = {}
+        self.stopping = False
+
+    def note_row(self, row: rows.Row) -> None:
+        """Take in a change of a job's row."""
+        job_id = row.name.key
+        if row.value is None:
+            self.known_by_id.pop(job_id, None)
+            self.submission_by_id.pop(job_id, None)
+            return
+        try:
+            record = rowcodec.decode_record(row.value)
+        except ValueError as error:
+            self.write_event('job-unreadable', job=job_id, detail=str(error))
+            return
+        self.note(jobtable.StoredJob(record, row.version))
+
+    def note(self, stored: jobtable.StoredJob) -> None:
+        """Take in a job's state unless a newer one is known."""
+        job_id = stored.record.id
+        known = self.known_by_id.get(job_id)
+        if known is None:
+            known = _Known(stored, asyncio.Event())
+            self.known_by_id[job_id] = known
+        elif known.stored.record.writes <= stored.record.writes:
+            known.stored = stored
+        known.changed.set()
+        known.changed = asyncio.Event()
+        if job_id in self.task_by_id and not self._is_ours(known):
+            self.task_by_id[job_id].cancel()
+
+    def get(self, job_id: str) -> jobtable.StoredJob | None:
+        """Return the last known state of a job."""
+        known = self.known_by_id.get(job_id)
+        return known.stored if known is not None else None
+
+    async def wait_for_change(self, job_id: str, timeout_s: float) -> None:
+        """Return when a job may have changed or the time is over."""
+        known = self.known_by_id.get(job_id)
+        if known is None:
+            return
+        try:
+            async with asyncio.timeout(timeout_s):
+                await known.changed.wait()
+        except TimeoutError:
+            return
+
+    def start(
+        self, stored: jobtable.StoredJob, submission: jobs.Submission
+    ) -> None:
+        """Run a job that this instance has just accepted."""
+        self.submission_by_id[submission.id] = submission
+        self.note(stored)
+        self._start_run(stored, submission, set())
+
+    async def run(self) -> None:
+        """Adopt jobs and clean up until cancelled."""
+        while True:
+            await asyncio.sleep(CHECK_EVERY_MS / 1000)
+            now = asyncio.get_running_loop().time()
+            for job_id, known in list(self.known_by_id.items()):
+                if self.stopping or known.busy or job_id in self.task_by_id:
+                    continue
+                if known.stored.record.is_open:
+                    self._check(job_id, known, now)
+
+    async def stop(self) -> None:
+        """Hand the owned jobs over."""
+        self.stopping = True
+        owned = list(self.run_by_id.values())
+        for task in list(self.task_by_id.values()):
+            task.cancel()
+        await asyncio.gather(
+            *(run.hand_over() for run in owned), return_exceptions=True
+        )
+
+    def _is_ours(self, known: _Known) -> bool:
+        record = known.stored.record
+        return record.owner == self.incarnation and record.is_open
+
+    def _check(self, job_id: str, known: _Known, now: float) -> None:
+        record = known.stored.record
+        if record.owner == self.incarnation:
+            known.busy = True
+            self._spawn(self._adopt(job_id, known, take=False))
+            return
+        alive = self.membership.is_incarnation_alive(
+            record.owner_name, record.owner, now
+        )
+        if record.owner and alive:
+            known.ownerless_since = None
+            return
+        if known.ownerless_since is None:
+            known.ownerless_since = now
+        names = [one.name for one in self.membership.get_alive(now)]
+        wait_ms = adoption.get_wait_ms(job_id, self.name, names)
+        if (now - known.ownerless_since) * 1000 >= wait_ms:
+            known.busy = True
+            self._spawn(self._adopt(job_id, known, take=True))
+
+    def _spawn(self, work: abc.Coroutine) -> None:
+        task = asyncio.ensure_future(work)
+        task.add_done_callback(self._note_failure)
+
+    async def _adopt(self, job_id: str, known: _Known, take: bool) -> None:
+        loop = asyncio.get_running_loop()
+        try:
+            stored = known.stored
+            if take:
+                record = jobrun.make_adopted(
+                    stored.record, self.incarnation, self.name
+                )
+                settled = await self.table.write(
+                    record, stored.version, [], loop.time() + 1.0
+                )
+                self.write_event(
+                    'job-adopted',
+                    job=job_id,
+                    applied=settled.applied,
+                    former=stored.record.owner,
+                )
+                if not settled.is_settled:
+                    return
+                if settled.current.record is not None:
+                    self.note(settled.current)
+                if not settled.applied:
+                    known.ownerless_since = None
+                    return
+                stored = settled.current
+            submission = await self.get_submission(job_id)
+            listed = await jobrun.load_listed(self.table, stored.record)
+            self._start_run(stored, submission, listed)
+        except rows.TableError as error:
+            self.write_event('job-not-loaded', job=job_id, detail=error.detail)
+        finally:
+            known.busy = False
+
+    async def get_submission(self, job_id: str) -> jobs.Submission:
+        """Return a job as it was submitted; raise TableError."""
+        if job_id not in self.submission_by_id:
+            found = await self.table.fetch_submission(job_id)
+            self.submission_by_id[job_id] = found
+        return self.submission_by_id[job_id]
+
+    def _start_run(
+        self,
+        stored: jobtable.StoredJob,
+        submission: jobs.Submission,
+        listed: set[str],
+    ) -> None:
+        job_id = submission.id
+        context = self.make_context(submission, stored.record)
+        if context is None or job_id in self.task_by_id or self.stopping:
+            return
+        run = jobrun.JobRun(context, stored, listed, self.table, self.note)
+        task = asyncio.ensure_future(run.run())
+        self.run_by_id[job_id] = run
+        self.task_by_id[job_id] = task
+        self.write_event(
+            'job-started',
+            job=job_id,
+            listed=len(listed),
+            total=stored.record.total,
+        )
+
+        def forget(done: asyncio.Task) -> None:
+            self.task_by_id.pop(job_id, None)
+            self.run_by_id.pop(job_id, None)
+            self._note_failure(done)
+
+        task.add_done_callback(forget)
+
+    def _note_failure(self, done: asyncio.Task) -> None:
+        if not done.cancelled() and done.exception() is not None:
+            self.write_event('task-failed', detail=repr(done.exception()))
+
+
+def find_job_route(
+    configuration: routes.Configuration | None, submission: jobs.Submission
+) -> routes.Route | None:
+    """Return the route of a job in the configuration in force."""
+    if configuration is None:
+        return None
+    return routes.find_route(configuration, submission.host, submission.target)
--- /dev/null
+++ b/pomelopass/jobs/rowcodec.py
@@ -0,0 +1,149 @@
+"""Lay jobs out as rows of the table service."""
+
+import dataclasses
+import zlib
+
+import orjson
+import xxhash
+
+from . import job as jobs
+from ..table import rows
+
+__all__ = [
+    'JOB_TABLE',
+    'PARTS',
+    'decode_record',
+    'decode_results',
+    'decode_submission',
+    'encode_record',
+    'encode_results',
+    'encode_submission',
+]
+
+JOB_TABLE = 'jobs'
+BODY_TABLE = 'job-bodies'
+RESULT_TABLE = 'job-results'
+PART_COUNT = 16
+PARTS = tuple(f'p{number:02d}' for number in range(PART_COUNT))
+CHUNK_BYTES = 60_000
+# Sorts after every position and chunk of a job.
+KEY_END = '~'
+
+
+def get_part(job_id: str) -> str:
+    """Return the part that keeps all rows of a job."""
+    return PARTS[xxhash.xxh3_64_intdigest(job_id.encode()) % PART_COUNT]
+
+
+def make_record_key(job_id: str) -> rows.Key:
+    """Return the name of the row with the state of a job."""
+    return rows.Key(JOB_TABLE, get_part(job_id), job_id)
+
+
+def encode_record(record: jobs.JobRecord) -> bytes:
+    """Return the row value of the state of a job."""
+    return orjson.dumps(record)
+
+
+def decode_record(value: bytes) -> jobs.JobRecord:
+    """Return the state of a job; raise ValueError."""
+    try:
+        return jobs.JobRecord(**orjson.loads(value))
+    except TypeError as error:
+        raise ValueError(str(error)) from None
+
+
+def encode_submission(
+    submission: jobs.Submission,
+) -> list[tuple[rows.Key, bytes]]:
+    """Return the rows that keep a submission."""
+    packed = zlib.compress(
+        orjson.dumps(submission, default=_encode_bytes), level=1
+    )
+    part = get_part(submission.id)
+    return [
+        (
+            rows.Key(BODY_TABLE, part, f'{submission.id}/{number:03d}'),
+            packed[start : start + CHUNK_BYTES],
+        )
+        for number, start in enumerate(range(0, len(packed), CHUNK_BYTES))
+    ]
+
+
+def make_submission_range(job_id: str) -> rows.Range:
+    """Return the range of the rows that keep a submission."""
+    return rows.Range(
+        BODY_TABLE, get_part(job_id), f'{job_id}/', f'{job_id}/{KEY_END}'
+    )
+
+
+def decode_submission(values: list[bytes]) -> jobs.Submission:
+    """Return the submission from its rows in order."""
+    found = orjson.loads(zlib.decompress(b''.join(values)))
+    items = tuple(_decode_item(one) for one in found.pop('items'))
+    return jobs.Submission(items=items, **found)
+
+
+def encode_results(
+    job_id: str, first: int, results: list[jobs.Result]
+) -> list[tuple[rows.Key, bytes]]:
+    """Return the rows of results at positions from the first on."""
+    encoded = []
+    for position, one in enumerate(results, first):
+        value = orjson.dumps(one)
+        for number, start in enumerate(range(0, len(value), CHUNK_BYTES)):
+            name = f'{job_id}/{position:06d}/{number:03d}'
+            key = rows.Key(RESULT_TABLE, get_part(job_id), name)
+            encoded.append((key, value[start : start + CHUNK_BYTES]))
+    return encoded
+
+
+def make_result_range(job_id: str, first: int, limit: int = 500) -> rows.Range:
+    """Return the range of results at positions from the first on."""
+    return rows.Range(
+        RESULT_TABLE,
+        get_part(job_id),
+        f'{job_id}/{first:06d}/',
+        f'{job_id}/{KEY_END}',
+        limit,
+    )
+
+
+def decode_results(
+    found: list[rows.Row],
+) -> dict[int, jobs.Result]:
+    """Return results by position; a row cut off at the end is left out."""
+    values_by_position: dict[int, list[bytes]] = {}
+    for row in found:
+        position = int(row.name.key.split('/')[-2])
+        values_by_position.setdefault(position, []).append(row.value)
+    decoded = {}
+    for position, values in values_by_position.items():
+        try:
+            fields = orjson.loads(b''.join(values))
+        except orjson.JSONDecodeError:
+            continue
+        fields['versions'] = tuple(fields['versions'])
+        decoded[position] = jobs.Result(**fields)
+    return decoded
+
+
+def _encode_bytes(value: object) -> str:
+    if isinstance(value, bytes):
+        return value.decode('latin-1')
+    raise TypeError(type(value).__name__)
+
+
+def _decode_item(found: dict) -> jobs.Item:
+    reward = found.pop('reward')
+    if reward is not None:
+        reward['body'] = reward['body'].encode('latin-1')
+        reward = jobs.RewardCall(**reward)
+    found['headers'] = tuple((name, value) for name, value in found['headers'])
+    found['body'] = found['body'].encode('latin-1')
+    return jobs.Item(reward=reward, **found)
+
+
+def next_record(record: jobs.JobRecord, **changes) -> jobs.JobRecord:
+    """Return a changed record that differs from all earlier ones."""
+    return dataclasses.replace(record, writes=record.writes + 1, **changes)
--- /dev/null
+++ b/pomelopass/jobs/schedule.py
@@ -0,0 +1,100 @@
+"""Decide which waiting item gets which engine."""
+
+import asyncio
+import dataclasses
+from collections import abc
+
+from . import job as jobs
+from ..registry import choice
+from ..registry import endpoint as endpoints
+from ..registry import registry as registries
+
+__all__ = ['Scheduler', 'Waiting', 'get_order']
+
+# A run moves when another engine makes an event this many times faster.
+MOVE_FACTOR = 2.2
+
+
+@dataclasses.dataclass(slots=True)
+class Waiting:
+    """Hold an item that waits for an engine."""
+
+    item: jobs.Item
+    model: str
+    service: str
+    min_version: int
+    # A later deadline, a fuller group or a later group waits longer.
+    deadline_ms: float
+    group_left: abc.Callable[[], int]
+    group_index: int
+    avoid: set[str]
+    granted: asyncio.Future
+
+
+def get_order(one: Waiting) -> tuple[float, int, int]:
+    """Return the order key: oldest job, then groups nearest to whole."""
+    return (one.deadline_ms, one.group_left(), one.group_index)
+
+
+class Scheduler:
+    """Hold the waiting items of all jobs of this instance."""
+
+    def __init__(self, registry: registries.Registry):
+        self.registry = registry
+        self.waiting: list[Waiting] = []
+
+    async def acquire(self, waiting: Waiting) -> endpoints.EndpointState:
+        """Return the engine with a place taken for the item."""
+        self.waiting.append(waiting)
+        self.dispatch()
+        try:
+            return await waiting.granted
+        except asyncio.CancelledError:
+            if waiting.granted.done() and not waiting.granted.cancelled():
+                self.release(waiting.granted.result())
+            raise
+        finally:
+            if waiting in self.waiting:
+                self.waiting.remove(waiting)
+
+    def release(self, state: endpoints.EndpointState) -> None:
+        """Give a place back."""
+        state.in_flight -= 1
+        self.dispatch()
+
+    def dispatch(self) -> None:
+        """Give free places to waiting items in order."""
+        if not self.waiting:
+            return
+        now = asyncio.get_running_loop().time()
+        for one in sorted(self.waiting, key=get_order):
+            state = choice.choose_for_run(
+                self.registry.get_by_service(one.service),
+                one.avoid,
+                one.model,
+                one.min_version,
+                now,
+            )
+            if state is None or one.granted.done():
+                continue
+            state.in_flight += 1
+            self.waiting.remove(one)
+            one.granted.set_result(state)
+
+    def find_faster(
+        self, state: endpoints.EndpointState, waiting: Waiting
+    ) -> bool:
+        """Say whether a run on a slow engine should move to another one."""
+        if self.waiting or state.pace_ms == 0.0:
+            return False
+        now = asyncio.get_running_loop().time()
+        best = choice.choose_for_run(
+            self.registry.get_by_service(waiting.service),
+            {state.endpoint.id},
+            waiting.model,
+            waiting.min_version,
+            now,
+        )
+        if best is None or best.pace_ms == 0.0:
+            return False
+        return state.pace_ms > MOVE_FACTOR * best.pace_ms
--- a/pomelopass/message.py
+++ b/pomelopass/message.py
@@ -37,11 +37,20 @@
         headers: Headers,
         chunks: abc.AsyncGenerator[bytes, None],
         bytes_written: int,
+        abort: abc.Callable[[], None] | None = None,
     ):
         self.status = status
         self.headers = headers
         self.chunks = chunks
         self.bytes_written = bytes_written
+        self.abort = abort
+
+    async def close(self) -> None:
+        """Give the rest of the reply up and close its connection."""
+        await self.chunks.aclose()
+        # A generator that never began runs no clean-up of its own.
+        if self.abort is not None:
+            self.abort()
 
     async def read(self, limit: int) -> bytes:
         """Return the whole body; raise ExchangeError past the limit."""
--- /dev/null
+++ b/pomelopass/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Translate between the product and the users' platform."""
--- /dev/null
+++ b/pomelopass/platform/endpointdecode.py
@@ -0,0 +1,68 @@
+"""Decode the entries by which endpoints register themselves."""
+
+from typing import Literal
+
+import pydantic
+from returns import result
+
+from ..registry import endpoint
+
+__all__ = ['decode_endpoint', 'decode_report']
+
+
+class _Model(pydantic.BaseModel):
+    name: str
+    version: int = 0
+
+
+class _Entry(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(strict=True)
+
+    service: str
+    address: str
+    zone: str
+    slots: int
+    state: Literal['ready', 'draining']
+    models: list[_Model] = []
+    born: int = 0
+
+
+class _Report(pydantic.BaseModel):
+    models: list[_Model] = []
+    busy: bool = False
+    seq: int = 0
+    in_flight: int = 0
+    queue_depth: int = 0
+
+
+def decode_endpoint(
+    endpoint_id: str, value: bytes
+) -> result.Result[endpoint.Endpoint, str]:
+    """Return the endpoint, or why the entry names none."""
+    try:
+        found = _Entry.model_validate_json(value)
+    except pydantic.ValidationError as error:
+        return result.Failure(str(error.errors()[0]['msg']))
+    host, _, port = found.address.rpartition(':')
+    if not host or not port.isdecimal():
+        return result.Failure('The address is not IP:PORT')
+    return result.Success(
+        endpoint.Endpoint(
+            id=endpoint_id,
+            service=found.service,
+            address=found.address,
+            availability_zone=found.zone,
+            slots=found.slots,
+            is_draining=found.state == 'draining',
+            version_by_model={one.name: one.version for one in found.models},
+            started_at_ms=found.born,
+        )
+    )
+
+
+def decode_report(value: bytes) -> result.Result[_Report, str]:
+    """Return the state that an endpoint reports on request."""
+    try:
+        return result.Success(_Report.model_validate_json(value))
+    except pydantic.ValidationError as error:
+        return result.Failure(str(error.errors()[0]['msg']))
--- /dev/null
+++ b/pomelopass/platform/ingress.py
@@ -0,0 +1,256 @@
+"""Translate calls of the platform's callers and trainers."""
+
+import asyncio
+from collections import abc
+import dataclasses
+import urllib.parse
+
+import orjson
+
+from . import jobdecode
+from . import names
+from .. import message
+from ..fleet import directory
+from ..fleet import member
+from ..jobs import desk as desks
+from ..requests import call as calls
+from ..requests import forward
+from ..requests import routes
+from ..requests import stream as streams
+from ..table import rows
+
+__all__ = ['Ingress', 'make_refusal']
+
+RETRY_AFTER_S = 0.5
+HOP_HEADERS = frozenset(
+    (
+        'connection',
+        'keep-alive',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+        'content-length',
+        'host',
+        'expect',
+    )
+)
+OWN_HEADERS = frozenset(
+    (
+        names.REQUEST_ID,
+        names.DEADLINE_MS,
+        names.EXPECTED_ENDPOINT,
+        names.LAST_EVENT_ID,
+    )
+)
+MAX_WAIT_MS = 1000.0
+STATUS_BY_ACCEPTANCE = {
+    desks.Acceptance.ACCEPTED: 202,
+    desks.Acceptance.NOT_ACCEPTED: 503,
+    # 504 promises nothing: the job may be accepted still.
+    desks.Acceptance.UNKNOWN: 504,
+}
+STATUS_BY_OUTCOME = {
+    forward.OutcomeKind.NOT_RUN: 503,
+    forward.OutcomeKind.MAY_HAVE_RUN: 502,
+    forward.OutcomeKind.TIMED_OUT: 504,
+}
+
+
+@dataclasses.dataclass(slots=True)
+class Ingress:
+    """Hold what answers each kind of call."""
+
+    get_configuration: abc.Callable[[], routes.Configuration | None]
+    forwarder: forward.Forwarder
+    streams: streams.StreamForwarder
+    desk: desks.Desk
+    get_members: abc.Callable[[], list[member.Member]]
+    is_ready: abc.Callable[[], bool]
+    directory_ttl_s: float
+    write_event: abc.Callable[..., None]
+
+    async def handle_readiness(
+        self, request: message.Request
+    ) -> message.Reply:
+        """Answer the platform's own checks."""
+        if _get_path(request) != names.READINESS_PATH:
+            return make_refusal(404, 'There is no such path.')
+        if not self.is_ready():
+            return make_refusal(503, 'The instance is not ready.')
+        return message.Reply(200, (), b'')
+
+    async def handle_directory(
+        self, request: message.Request
+    ) -> message.Reply:
+        """Tell a caller which addresses to use."""
+        if _get_path(request) != names.DIRECTORY_PATH:
+            return make_refusal(404, 'There is no such path.')
+        query = _get_query(request)
+        addresses = directory.choose_addresses(
+            self.get_members(), query.get('zone', '')
+        )
+        if not addresses:
+            return make_refusal(503, 'No instance is known yet.')
+        return _make_json(
+            {'addresses': addresses, 'ttl_s': self.directory_ttl_s}
+        )
+
+    async def handle(self, request: message.Request) -> message.Reply:
+        """Answer a caller or a trainer."""
+        path = _get_path(request)
+        if path.startswith(names.JOB_PATH):
+            return await self._handle_job(request, path)
+        if path.startswith(names.ITEM_PATH):
+            return await self._read_item(request, path)
+        configuration = self.get_configuration()
+        if configuration is None:
+            return make_refusal(503, 'No configuration is known yet.')
+        host = message.find_header(request.headers, 'host') or ''
+        route = routes.find_route(configuration, host, path)
+        if route is None:
+            return make_refusal(404, 'No route matches.')
+        request_id = message.find_header(request.headers, names.REQUEST_ID)
+        if request_id is None:
+            return make_refusal(400, 'The request has no id.')
+        if route.repeat is routes.Repeat.JOBS:
+            return await self._submit(request, request_id, host)
+        return await self._forward(request, request_id, host, route)
+
+    async def _forward(
+        self,
+        request: message.Request,
+        request_id: str,
+        host: str,
+        route: routes.Route,
+    ) -> message.Reply:
+        call = _make_call(request, request_id, host)
+        if route.repeat is routes.Repeat.STREAMING:
+            outcome = await self.streams.open_stream(call, route)
+            if isinstance(outcome, message.Reply):
+                return outcome
+        else:
+            outcome = await self.forwarder.forward(call, route)
+        if outcome.kind is forward.OutcomeKind.ANSWERED:
+            return message.Reply(outcome.status, outcome.headers, outcome.body)
+        status = STATUS_BY_OUTCOME[outcome.kind]
+        return make_refusal(
+            status,
+            f'No answer: {outcome.reason}.',
+            outcome.retry_after_ms / 1000 or RETRY_AFTER_S,
+        )
+
+    async def _submit(
+        self, request: message.Request, job_id: str, host: str
+    ) -> message.Reply:
+        if request.method != 'POST':
+            return make_refusal(405, 'Submit a job with POST.')
+        found = jobdecode.decode_submission(job_id, host, request)
+        submission = found.value_or(None)
+        if submission is None:
+            self.write_event('job-refused', job=job_id, why=found.failure())
+            return make_refusal(400, found.failure())
+        # The job is settled even if its trainer stops waiting.
+        outcome = await asyncio.shield(
+            asyncio.ensure_future(self.desk.accept(submission))
+        )
+        status = STATUS_BY_ACCEPTANCE[outcome]
+        if status == 202:
+            return message.Reply(202, (), b'')
+        return make_refusal(status, 'The table service did not answer.')
+
+    async def _handle_job(
+        self, request: message.Request, path: str
+    ) -> message.Reply:
+        job_id = urllib.parse.unquote(path.removeprefix(names.JOB_PATH))
+        try:
+            if request.method == 'DELETE':
+                if await self.desk.end(job_id):
+                    return message.Reply(200, (), b'')
+                return make_refusal(404, 'There is no such job.')
+            first = int(_get_query(request).get('after', '0'))
+            wait = message.find_header(request.headers, names.WAIT_MS)
+            wait_ms = min(float(wait or 0), MAX_WAIT_MS)
+            page = await self.desk.read(job_id, max(first, 0), wait_ms)
+        except ValueError:
+            return make_refusal(400, 'A number is not a number.')
+        except rows.TableError as error:
+            return make_refusal(503, f'The state is unknown: {error.detail}.')
+        if page is None:
+            return make_refusal(404, 'There is no such job.')
+        return message.Reply(
+            200,
+            (('content-type', 'application/json'),),
+            jobdecode.encode_page(page),
+        )
+
+    async def _read_item(
+        self, request: message.Request, path: str
+    ) -> message.Reply:
+        job_id = urllib.parse.unquote(path.removeprefix(names.ITEM_PATH))
+        item_id = _get_query(request).get('id', '')
+        try:
+            body = await self.desk.read_item(job_id, item_id)
+        except rows.TableError as error:
+            return make_refusal(503, f'The state is unknown: {error.detail}.')
+        if body is None:
+            return make_refusal(404, 'There is no such item.')
+        headers = (('content-type', 'application/octet-stream'),)
+        return message.Reply(200, headers, body)
+
+
+def make_refusal(
+    status: int, detail: str, retry_after_s: float = RETRY_AFTER_S
+) -> message.Reply:
+    """Return an answer of the instance itself."""
+    headers = [('content-type', 'application/json')]
+    if status in (429, 503):
+        headers.append(('retry-after', f'{retry_after_s:.2f}'))
+    return message.Reply(
+        status, tuple(headers), orjson.dumps({'error': detail})
+    )
+
+
+def _make_call(
+    request: message.Request, request_id: str, host: str
+) -> calls.Call:
+    deadline = message.find_header(request.headers, names.DEADLINE_MS)
+    deadline_at = None
+    if deadline is not None and deadline.isdecimal():
+        now = asyncio.get_running_loop().time()
+        deadline_at = now + int(deadline) / 1000
+    named = message.find_header(request.headers, 'connection') or ''
+    dropped = {one.strip().lower() for one in named.split(',')}
+    return calls.Call(
+        id=request_id,
+        host=host,
+        method=request.method,
+        target=request.target,
+        headers=tuple(
+            one
+            for one in request.headers
+            if one[0] not in HOP_HEADERS
+            and one[0] not in OWN_HEADERS
+            and one[0] not in dropped
+        ),
+        body=request.body,
+        deadline_at=deadline_at,
+        last_event_id=message.find_header(
+            request.headers, names.LAST_EVENT_ID
+        ),
+    )
+
+
+def _make_json(value: object) -> message.Reply:
+    headers = (('content-type', 'application/json'),)
+    return message.Reply(200, headers, orjson.dumps(value))
+
+
+def _get_path(request: message.Request) -> str:
+    return request.target.partition('?')[0]
+
+
+def _get_query(request: message.Request) -> dict[str, str]:
+    query = request.target.partition('?')[2]
+    return dict(urllib.parse.parse_qsl(query))
--- /dev/null
+++ b/pomelopass/platform/names.py
@@ -0,0 +1,33 @@
+"""Name the headers, paths and tables of the platform."""
+
+REQUEST_ID = 'attempt-id'
+DEADLINE_MS = 'deadline-ms'
+# The id of the only endpoint that may run the request.
+EXPECTED_ENDPOINT = 'expect-instance'
+ENDPOINT_ID = 'instance-id'
+# Running, waiting and slots, and how slow the machine is in percent.
+ENDPOINT_LOAD = 'instance-load'
+SIGNATURE = 'server-stamp'
+NOT_RUN = 'not-executed'
+LAST_EVENT_ID = 'last-event-id'
+WEIGHT_VERSION = 'weight-versions'
+WAIT_MS = 'wait-ms'
+PREFIX_PARTS = 'prompt-prefix'
+
+READINESS_PATH = '/-/readiness'
+DIRECTORY_PATH = '/-/resolve'
+JOB_PATH = '/-/lots/'
+ITEM_PATH = '/-/items/'
+ORDER_PATH = '/-/order'
+REPORT_PATH = '/-/report'
+
+TRANSACTION_PATH = '/-/rows-tx'
+READ_PATH = '/-/rows-get'
+PARTS_PATH = '/-/rows-parts'
+FEED_PATH = '/-/rows-feed'
+
+OPERATOR_TABLE = 'op'
+ENDPOINT_TABLE = 'servers'
+CONFIG_KEY = 'config'
+VERSION_KEY_START = 'version/'
+SETTINGS_VARIABLE = 'POMELOPASS_SETTINGS'
--- /dev/null
+++ b/pomelopass/registry/__init__.py
@@ -0,0 +1,1 @@
+"""Know the endpoints, their load and what they did for us."""
--- /dev/null
+++ b/pomelopass/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Carry requests of callers to endpoints and answers back."""
--- /dev/null
+++ b/pomelopass/requests/forward.py
@@ -0,0 +1,289 @@
+"""Carry one request to endpoints until one gives a whole answer."""
+
+import asyncio
+import dataclasses
+import enum
+import random
+from collections import abc
+
+from . import call as calls
+from . import routes
+from .. import message
+from ..registry import choice
+from ..registry import endpoint as endpoints
+from ..registry import registry as registries
+
+__all__ = ['Forwarder', 'Outcome', 'OutcomeKind']
+
+MAX_ANSWER_BYTES = 33_554_432
+# Part of the aim after which a second endpoint is asked as well.
+HEDGE_SHARE = 0.45
+MIN_HEDGE_MS = 60.0
+# Pause after all endpoints refused, so that their queues can move.
+FULL_PAUSE_MS = 25.0
+# Part of the time left that a request waits while all endpoints refuse.
+FULL_WAIT_SHARE = 0.6
+NO_ENDPOINT_RETRY_MS = 500.0
+# Time kept back for the answer to reach the caller before it gives up.
+ANSWER_MARGIN_MS = 25.0
+
+
+class OutcomeKind(enum.Enum):
+    """Say how a request ended."""
+
+    ANSWERED = 'answered'
+    NOT_RUN = 'not-run'
+    MAY_HAVE_RUN = 'may-have-run'
+    TIMED_OUT = 'timed-out'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outcome:
+    """Hold the answer to pass on, or why there is none."""
+
+    kind: OutcomeKind
+    reason: str = ''
+    status: int = 0
+    headers: message.Headers = ()
+    body: bytes = b''
+    signature: str | None = None
+    errors: int = 0
+    retry_after_ms: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Attempt:
+    endpoint_id: str
+    not_run: bool
+    outcome: Outcome | None = None
+    reason: str = ''
+
+
+@dataclasses.dataclass(slots=True)
+class _Progress:
+    call: calls.Call
+    route: routes.Route
+    service: str
+    give_up_at: float
+    may_have_run: int = 0
+    errors: int = 0
+    tried: set[str] = dataclasses.field(default_factory=set)
+    refused: set[str] = dataclasses.field(default_factory=set)
+    last: Outcome | None = None
+    reason: str = ''
+
+
+class Forwarder:
+    """Send requests to the endpoints of their route's service."""
+
+    def __init__(
+        self,
+        registry: registries.Registry,
+        port: calls.EndpointPort,
+        availability_zone: str,
+        rng: random.Random,
+        write_event: abc.Callable[..., None],
+    ):
+        self.registry = registry
+        self.port = port
+        self.availability_zone = availability_zone
+        self.rng = rng
+        self.write_event = write_event
+
+    async def forward(self, call: calls.Call, route: routes.Route) -> Outcome:
+        """Return the answer to a request that is not streamed."""
+        now = asyncio.get_running_loop().time()
+        limit = now + route.timeout_ms / 1000
+        if call.deadline_at is not None:
+            limit = min(limit, call.deadline_at)
+        call = dataclasses.replace(call, deadline_at=limit)
+        service = routes.choose_service(route, self.rng)
+        give_up_at = limit - ANSWER_MARGIN_MS / 1000
+        progress = _Progress(call, route, service, give_up_at)
+        outcome = await self._run(progress)
+        self._tell(progress, outcome, now)
+        return outcome
+
+    async def _run(self, progress: _Progress) -> Outcome:
+        now = asyncio.get_running_loop().time()
+        full_until = now + (progress.give_up_at - now) * FULL_WAIT_SHARE
+        idempotent = progress.route.repeat is routes.Repeat.IDEMPOTENT
+        tasks: set[asyncio.Task] = set()
+        try:
+            while True:
+                now = asyncio.get_running_loop().time()
+                if now >= progress.give_up_at:
+                    return self._give_up(progress, bool(tasks))
+                if not tasks:
+                    state = self._choose(progress)
+                    if state is None and progress.refused:
+                        if now >= full_until:
+                            return self._give_up(progress, False)
+                        progress.refused.clear()
+                        await asyncio.sleep(FULL_PAUSE_MS / 1000)
+                        continue
+                    if state is None:
+                        return self._give_up(progress, False)
+                    tasks.add(self._start(progress, state))
+                wait_s = self._get_wait_s(progress, tasks, idempotent, now)
+                done, _ = await asyncio.wait(
+                    tasks,
+                    timeout=wait_s,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                tasks -= done
+                outcome = self._take(progress, done)
+                if outcome is not None:
+                    return outcome
+                if not done and len(tasks) == 1 and idempotent:
+                    self._hedge(progress, tasks)
+                if not tasks and not self._may_go_on(progress, idempotent):
+                    return self._give_up(progress, False)
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _get_wait_s(
+        self,
+        progress: _Progress,
+        tasks: set[asyncio.Task],
+        idempotent: bool,
+        now: float,
+    ) -> float:
+        left = progress.give_up_at - now
+        if not idempotent or len(tasks) > 1:
+            return left
+        hedge_ms = max(progress.route.aim_ms * HEDGE_SHARE, MIN_HEDGE_MS)
+        return min(left, hedge_ms / 1000)
+
+    def _hedge(self, progress: _Progress, tasks: set[asyncio.Task]) -> None:
+        sent = progress.may_have_run + len(tasks)
+        if sent >= progress.route.max_attempts:
+            return
+        state = self._choose(progress)
+        if state is not None and state.endpoint.id not in progress.tried:
+            tasks.add(self._start(progress, state))
+
+    def _may_go_on(self, progress: _Progress, idempotent: bool) -> bool:
+        if not idempotent:
+            return progress.may_have_run == 0
+        return progress.may_have_run < progress.route.max_attempts
+
+    def _choose(self, progress: _Progress) -> endpoints.EndpointState | None:
+        now = asyncio.get_running_loop().time()
+        states = self.registry.get_by_service(progress.service)
+        fresh = progress.tried | progress.refused
+        found = choice.choose_for_call(
+            states, fresh, self.availability_zone, now
+        )
+        if found is None and not progress.refused:
+            # Each endpoint failed once; another try is still allowed.
+            found = choice.choose_for_call(
+                states, (), self.availability_zone, now
+            )
+        return found
+
+    def _start(
+        self, progress: _Progress, state: endpoints.EndpointState
+    ) -> asyncio.Task:
+        progress.tried.add(state.endpoint.id)
+        return asyncio.ensure_future(self._attempt(progress, state))
+
+    async def _attempt(
+        self, progress: _Progress, state: endpoints.EndpointState
+    ) -> _Attempt:
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        endpoint_id = state.endpoint.id
+        fresh = progress.route.repeat is not routes.Repeat.IDEMPOTENT
+        state.in_flight += 1
+        answer = None
+        whole = False
+        try:
+            answer = await self.port.open(
+                state.endpoint,
+                progress.call,
+                (progress.give_up_at - began) * 1000,
+                fresh=fresh,
+            )
+            body = await self.port.read(answer, MAX_ANSWER_BYTES)
+            whole = True
+        except calls.CallFailedError as error:
+            endpoints.note_failure(state, loop.time())
+            return _Attempt(
+                endpoint_id, not error.may_have_run, reason=error.kind
+            )
+        finally:
+            state.in_flight -= 1
+            if answer is not None and not whole:
+                await answer.reply.close()
+        if answer.load is not None:
+            endpoints.note_load(state, answer.load, loop.time())
+        if answer.not_run:
+            return _Attempt(endpoint_id, True, reason='endpoint-refused')
+        if 200 <= answer.status < 300 and answer.signature is None:
+            endpoints.note_failure(state, loop.time())
+            return _Attempt(endpoint_id, False, reason='no-signature')
+        if answer.status < 500:
+            took_ms = (loop.time() - began) * 1000
+            endpoints.note_success(state, took_ms, loop.time())
+        outcome = Outcome(
+            OutcomeKind.ANSWERED,
+            '',
+            answer.status,
+            answer.headers,
+            body,
+            answer.signature,
+        )
+        return _Attempt(endpoint_id, False, outcome)
+
+    def _take(
+        self, progress: _Progress, done: abc.Iterable[asyncio.Task]
+    ) -> Outcome | None:
+        for task in done:
+            attempt = task.result()
+            progress.reason = attempt.reason or progress.reason
+            if attempt.not_run:
+                progress.tried.discard(attempt.endpoint_id)
+                progress.refused.add(attempt.endpoint_id)
+                continue
+            progress.may_have_run += 1
+            if attempt.outcome is None:
+                continue
+            if attempt.outcome.status < 500:
+                return dataclasses.replace(
+                    attempt.outcome, errors=progress.errors
+                )
+            progress.errors += 1
+            progress.last = attempt.outcome
+        return None
+
+    def _give_up(self, progress: _Progress, pending: bool) -> Outcome:
+        if progress.last is not None:
+            return dataclasses.replace(progress.last, errors=progress.errors)
+        if pending:
+            return Outcome(OutcomeKind.TIMED_OUT, 'timeout')
+        if progress.may_have_run:
+            return Outcome(OutcomeKind.MAY_HAVE_RUN, progress.reason)
+        return Outcome(
+            OutcomeKind.NOT_RUN,
+            progress.reason or 'no-endpoint',
+            retry_after_ms=NO_ENDPOINT_RETRY_MS,
+        )
+
+    def _tell(
+        self, progress: _Progress, outcome: Outcome, began: float
+    ) -> None:
+        took_ms = (asyncio.get_running_loop().time() - began) * 1000
+        self.write_event(
+            'request-ended',
+            id=progress.call.id,
+            route=progress.route.name,
+            outcome=outcome.kind.value,
+            status=outcome.status,
+            reason=outcome.reason,
+            endpoints=sorted(progress.tried),
+            may_have_run=progress.may_have_run,
+            took_ms=round(took_ms, 1),
+        )
--- /dev/null
+++ b/pomelopass/requests/routes.py
@@ -0,0 +1,89 @@
+"""Describe the configuration in force and find the route of a request."""
+
+import dataclasses
+import enum
+import random
+
+__all__ = ['Configuration', 'Repeat', 'Route', 'ServiceTarget', 'find_route']
+
+
+class Repeat(enum.Enum):
+    """Say what may be repeated of the requests of a route."""
+
+    IDEMPOTENT = 'idempotent'
+    NON_IDEMPOTENT = 'non-idempotent'
+    STREAMING = 'streaming'
+    JOBS = 'jobs'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Share:
+    """Give a service its weight among those of a route."""
+
+    service: str
+    weight: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Route:
+    """Say where requests of a host and path go and within what bounds."""
+
+    name: str
+    host: str
+    path_prefix: str
+    repeat: Repeat
+    shares: tuple[Share, ...]
+    timeout_ms: float
+    aim_ms: float
+    max_attempts: int
+    resumable: bool = False
+    single_version: bool = False
+    job_deadline_ms: float = 0.0
+    item_ttl_ms: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceTarget:
+    """Hold what the configuration says of a service."""
+
+    name: str
+    models: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerLimits:
+    """Bound what callers may send."""
+
+    max_head_bytes: int
+    max_body_bytes: int
+    head_timeout_ms: float
+    idle_timeout_ms: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Configuration:
+    """Hold one version of all routes and services."""
+
+    version: int
+    routes_by_host: dict[str, tuple[Route, ...]]
+    service_by_name: dict[str, ServiceTarget]
+    limits: CallerLimits
+
+
+def find_route(
+    configuration: Configuration, host: str, path: str
+) -> Route | None:
+    """Return the route with the longest prefix of the path."""
+    for route in configuration.routes_by_host.get(host.lower(), ()):
+        if path.startswith(route.path_prefix):
+            return route
+    return None
+
+
+def choose_service(route: Route, rng: random.Random) -> str:
+    """Return a service of the route by weight."""
+    if len(route.shares) == 1:
+        return route.shares[0].service
+    names = [one.service for one in route.shares]
+    weights = [one.weight for one in route.shares]
+    return rng.choices(names, weights)[0]
--- /dev/null
+++ b/pomelopass/table/__init__.py
@@ -0,0 +1,1 @@
+"""Reach the shared table service: directly, or through a peer."""
--- /dev/null
+++ b/pomelopass/table/fallback.py
@@ -0,0 +1,89 @@
+"""Use the table service directly while it serves us, else through peers."""
+
+import asyncio
+from collections import abc
+from typing import Any
+
+from . import rows
+
+__all__ = ['FallbackTable']
+
+# Direct calls that fail in a row before calls go through peers.
+FAILURES_TO_FALL_BACK = 2
+# Time between two direct tries while calls go through peers.
+RETRY_DIRECT_MS = 400
+
+
+class FallbackTable:
+    """Choose the way of each call; remember whether the direct one works."""
+
+    def __init__(
+        self,
+        direct: rows.RowTable,
+        relayed: rows.RowTable,
+        write_event: abc.Callable[..., None],
+    ):
+        self.direct = direct
+        self.relayed = relayed
+        self.write_event = write_event
+        self.failures_in_row = 0
+        self.next_direct_at = 0.0
+        self.last_success_at = 0.0
+        self.last_failure_at = float('-inf')
+
+    async def read(self, wanted: rows.Range) -> rows.Page:
+        """Return rows of one part."""
+        return await self._call(lambda table: table.read(wanted))
+
+    async def list_parts(self, table: str) -> tuple[str, ...]:
+        """Return the names of all parts of a table."""
+        return await self._call(lambda one: one.list_parts(table))
+
+    async def transact(
+        self, transaction: rows.Transaction
+    ) -> rows.Applied | rows.Conflict:
+        """Apply a transaction or return the rows that differ."""
+        return await self._call(lambda table: table.transact(transaction))
+
+    async def follow(
+        self, table: str, after: int, wait_ms: int
+    ) -> rows.Changes:
+        """Wait for changes; raise HistoryLostError for an old version."""
+        return await self._call(lambda one: one.follow(table, after, wait_ms))
+
+    async def _call(
+        self, run: abc.Callable[[rows.RowTable], abc.Awaitable[Any]]
+    ) -> Any:
+        now = asyncio.get_running_loop().time()
+        fallen_back = self.failures_in_row >= FAILURES_TO_FALL_BACK
+        if not fallen_back or now >= self.next_direct_at:
+            self.next_direct_at = now + RETRY_DIRECT_MS / 1000
+            try:
+                answer = await run(self.direct)
+            except rows.HistoryLostError:
+                self._note_success()
+                raise
+            except rows.TableError as error:
+                self._note_failure(error)
+                # A write that may have run is not sent another way: its
+                # sender decides, since only the sender knows its condition.
+                if error.may_have_run or not fallen_back:
+                    raise
+            else:
+                self._note_success()
+                return answer
+        answer = await run(self.relayed)
+        self.last_success_at = asyncio.get_running_loop().time()
+        return answer
+
+    def _note_success(self) -> None:
+        if self.failures_in_row >= FAILURES_TO_FALL_BACK:
+            self.write_event('table-regained')
+        self.failures_in_row = 0
+        self.last_success_at = asyncio.get_running_loop().time()
+
+    def _note_failure(self, error: rows.TableError) -> None:
+        self.failures_in_row += 1
+        self.last_failure_at = asyncio.get_running_loop().time()
+        if self.failures_in_row == FAILURES_TO_FALL_BACK:
+            self.write_event('table-lost', detail=error.detail)
--- /dev/null
+++ b/pomelopass/table/follower.py
@@ -0,0 +1,112 @@
+"""Mirror the rows of one table by following its changes."""
+
+import asyncio
+from collections import abc
+import random
+
+from . import rows
+
+__all__ = ['Follower']
+
+WAIT_MS = 1500
+RETRY_MS = 150
+RETRY_JITTER = 0.5
+
+OnRow = abc.Callable[[rows.Row], None]
+
+
+class Follower:
+    """Hold the rows of a table and how fresh they are."""
+
+    def __init__(
+        self,
+        table: rows.RowTable,
+        name: str,
+        parts: tuple[str, ...],
+        on_row: OnRow,
+        rng: random.Random,
+        rest_ms: float = 0.0,
+    ):
+        self.table = table
+        self.name = name
+        self.parts = parts
+        self.on_row = on_row
+        self.rng = rng
+        self.rest_ms = rest_ms
+        self.row_by_key: dict[rows.Key, rows.Row] = {}
+        self.version = 0
+        self.loaded = False
+        self.fresh_at = float('-inf')
+        self.changed = asyncio.Event()
+
+    def get_age_ms(self) -> float:
+        """Return the time since the service last answered."""
+        now = asyncio.get_running_loop().time()
+        return (now - self.fresh_at) * 1000
+
+    async def run(self) -> None:
+        """Follow the table until cancelled."""
+        while True:
+            try:
+                if not self.loaded:
+                    await self._load()
+                await self._step()
+            except rows.HistoryLostError:
+                self.loaded = False
+            except rows.TableError:
+                jitter = 1 + RETRY_JITTER * self.rng.random()
+                await asyncio.sleep(RETRY_MS * jitter / 1000)
+            if self.rest_ms:
+                await asyncio.sleep(self.rest_ms / 1000)
+
+    def take(self, row: rows.Row) -> None:
+        """Take in one row unless a newer one is known."""
+        known = self.row_by_key.get(row.name)
+        if known is not None and known.version >= row.version:
+            return
+        if row.value is None:
+            self.row_by_key.pop(row.name, None)
+            if known is None:
+                return
+        else:
+            self.row_by_key[row.name] = row
+        self.on_row(row)
+
+    async def _load(self) -> None:
+        found: dict[rows.Key, rows.Row] = {}
+        first_version = None
+        asked_at = asyncio.get_running_loop().time()
+        for part in self.parts:
+            start = ''
+            while True:
+                page = await self.table.read(
+                    rows.Range(self.name, part, start)
+                )
+                if first_version is None:
+                    first_version = page.version
+                found.update({row.name: row for row in page.rows})
+                if not page.has_more or not page.rows:
+                    break
+                start = page.rows[-1].name.key + '\0'
+        for name in [key for key in self.row_by_key if key not in found]:
+            self.take(rows.Row(name, None, first_version))
+        for row in found.values():
+            self.take(row)
+        # A row may have changed while later parts were read.
+        self.version = max(self.version, first_version or 0)
+        self.loaded = True
+        self.fresh_at = asked_at
+        self._wake()
+
+    async def _step(self) -> None:
+        changes = await self.table.follow(self.name, self.version, WAIT_MS)
+        for row in changes.rows:
+            self.take(row)
+        self.version = max(self.version, changes.version)
+        self.fresh_at = asyncio.get_running_loop().time()
+        if changes.rows:
+            self._wake()
+
+    def _wake(self) -> None:
+        self.changed.set()
+        self.changed = asyncio.Event()
--- /dev/null
+++ b/pomelopass/versions/__init__.py
@@ -0,0 +1,1 @@
+"""Bring the weights of model engines to the named versions."""
--- a/pomelopass/wire/gen/__init__.py
+++ b/pomelopass/wire/gen/__init__.py
@@ -1,1 +1,1 @@
-"""Hold the code that thrift generates from peer.thrift."""
+"""Hold the code that thrift generates from the files beside it."""
