--- a/pomelopass/edges/httpclient.py
+++ b/pomelopass/edges/httpclient.py
@@ -11,6 +11,8 @@
 
 CONNECT_TIMEOUT_MS = 1000
 IDLE_LIMIT_MS = 5000
+# Idle connections older than this are closed whatever their server told.
+TOLD_IDLE_LIMIT_MS = 60_000
 MAX_IDLE_PER_ADDRESS = 32
 READ_BYTES = 65_536
 # Time between the decision to reuse a connection and the arrival of bytes.
@@ -233,7 +235,7 @@
         name, _, number = part.strip().partition('=')
         if name.lower() == 'timeout' and number.isdecimal():
             told_ms = int(number) * 1000 - KEEP_ALIVE_MARGIN_MS
-            return min(float(told_ms), float(IDLE_LIMIT_MS))
+            return min(float(told_ms), float(TOLD_IDLE_LIMIT_MS))
     return float(IDLE_LIMIT_MS)
 
 
--- a/pomelopass/entry/node.py
+++ b/pomelopass/entry/node.py
@@ -36,8 +36,8 @@
 
 HOUSEKEEPING_EVERY_MS = 50.0
 # Pause after each answer about rows that change with every heartbeat.
-BUSY_TABLE_REST_MS = 120.0
-JOB_TABLE_REST_MS = 15.0
+BUSY_TABLE_REST_MS = 250.0
+JOB_TABLE_REST_MS = 60.0
 # Silence of the table service that counts as an outage.
 OUTAGE_MS = 1200.0
 
@@ -195,10 +195,9 @@
             make(
                 beats.MEMBER_TABLE,
                 ('',),
-                self._put_member_row,
+                self._put_fleet_row,
                 BUSY_TABLE_REST_MS,
             ),
-            make(leader.DUTY_TABLE, ('',), self.versions.note_leader),
             make(
                 rowcodec.JOB_TABLE,
                 rowcodec.PARTS,
@@ -216,9 +215,13 @@
         recent = (now - self.outage_ended_at) * 1000 < registries.RETURN_MS
         self.registry.remove(endpoint_id, now, self.in_outage or recent)
 
-    def _put_member_row(self, row: rows.Row) -> None:
+    def _put_fleet_row(self, row: rows.Row) -> None:
+        key = row.name.key
+        if key.startswith(leader.KEY_START):
+            self.versions.note_leader(row)
+            return
         if row.value is None:
-            self.membership.remove(row.name.key)
+            self.membership.remove(key.removeprefix(beats.KEY_START))
             return
         found = member.decode_member(row.value)
         if found is None:
--- a/pomelopass/fleet/beats.py
+++ b/pomelopass/fleet/beats.py
@@ -10,7 +10,8 @@
 
 __all__ = ['MEMBER_TABLE', 'Heartbeat']
 
-MEMBER_TABLE = 'members'
+MEMBER_TABLE = 'fleet'
+KEY_START = 'member/'
 BEAT_EVERY_MS = 500.0
 JITTER = 0.2
 
@@ -55,7 +56,7 @@
             beat=self.own.beat + 1,
             runs_by_endpoint=self.get_runs(),
         )
-        key = rows.Key(MEMBER_TABLE, '', self.own.name)
+        key = rows.Key(MEMBER_TABLE, '', f'{KEY_START}{self.own.name}')
         transaction = rows.Transaction(
             expected=((key, self.version),),
             puts=((key, member.encode_member(self.own)),),
--- a/pomelopass/jobs/desk.py
+++ b/pomelopass/jobs/desk.py
@@ -58,10 +58,11 @@
         if self.keeper.get(submission.id) is not None:
             return Acceptance.ACCEPTED
         puts = rowcodec.encode_submission(submission)
+        owner, owner_name = self.keeper.choose_owner(submission)
         record = jobs.JobRecord(
             id=submission.id,
-            owner=self.keeper.incarnation,
-            owner_name=self.keeper.name,
+            owner=owner,
+            owner_name=owner_name,
             total=len(submission.items),
             chunks=len(puts),
             accepted_ms=self.get_table_ms(),
@@ -90,6 +91,7 @@
             items=len(submission.items),
             min_version=submission.min_version,
             outcome=outcome.value,
+            owner=owner_name,
         )
         return outcome
 
--- a/pomelopass/jobs/itemrun.py
+++ b/pomelopass/jobs/itemrun.py
@@ -189,7 +189,7 @@
             # The body of a refusal is read so that its connection is kept.
             await answer.reply.read(1_048_576)
             whole = True
-            return _take_refusal(run, answer, route.max_attempts)
+            return _take_refusal(run, answer, state, route.max_attempts)
         if not _fits(context, run, route, answer.weight_version):
             run.restart()
             return 'version'
@@ -207,8 +207,14 @@
             await answer.reply.close()
 
 
-def _take_refusal(run: _Run, answer: calls.Answer, max_attempts: int) -> str:
+def _take_refusal(
+    run: _Run,
+    answer: calls.Answer,
+    state: endpoints.EndpointState,
+    max_attempts: int,
+) -> str:
     if answer.not_run:
+        endpoints.note_refusal(state, asyncio.get_running_loop().time())
         return 'endpoint-refused'
     if answer.status == UNPROCESSABLE_STATUS:
         run.terminated = True
--- a/pomelopass/jobs/keeper.py
+++ b/pomelopass/jobs/keeper.py
@@ -82,14 +82,27 @@
             known.stored = stored
         known.changed.set()
         known.changed = asyncio.Event()
-        if job_id in self.task_by_id and not self._is_ours(known):
+        ours = self._is_ours(known)
+        if job_id in self.task_by_id and not ours:
             self.task_by_id[job_id].cancel()
+        elif ours and not self.stopping and not known.busy:
+            self._check(job_id, known, asyncio.get_running_loop().time())
 
     def get(self, job_id: str) -> jobtable.StoredJob | None:
         """Return the last known state of a job."""
         known = self.known_by_id.get(job_id)
         return known.stored if known is not None else None
 
+    def choose_owner(self, submission: jobs.Submission) -> tuple[str, str]:
+        """Return the incarnation and the name that a new job goes to."""
+        now = asyncio.get_running_loop().time()
+        alive = self.membership.get_alive(now)
+        trainer = f'{submission.host}/{submission.model}'
+        name = adoption.choose_owner(trainer, alive, self.name)
+        if name == self.name:
+            return self.incarnation, self.name
+        return self.membership.member_by_name[name].incarnation, name
+
     async def wait_for_change(self, job_id: str, timeout_s: float) -> None:
         """Return when a job may have changed or the time is over."""
         known = self.known_by_id.get(job_id)
@@ -106,8 +119,9 @@
     ) -> None:
         """Run a job that this instance has just accepted."""
         self.submission_by_id[submission.id] = submission
+        if stored.record.owner == self.incarnation:
+            self._start_run(stored, submission, set())
         self.note(stored)
-        self._start_run(stored, submission, set())
 
     async def run(self) -> None:
         """Adopt jobs and clean up until cancelled."""
@@ -137,6 +151,8 @@
     def _check(self, job_id: str, known: _Known, now: float) -> None:
         record = known.stored.record
         if record.owner == self.incarnation:
+            if job_id in self.task_by_id:
+                return
             known.busy = True
             self._spawn(self._adopt(job_id, known, take=False))
             return
--- a/pomelopass/registry/endpoint.py
+++ b/pomelopass/registry/endpoint.py
@@ -8,6 +8,8 @@
 FIRST_REST_MS = 300.0
 LONGEST_REST_MS = 4000.0
 LOAD_FADE_MS = 1000.0
+FIRST_REFUSAL_REST_MS = 100.0
+LONGEST_REFUSAL_REST_MS = 400.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -47,6 +49,7 @@
     in_flight_elsewhere: int = 0
     pace_ms: float = 0.0
     failures_in_row: int = 0
+    refusals_in_row: int = 0
     resting_until: float = float('-inf')
     load: Load | None = None
     load_at: float = float('-inf')
@@ -68,7 +71,8 @@
 ) -> None:
     """Take in a whole answer and how long it took."""
     state.failures_in_row = 0
-    state.resting_until = now
+    state.refusals_in_row = 0
+    state.resting_until = min(state.resting_until, now)
     if pace_ms is None:
         return
     if state.pace_ms == 0.0:
@@ -84,6 +88,18 @@
     state.resting_until = max(state.resting_until, now + rest_ms / 1000)
 
 
+def note_refusal(state: EndpointState, now: float) -> None:
+    """Pass an engine over that is full or loads, longer each time."""
+    if state.is_resting(now):
+        return
+    rest_ms = min(
+        FIRST_REFUSAL_REST_MS * 2**state.refusals_in_row,
+        LONGEST_REFUSAL_REST_MS,
+    )
+    state.refusals_in_row += 1
+    state.resting_until = now + rest_ms / 1000
+
+
 def note_load(state: EndpointState, load: Load, now: float) -> None:
     """Take in a load report."""
     state.load = load
--- a/pomelopass/registry/registry.py
+++ b/pomelopass/registry/registry.py
@@ -67,14 +67,22 @@
             if one.endpoint.service == name and not one.endpoint.is_draining
         ]
 
-    def get_by_model(self, model: str) -> list[endpoints.EndpointState]:
-        """Return all endpoints that serve a model, leaving ones too."""
+    def get_all_by_service(self, name: str) -> list[endpoints.EndpointState]:
+        """Return all endpoints of a service, leaving ones too."""
         return [
             one
             for one in self.state_by_id.values()
-            if model in one.endpoint.version_by_model
+            if one.endpoint.service == name
         ]
 
+    def get_engine_services(self) -> set[str]:
+        """Return the services whose endpoints hold model weights."""
+        return {
+            one.endpoint.service
+            for one in self.state_by_id.values()
+            if one.endpoint.version_by_model
+        }
+
     def is_present(self, state: endpoints.EndpointState) -> bool:
         """Say whether this very incarnation still takes new work."""
         known = self.state_by_id.get(state.endpoint.id)
--- a/pomelopass/requests/forward.py
+++ b/pomelopass/requests/forward.py
@@ -262,7 +262,8 @@
     def _give_up(self, progress: _Progress, pending: bool) -> Outcome:
         if progress.last is not None:
             return dataclasses.replace(progress.last, errors=progress.errors)
-        if pending:
+        timed_out = progress.reason == 'timeout' and progress.may_have_run
+        if pending or timed_out:
             return Outcome(OutcomeKind.TIMED_OUT, 'timeout')
         if progress.may_have_run:
             return Outcome(OutcomeKind.MAY_HAVE_RUN, progress.reason)
--- a/pomelopass/table/follower.py
+++ b/pomelopass/table/follower.py
@@ -8,6 +8,7 @@
 
 __all__ = ['Follower']
 
+# Bounds how long a lost connection to the service goes unnoticed.
 WAIT_MS = 1500
 RETRY_MS = 150
 RETRY_JITTER = 0.5
--- a/pomelopass/versions/keeper.py
+++ b/pomelopass/versions/keeper.py
@@ -42,6 +42,7 @@
 
 @dataclasses.dataclass(slots=True)
 class _Load:
+    model: str
     version: int
     ordered_at: float
     next_report_at: float
@@ -75,7 +76,7 @@
         # Counts the time for which the machine is suspended.
         self.get_lease_now = get_lease_now
         self.version_by_model: dict[str, int] = {}
-        self.leadership_by_model: dict[str, leader.Leadership] = {}
+        self.leadership_by_service: dict[str, leader.Leadership] = {}
         self.load_by_id: dict[str, _Load] = {}
         self.retry_at_by_id: dict[str, float] = {}
         self.confirmed_at = float('-inf')
@@ -89,8 +90,8 @@
 
     def note_leader(self, row: rows.Row) -> None:
         """Take in a change of who orders."""
-        model = row.name.key.partition('/')[2]
-        leadership = self._get_leadership(model)
+        service = row.name.key.removeprefix(leader.KEY_START)
+        leadership = self._get_leadership(service)
         if row.version > leadership.version:
             leadership.put(row)
 
@@ -100,21 +101,23 @@
             await asyncio.sleep(CHECK_EVERY_MS / 1000)
             if self.stopping:
                 continue
-            for model, version in list(self.version_by_model.items()):
+            for service in self.registry.get_engine_services():
                 try:
-                    await self._check(model, version)
+                    await self._check(service)
                 except rows.TableError as error:
                     self.write_event(
-                        'duty-unconfirmed', model=model, detail=error.detail
+                        'duty-unconfirmed',
+                        service=service,
+                        detail=error.detail,
                     )
 
-    def _get_leadership(self, model: str) -> leader.Leadership:
-        return self.leadership_by_model.setdefault(
-            model, leader.Leadership(model)
+    def _get_leadership(self, service: str) -> leader.Leadership:
+        return self.leadership_by_service.setdefault(
+            service, leader.Leadership(service)
         )
 
-    def _may_lead(self, model: str) -> bool:
-        leadership = self._get_leadership(model)
+    def _may_lead(self, service: str) -> bool:
+        leadership = self._get_leadership(service)
         row = leadership.row
         if row is not None and row.holder == self.incarnation:
             return True
@@ -128,44 +131,44 @@
             return False
         return rendezvous.rank(leadership.key.key, names)[0] == self.name
 
-    async def _check(self, model: str, version: int) -> None:
-        if not self._may_lead(model):
+    async def _check(self, service: str) -> None:
+        if not self._may_lead(service):
             return
-        await self._follow_loads(model)
+        await self._follow_loads()
         now = asyncio.get_running_loop().time()
-        engines = self.registry.get_by_model(model)
-        loading = [
-            one.endpoint.id
-            for one in engines
-            if one.endpoint.id in self.load_by_id
+        engines = [
+            one
+            for one in self.registry.get_all_by_service(service)
+            if one.endpoint.version_by_model
         ]
         chosen = [
             one
-            for one in orders.choose_to_order(engines, model, version, loading)
-            if self.retry_at_by_id.get(one.endpoint.id, now) <= now
+            for one in orders.choose_to_order(
+                engines, self.version_by_model, set(self.load_by_id)
+            )
+            if self.retry_at_by_id.get(one.state.endpoint.id, now) <= now
         ]
-        if not chosen or not await self._confirm(model):
+        if not chosen or not await self._confirm(service):
             return
-        await asyncio.gather(
-            *(self._order(one, model, version) for one in chosen)
-        )
+        await asyncio.gather(*(self._order(service, one) for one in chosen))
 
-    async def _confirm(self, model: str) -> bool:
-        leadership = self._get_leadership(model)
+    async def _confirm(self, service: str) -> bool:
+        leadership = self._get_leadership(service)
         asked_at = self.get_lease_now()
         held = await leader.confirm(
             self.table, leadership, self.incarnation, self.name, asked_at
         )
         if not held:
-            self.write_event('duty-lost', model=model)
+            self.write_event('duty-lost', service=service)
             return False
         self.confirmed_at = asked_at
         waited_ms = (asked_at - leadership.held_since) * 1000
         return not (leadership.took_over and waited_ms < self.takeover_wait_ms)
 
-    async def _order(
-        self, state: endpoints.EndpointState, model: str, version: int
-    ) -> None:
+    async def _order(self, service: str, move: orders.Move) -> None:
+        state = move.state
+        model = move.model
+        version = move.version
         target = state.endpoint
         now = asyncio.get_running_loop().time()
         self.retry_at_by_id[target.id] = now + RETRY_MS / 1000
@@ -179,7 +182,7 @@
         age_ms = (self.get_lease_now() - self.confirmed_at) * 1000
         if age_ms > CONFIRMED_FOR_MS:
             return
-        row = self._get_leadership(model).row
+        row = self._get_leadership(service).row
         order = orders.VersionOrder(
             model=model,
             version=version,
@@ -203,19 +206,17 @@
         ):
             now = asyncio.get_running_loop().time()
             self.load_by_id[target.id] = _Load(
-                version, now, now + FIRST_REPORT_MS / 1000
+                model, version, now, now + FIRST_REPORT_MS / 1000
             )
 
-    async def _follow_loads(self, model: str) -> None:
+    async def _follow_loads(self) -> None:
         now = asyncio.get_running_loop().time()
         for endpoint_id, load in list(self.load_by_id.items()):
             state = self.registry.state_by_id.get(endpoint_id)
             if state is None:
                 del self.load_by_id[endpoint_id]
                 continue
-            if model not in state.endpoint.version_by_model:
-                continue
-            if state.get_version(model) >= load.version:
+            if state.get_version(load.model) >= load.version:
                 del self.load_by_id[endpoint_id]
                 continue
             if now < load.next_report_at:
@@ -223,8 +224,8 @@
             load.next_report_at = now + NEXT_REPORT_MS / 1000
             report = await self.port.fetch_report(state.endpoint)
             if report is not None:
-                known = report.version_by_model.get(model, 0)
-                endpoints.note_version(state, model, known)
+                known = report.version_by_model.get(load.model, 0)
+                endpoints.note_version(state, load.model, known)
             busy = report is not None and report.busy
             too_long = (now - load.ordered_at) * 1000 > LOAD_LIMIT_MS
             if (report is not None and not busy) or too_long:
--- a/pomelopass/versions/leader.py
+++ b/pomelopass/versions/leader.py
@@ -1,4 +1,4 @@
-"""Hold the duty to order the engines of a model, fenced by the table."""
+"""Hold the duty to order the engines of a service."""
 
 import dataclasses
 
@@ -8,7 +8,8 @@
 
 __all__ = ['Leadership', 'LeaderRow', 'decode_leader']
 
-DUTY_TABLE = 'duties'
+DUTY_TABLE = 'fleet'
+KEY_START = 'weights/'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -24,9 +25,9 @@
 
 @dataclasses.dataclass(slots=True)
 class Leadership:
-    """Hold the last known row of a model's duty."""
+    """Hold the last known row of the duty for a service's engines."""
 
-    model: str
+    service: str
     row: LeaderRow | None = None
     version: int = 0
     held_since: float = 0.0
@@ -35,7 +36,7 @@
     @property
     def key(self) -> rows.Key:
         """Return the name of the row."""
-        return rows.Key(DUTY_TABLE, '', f'weights/{self.model}')
+        return rows.Key(DUTY_TABLE, '', f'{KEY_START}{self.service}')
 
     def put(self, row: rows.Row) -> None:
         """Take in a row of the table service."""
--- a/pomelopass/versions/orders.py
+++ b/pomelopass/versions/orders.py
@@ -45,24 +45,55 @@
     expected_count: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Move:
+    """Name an engine, and the version that it should load."""
+
+    state: endpoint.EndpointState
+    model: str
+    version: int
+
+
 def choose_to_order(
     engines: abc.Iterable[endpoint.EndpointState],
-    model: str,
-    version: int,
-    loading: abc.Collection[str],
-) -> list[endpoint.EndpointState]:
-    """Return the engines to order now, the least busy first.
+    version_by_model: dict[str, int],
+    loading: abc.Container[str],
+) -> list[Move]:
+    """Return the loads to order now, the least busy engines first.
 
-    The others keep the batches of the last version going meanwhile.
+    The others keep the batches of the last version going meanwhile. An
+    engine loads one version at a time, whatever models it serves.
     """
-    known = list(engines)
+    known = [one for one in engines if not one.endpoint.is_draining]
     limit = max(MIN_AT_ONCE, len(known) // SHARE_AT_ONCE)
+    busy = [one for one in known if one.endpoint.id in loading]
+    moves = []
+    for one in known:
+        if one.endpoint.id in loading:
+            continue
+        move = _find_move(one, version_by_model)
+        if move is not None:
+            moves.append(move)
+    moves.sort(key=_get_move_order)
+    return moves[: max(0, limit - len(busy))]
+
+
+def _find_move(
+    state: endpoint.EndpointState, version_by_model: dict[str, int]
+) -> Move | None:
     behind = [
-        one
-        for one in known
-        if one.get_version(model) < version
-        and one.endpoint.id not in loading
-        and not one.endpoint.is_draining
+        Move(state, model, version)
+        for model, version in version_by_model.items()
+        if model in state.endpoint.version_by_model
+        and state.get_version(model) < version
     ]
-    behind.sort(key=lambda one: one.in_flight + one.in_flight_elsewhere)
-    return behind[: max(0, limit - len(loading))]
+    return max(behind, key=_get_lag, default=None)
+
+
+def _get_lag(move: Move) -> int:
+    return move.version - move.state.get_version(move.model)
+
+
+def _get_move_order(move: Move) -> tuple[int, int]:
+    state = move.state
+    return (-_get_lag(move), state.in_flight + state.in_flight_elsewhere)
