--- a/pomelopass/jobs/keeper.py
+++ b/pomelopass/jobs/keeper.py
@@ -55,6 +55,7 @@
         self.run_by_id: dict[str, jobrun.JobRun] = {}
         self.task_by_id: dict[str, asyncio.Task] = {}
         self.submission_by_id: dict[str, jobs.Submission] = {}
+        self.background: set[asyncio.Task] = set()
         self.stopping = False
 
     def note_row(self, row: rows.Row) -> None:
@@ -172,6 +173,8 @@
 
     def _spawn(self, work: abc.Coroutine) -> None:
         task = asyncio.ensure_future(work)
+        self.background.add(task)
+        task.add_done_callback(self.background.discard)
         task.add_done_callback(self._note_failure)
 
     async def _adopt(self, job_id: str, known: _Known, take: bool) -> None:
--- /dev/null
+++ b/standins/entries.py
@@ -0,0 +1,143 @@
+"""Run whole entry instances in memory against the in-memory platform."""
+
+import asyncio
+import dataclasses
+import random
+
+import orjson
+
+from pomelopass.entry import node as nodes
+from pomelopass.entry import settings as entrysettings
+from pomelopass.jobs import desk as desks
+from pomelopass.jobs import job as jobs
+from pomelopass.table import rows
+from standins import modelengines
+from standins import rowtable
+
+__all__ = ['Entry', 'EntryCluster']
+
+READ_WAIT_MS = 1000.0
+
+
+@dataclasses.dataclass(slots=True)
+class Entry:
+    """Hold a running entry instance and its way to the table."""
+
+    node: nodes.Node
+    client: rowtable.RowClient
+    events: list[dict]
+    alive: bool = True
+
+
+class EntryCluster:
+    """Hold entry instances by name, the table and the endpoints."""
+
+    def __init__(self, seed: int):
+        self.rng = random.Random(seed)
+        self.service = rowtable.RowService()
+        self.pool = modelengines.EndpointPool(self.service, self.rng)
+        self.entry_by_name: dict[str, Entry] = {}
+        self.starts = 0
+
+    def put_configuration(self, value: dict) -> None:
+        """Write a configuration as the operator does."""
+        self.service.put('op', 'config', orjson.dumps(value))
+
+    def name_version(self, model: str, version: int) -> None:
+        """Name a weight version as a trainer does."""
+        named = {'model': model, 'version': version}
+        self.service.put('op', f'version/{model}', orjson.dumps(named))
+
+    def start(self, name: str) -> Entry:
+        """Start an instance under a name."""
+        self.starts += 1
+        client = rowtable.RowClient(self.service, self.rng)
+        events: list[dict] = []
+        loop = asyncio.get_running_loop()
+        ports = nodes.NodePorts(
+            table=client,
+            endpoints=self.pool,
+            rng=self.rng,
+            write_event=lambda kind, **fields: events.append(
+                {'event': kind, 'at': loop.time(), **fields}
+            ),
+            get_lease_now=loop.time,
+            incarnation=f'{name}-{self.starts}',
+        )
+        node = nodes.build_node(_make_settings(name), ports)
+        node.start()
+        self.entry_by_name[name] = Entry(node, client, events)
+        return self.entry_by_name[name]
+
+    def kill(self, name: str) -> None:
+        """End an instance at once, with all that it does."""
+        entry = self.entry_by_name[name]
+        entry.alive = False
+        work = [
+            *entry.node.tasks,
+            *entry.node.keeper.task_by_id.values(),
+            *entry.node.keeper.background,
+        ]
+        for task in work:
+            task.cancel()
+        # A call that is on its way ends with the process.
+        entry.node.fallback.direct = _DeadTable()
+        entry.node.fallback.relayed = _DeadTable()
+
+    async def stop(self) -> None:
+        """End all instances."""
+        for name, entry in self.entry_by_name.items():
+            if entry.alive:
+                self.kill(name)
+        await asyncio.sleep(0.1)
+
+    async def submit(
+        self, name: str, submission: jobs.Submission
+    ) -> desks.Acceptance:
+        """Submit a job at an instance."""
+        return await self.entry_by_name[name].node.desk.accept(submission)
+
+    async def read_all(self, job_id: str, limit_s: float) -> list[jobs.Result]:
+        """Return all results of a job as a trainer reads them."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + limit_s
+        found: list[jobs.Result] = []
+        while loop.time() < end:
+            alive = [one for one in self.entry_by_name.values() if one.alive]
+            desk = self.rng.choice(alive).node.desk
+            try:
+                page = await desk.read(job_id, len(found), READ_WAIT_MS)
+            except rows.TableError:
+                await asyncio.sleep(0.2)
+                continue
+            if page is None:
+                raise AssertionError(f'{job_id} is not known')
+            found.extend(page.results)
+            if len(found) == page.total:
+                return found
+        return found
+
+
+class _DeadTable:
+    def __getattr__(self, name: str):
+        async def never(*arguments):
+            await asyncio.Event().wait()
+
+        return never
+
+
+def _make_settings(name: str) -> entrysettings.EntrySettings:
+    return entrysettings.EntrySettings(
+        name=name,
+        availability_zone='north',
+        caller_address='10.0.0.1:80',
+        readiness_address='10.0.0.1:81',
+        directory_address='10.0.0.1:82',
+        relay_address='10.0.0.1:83',
+        table_address='10.0.0.2:80',
+        stop_limit_s=8,
+        takeover_wait_ms=3000,
+        engines_check_fences=True,
+        job_kept_s=120,
+        directory_ttl_s=1,
+    )
--- /dev/null
+++ b/standins/modelengines.py
@@ -0,0 +1,204 @@
+"""Run model engines and plain services in memory for entry instances."""
+
+import asyncio
+import dataclasses
+import random
+from collections import abc
+
+import orjson
+
+from pomelopass import message
+from pomelopass.registry import endpoint as endpoints
+from pomelopass.requests import call as calls
+from pomelopass.versions import orders
+from standins import rowtable
+
+__all__ = ['EndpointPool', 'FakeEndpoint']
+
+EVENT_S = 0.03
+LOAD_S = 0.9
+ENDPOINT_TABLE = 'servers'
+
+
+@dataclasses.dataclass(slots=True)
+class FakeEndpoint:
+    """Hold the state of an engine or of a plain service."""
+
+    id: str
+    service: str
+    slots: int = 8
+    version_by_model: dict[str, int] = dataclasses.field(default_factory=dict)
+    checks_fences: bool = True
+    alive: bool = True
+    draining: bool = False
+    slowness: float = 1.0
+    running: int = 0
+    loading: bool = False
+    order_count: int = 0
+    fence: int = 0
+    error_share: float = 0.0
+    break_share: float = 0.0
+    lose_share: float = 0.0
+    ran: list[str] = dataclasses.field(default_factory=list)
+    accepted_orders: list[orders.VersionOrder] = dataclasses.field(
+        default_factory=list
+    )
+    started_at_ms: int = 1
+
+
+class EndpointPool:
+    """Hold endpoints by id and serve calls to them."""
+
+    def __init__(self, service: rowtable.RowService, rng: random.Random):
+        self.service = service
+        self.rng = rng
+        self.endpoint_by_id: dict[str, FakeEndpoint] = {}
+        self.events_by_item: dict[str, int] = {}
+
+    def add(self, one: FakeEndpoint) -> FakeEndpoint:
+        """Start an endpoint and register it."""
+        self.endpoint_by_id[one.id] = one
+        self.register(one)
+        return one
+
+    def register(self, one: FakeEndpoint) -> None:
+        """Write the entry of an endpoint."""
+        entry = {
+            'service': one.service,
+            'address': f'10.0.0.1:{8000 + len(one.id)}',
+            'zone': 'north',
+            'slots': one.slots,
+            'state': 'draining' if one.draining else 'ready',
+            'seq': one.order_count,
+            'born': one.started_at_ms,
+            'models': [
+                {'name': name, 'version': version}
+                for name, version in one.version_by_model.items()
+            ],
+        }
+        self.service.put(ENDPOINT_TABLE, one.id, orjson.dumps(entry))
+
+    def crash(self, endpoint_id: str) -> None:
+        """End an endpoint without a word; its entry goes."""
+        self.endpoint_by_id[endpoint_id].alive = False
+        self.service.remove(ENDPOINT_TABLE, endpoint_id)
+
+    async def open(
+        self,
+        target: endpoints.Endpoint,
+        call: calls.Call,
+        timeout_ms: float,
+        stall_ms: float | None = None,
+        fresh: bool = False,
+    ) -> calls.Answer:
+        """Return the head of the answer; raise CallFailedError."""
+        await asyncio.sleep(0.002)
+        one = self.endpoint_by_id[target.id]
+        if not one.alive:
+            raise calls.CallFailedError('connect-failed', False)
+        if one.loading or one.running >= one.slots:
+            return _make_answer(503, b'', not_run=True)
+        one.ran.append(call.id)
+        if self.rng.random() < one.error_share:
+            return _make_answer(500, b'', signature=f's-{call.id}')
+        if one.version_by_model:
+            return self._start_run(one, call)
+        await asyncio.sleep(0.02 * one.slowness)
+        if self.rng.random() < one.lose_share:
+            raise calls.CallFailedError('reset', True)
+        return _make_answer(200, b'done', signature=f's-{call.id}')
+
+    async def read(self, answer: calls.Answer, limit: int) -> bytes:
+        """Return the whole body; raise CallFailedError."""
+        try:
+            return await answer.reply.read(limit)
+        except message.ExchangeError as error:
+            raise calls.CallFailedError(error.kind, True) from None
+
+    async def fetch_report(
+        self, target: endpoints.Endpoint
+    ) -> orders.Report | None:
+        """Return what an engine says of its weights, or None."""
+        await asyncio.sleep(0.002)
+        one = self.endpoint_by_id[target.id]
+        if not one.alive:
+            return None
+        return orders.Report(
+            dict(one.version_by_model), one.loading, one.order_count
+        )
+
+    async def order_version(
+        self, target: endpoints.Endpoint, order: orders.VersionOrder
+    ) -> orders.OrderOutcome:
+        """Order an endpoint to a weight version."""
+        await asyncio.sleep(0.002)
+        one = self.endpoint_by_id[target.id]
+        if not one.alive:
+            return orders.OrderOutcome.UNKNOWN
+        if one.checks_fences and order.fence < one.fence:
+            return orders.OrderOutcome.FENCED
+        if one.loading or order.expected_count != one.order_count:
+            return orders.OrderOutcome.BUSY
+        one.fence = order.fence
+        one.order_count += 1
+        one.accepted_orders.append(order)
+        one.loading = True
+        loop = asyncio.get_running_loop()
+        loop.call_later(LOAD_S, self._end_load, one, order)
+        return orders.OrderOutcome.ACCEPTED
+
+    def _end_load(self, one: FakeEndpoint, order: orders.VersionOrder) -> None:
+        one.loading = False
+        if one.alive:
+            one.version_by_model[order.model] = order.version
+            self.register(one)
+
+    def _start_run(self, one: FakeEndpoint, call: calls.Call) -> calls.Answer:
+        first = int(call.last_event_id or 0) + 1
+        answer = _make_answer(200, b'', signature=f's-{call.id}')
+        answer.weight_version = next(iter(one.version_by_model.values()))
+        answer.reply.chunks = self._make_events(one, call, first)
+        return answer
+
+    async def _make_events(
+        self, one: FakeEndpoint, call: calls.Call, first: int
+    ) -> abc.AsyncGenerator[bytes, None]:
+        one.running += 1
+        try:
+            total = self.events_by_item.setdefault(
+                call.id, self.rng.randint(2, 30)
+            )
+            breaks = self.rng.random() < one.break_share
+            version = None
+            for number in range(first, total + 1):
+                await asyncio.sleep(EVENT_S * one.slowness)
+                if not one.alive or (breaks and number > total // 2):
+                    yield f'id: {number}\nda'.encode()
+                    raise message.ExchangeError('truncated', 1)
+                now = next(iter(one.version_by_model.values()))
+                line = ''
+                if version is not None and now != version:
+                    line = f'weight-versions: {now}\n'
+                version = now
+                event = f'{line}id: {number}\ndata: {call.id}.{number}\n\n'
+                yield event.encode()
+        finally:
+            one.running -= 1
+
+
+def make_text(item_id: str, events: int) -> str:
+    """Return the whole text of an item with so many events."""
+    return '\n'.join(f'{item_id}.{one}' for one in range(1, events + 1))
+
+
+def _make_answer(
+    status: int,
+    body: bytes,
+    not_run: bool = False,
+    signature: str | None = None,
+) -> calls.Answer:
+    async def make_chunks() -> abc.AsyncGenerator[bytes, None]:
+        yield body
+
+    reply = message.OpenReply(status, (), make_chunks(), 1)
+    return calls.Answer(status, (), not_run, signature, None, None, reply)
--- /dev/null
+++ b/standins/rowtable.py
@@ -0,0 +1,180 @@
+"""Keep rows in memory for entry instances, with faults between them."""
+
+import asyncio
+import dataclasses
+import random
+
+from pomelopass.table import rows
+
+__all__ = ['RowClient', 'RowService']
+
+ANSWER_S = 0.004
+LATE_MIN_S = 1.0
+LATE_MAX_S = 6.0
+FEED_LIMIT = 500
+
+
+class RowService:
+    """Hold all rows and the history of their changes."""
+
+    def __init__(self) -> None:
+        self.row_by_name: dict[rows.Key, rows.Row] = {}
+        self.version = 0
+        self.history: list[rows.Row] = []
+        self.history_start = 0
+        self.changed = asyncio.Event()
+        self.calls = 0
+
+    def apply(
+        self, transaction: rows.Transaction
+    ) -> rows.Applied | rows.Conflict:
+        """Apply a transaction at once or return the rows that differ."""
+        for name, version in transaction.expected:
+            known = self.row_by_name.get(name)
+            if (known.version if known else rows.ABSENT) != version:
+                return rows.Conflict(self._get_present(transaction))
+        self.version += 1
+        for name, value in transaction.puts:
+            row = rows.Row(name, value, self.version)
+            self.row_by_name[name] = row
+            self.history.append(row)
+        for name in transaction.removes:
+            if self.row_by_name.pop(name, None) is not None:
+                self.history.append(rows.Row(name, None, self.version))
+        self.changed.set()
+        self.changed = asyncio.Event()
+        return rows.Applied(self.version, self.get_now_ms())
+
+    def put(self, table: str, key: str, value: bytes) -> int:
+        """Write a row as the operator or an endpoint does."""
+        name = rows.Key(table, '', key)
+        return self.apply(rows.Transaction(puts=((name, value),))).version
+
+    def remove(self, table: str, key: str) -> None:
+        """Remove a row as the platform does."""
+        name = rows.Key(table, '', key)
+        self.apply(rows.Transaction(removes=(name,)))
+
+    def forget_history(self) -> None:
+        """Drop the history, so that those who follow must read again."""
+        self.history.clear()
+        self.history_start = self.version
+
+    def get_now_ms(self) -> int:
+        """Return the steady time of the service in milliseconds."""
+        return int(asyncio.get_running_loop().time() * 1000) + 5_000
+
+    def _get_present(
+        self, transaction: rows.Transaction
+    ) -> tuple[rows.Row, ...]:
+        return tuple(
+            self.row_by_name[name]
+            for name, _ in transaction.expected
+            if name in self.row_by_name
+        )
+
+
+@dataclasses.dataclass(slots=True)
+class Faults:
+    """Hold what goes wrong between one instance and the service."""
+
+    down: bool = False
+    silent: bool = False
+    lose_answers: float = 0.0
+    late_writes: float = 0.0
+    slowness: float = 1.0
+
+
+class RowClient:
+    """Reach the service as one instance does."""
+
+    def __init__(self, service: RowService, rng: random.Random):
+        self.service = service
+        self.rng = rng
+        self.faults = Faults()
+        self.late: set[asyncio.TimerHandle] = set()
+
+    async def read(self, wanted: rows.Range) -> rows.Page:
+        """Return rows of one part."""
+        await self._reach()
+        found = sorted(
+            (
+                row
+                for name, row in self.service.row_by_name.items()
+                if name.table == wanted.table
+                and name.part == wanted.part
+                and name.key >= wanted.start
+                and (not wanted.end or name.key < wanted.end)
+            ),
+            key=lambda row: row.name.key.encode(),
+        )
+        return rows.Page(
+            tuple(found[: wanted.limit]),
+            len(found) > wanted.limit,
+            self.service.version,
+            self.service.get_now_ms(),
+        )
+
+    async def list_parts(self, table: str) -> tuple[str, ...]:
+        """Return the names of all parts of a table."""
+        await self._reach()
+        names = {
+            name.part
+            for name in self.service.row_by_name
+            if name.table == table
+        }
+        return tuple(sorted(names))
+
+    async def transact(
+        self, transaction: rows.Transaction
+    ) -> rows.Applied | rows.Conflict:
+        """Apply a transaction or return the rows that differ."""
+        await self._reach()
+        if self.rng.random() < self.faults.late_writes:
+            delay = self.rng.uniform(LATE_MIN_S, LATE_MAX_S)
+            loop = asyncio.get_running_loop()
+            loop.call_later(delay, self.service.apply, transaction)
+            raise rows.TableError('no answer', True)
+        outcome = self.service.apply(transaction)
+        if self.rng.random() < self.faults.lose_answers:
+            raise rows.TableError('no answer', True)
+        return outcome
+
+    async def follow(
+        self, table: str, after: int, wait_ms: int
+    ) -> rows.Changes:
+        """Wait for changes; raise HistoryLostError for an old version."""
+        await self._reach()
+        limit = asyncio.get_running_loop().time() + wait_ms / 1000
+        while True:
+            if after < self.service.history_start:
+                raise rows.HistoryLostError
+            found = [
+                row
+                for row in self.service.history
+                if row.version > after and row.name.table == table
+            ]
+            left = limit - asyncio.get_running_loop().time()
+            if found or left <= 0:
+                break
+            await self._wait(left)
+        await self._reach()
+        return rows.Changes(
+            tuple(found), self.service.version, self.service.get_now_ms()
+        )
+
+    async def _wait(self, left: float) -> None:
+        try:
+            async with asyncio.timeout(left):
+                await self.service.changed.wait()
+        except TimeoutError:
+            return
+
+    async def _reach(self) -> None:
+        self.service.calls += 1
+        await asyncio.sleep(ANSWER_S * self.faults.slowness)
+        if self.faults.silent:
+            await asyncio.sleep(1.2)
+            raise rows.TableError('timeout', True)
+        if self.faults.down:
+            raise rows.TableError('status 503', False)
--- /dev/null
+++ b/tests/entrybuilders.py
@@ -0,0 +1,110 @@
+"""Build test data for entry instances."""
+
+from pomelopass.jobs import job as jobs
+from standins import entries
+from standins import modelengines
+
+HOST = 'trainer.test'
+MODEL = 'matcher'
+
+
+def make_configuration(version: int = 1, **job_changes: object) -> dict:
+    """Return an operator's configuration with a job and a plain route."""
+    return {
+        'version': version,
+        'routes': [
+            {
+                'name': 'jobs',
+                'hostname': HOST,
+                'path_prefix': '/jobs/',
+                'route_type': 'rollout',
+                'service': 'engines',
+                'timeout_ms': 10_000,
+                'target_latency_ms': 400,
+                'max_attempts': 3,
+                'result_deadline_ms': 7500,
+                'item_ttl_s': 40,
+                **job_changes,
+            },
+            {
+                'name': 'scores',
+                'hostname': HOST,
+                'path_prefix': '/scores/',
+                'route_type': 'idempotent',
+                'service': 'desk',
+                'timeout_ms': 1500,
+                'target_latency_ms': 200,
+                'max_attempts': 4,
+            },
+            {
+                'name': 'orders',
+                'hostname': HOST,
+                'path_prefix': '/orders/',
+                'route_type': 'non_idempotent',
+                'service': 'desk',
+                'timeout_ms': 1500,
+                'target_latency_ms': 200,
+                'max_attempts': 2,
+            },
+        ],
+        'services': [
+            {'name': 'engines', 'engine': {'models': [{'name': MODEL}]}},
+            {'name': 'desk'},
+        ],
+        'limits': {
+            'max_header_bytes': 16_384,
+            'max_body_bytes': 1_000_000,
+            'header_timeout_ms': 3000,
+            'idle_timeout_ms': 15_000,
+        },
+    }
+
+
+def make_submission(
+    job_id: str = 'job-1', groups: int = 3, size: int = 4, min_version: int = 1
+) -> jobs.Submission:
+    """Return a job with groups of items."""
+    items = tuple(
+        jobs.Item(
+            id=f'{job_id}-item-{group}-{number}',
+            path=f'/jobs/{group}/{number}',
+            headers=(('model', MODEL),),
+            body=b'\x00\xff prompt',
+            group=f'{job_id}-group-{group}',
+            model=MODEL,
+            reward=jobs.RewardCall(
+                f'{job_id}-score-{group}-{number}', HOST, '/scores/1', b'x'
+            ),
+        )
+        for group in range(groups)
+        for number in range(size)
+    )
+    return jobs.Submission(
+        id=job_id,
+        host=HOST,
+        target='/jobs/submit',
+        model=MODEL,
+        step=0,
+        min_version=min_version,
+        target_groups=groups,
+        items=items,
+    )
+
+
+def make_cluster(
+    seed: int = 1, instances: int = 3, engines: int = 3, **job_changes: object
+) -> entries.EntryCluster:
+    """Return a cluster with engines, plain endpoints and a configuration."""
+    cluster = entries.EntryCluster(seed)
+    cluster.put_configuration(make_configuration(**job_changes))
+    for number in range(engines):
+        cluster.pool.add(
+            modelengines.FakeEndpoint(
+                f'engine-{number}', 'engines', version_by_model={MODEL: 1}
+            )
+        )
+    for number in range(2):
+        cluster.pool.add(modelengines.FakeEndpoint(f'desk-{number}', 'desk'))
+    for number in range(instances):
+        cluster.start(f'entry-{number}')
+    return cluster
