--- a/pomelopass/entry/node.py
+++ b/pomelopass/entry/node.py
@@ -40,6 +40,7 @@
 JOB_TABLE_REST_MS = 60.0
 # Silence of the table service that counts as an outage.
 OUTAGE_MS = 1200.0
+RESTART_PAUSE_MS = 200.0
 
 
 class EnginePort(calls.EndpointPort, versionkeepers.OrderPort):
@@ -108,6 +109,7 @@
             ports.endpoints,
             0.0 if given.engines_check_fences else given.takeover_wait_ms,
             self.view.needs_single_version,
+            self._get_demand,
             ports.write_event,
             ports.get_lease_now,
         )
@@ -150,15 +152,14 @@
 
     def start(self) -> None:
         """Start all that runs in the background."""
-        for work in (
-            *(one.run() for one in self.followers),
-            self.heartbeat.run(),
-            self.keeper.run(),
-            self.versions.run(),
-            self._keep_house(),
+        for run in (
+            *(one.run for one in self.followers),
+            self.heartbeat.run,
+            self.keeper.run,
+            self.versions.run,
+            self._keep_house,
         ):
-            task = asyncio.ensure_future(work)
-            task.add_done_callback(self._note_end)
+            task = asyncio.ensure_future(self._supervise(run))
             self.tasks.append(task)
 
     def begin_stop(self) -> None:
@@ -249,6 +250,9 @@
             self.view.count_runs_elsewhere()
             self.scheduler.dispatch()
 
+    def _get_demand(self) -> dict[str, float]:
+        return self.keeper.get_demand(self.table.get_now_ms())
+
     def _get_alive(self) -> list[member.Member]:
         now = asyncio.get_running_loop().time()
         return self.membership.get_alive(now)
@@ -299,9 +303,18 @@
     ) -> routes.Route | None:
         return keepers.find_job_route(self.view.configuration, submission)
 
-    def _note_end(self, done: asyncio.Task) -> None:
-        if not done.cancelled() and done.exception() is not None:
-            self.write_event('task-failed', detail=repr(done.exception()))
+    async def _supervise(
+        self, run: abc.Callable[[], abc.Awaitable[None]]
+    ) -> None:
+        while True:
+            try:
+                await run()
+            except Exception as error:
+                # A duty that stops for good would go unnoticed.
+                self.write_event(
+                    'task-failed', task=run.__qualname__, detail=repr(error)
+                )
+                await asyncio.sleep(RESTART_PAUSE_MS / 1000)
 
 
 def build_node(given: entrysettings.EntrySettings, ports: NodePorts) -> Node:
--- a/pomelopass/jobs/desk.py
+++ b/pomelopass/jobs/desk.py
@@ -66,6 +66,8 @@
             total=len(submission.items),
             chunks=len(puts),
             accepted_ms=self.get_table_ms(),
+            model=submission.model,
+            tokens=sum(one.tokens for one in submission.items),
         )
         *before, last = jobtable.split_writes(puts)
         loop = asyncio.get_running_loop()
--- a/pomelopass/jobs/job.py
+++ b/pomelopass/jobs/job.py
@@ -28,6 +28,7 @@
     group: str
     model: str
     reward: RewardCall | None = None
+    tokens: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -57,6 +58,8 @@
     total: int
     chunks: int
     accepted_ms: int
+    model: str = ''
+    tokens: int = 0
     listed: int = 0
     ended: bool = False
     writes: int = 0
--- a/pomelopass/jobs/keeper.py
+++ b/pomelopass/jobs/keeper.py
@@ -20,6 +20,9 @@
 # Ended jobs stay readable this much longer than they have to.
 CLEAN_UP_SLACK_MS = 15_000
 
+# Jobs older than this say nothing of what a trainer asks now.
+DEMAND_WINDOW_MS = 20_000
+
 MakeContext = abc.Callable[
     [jobs.Submission, jobs.JobRecord], itemrun.ItemContext | None
 ]
@@ -104,6 +107,16 @@
             return self.incarnation, self.name
         return self.membership.member_by_name[name].incarnation, name
 
+    def get_demand(self, now_ms: int) -> dict[str, float]:
+        """Return the tokens that recent jobs asked of each model."""
+        demand: dict[str, float] = {}
+        for known in self.known_by_id.values():
+            record = known.stored.record
+            if now_ms - record.accepted_ms < DEMAND_WINDOW_MS:
+                asked = demand.get(record.model, 0.0)
+                demand[record.model] = asked + record.tokens
+        return demand
+
     async def wait_for_change(self, job_id: str, timeout_s: float) -> None:
         """Return when a job may have changed or the time is over."""
         known = self.known_by_id.get(job_id)
--- a/pomelopass/platform/jobdecode.py
+++ b/pomelopass/platform/jobdecode.py
@@ -54,6 +54,7 @@
     headers: dict[str, str] = {}
     body: Encoded = b''
     group: str = ''
+    tokens: int = 0
     scorer: _Reward | None = None
 
 
@@ -123,6 +124,7 @@
         group=one.group or one.id,
         model=dict(headers).get('model', model),
         reward=reward,
+        tokens=one.tokens,
     )
 
 
--- a/pomelopass/versions/keeper.py
+++ b/pomelopass/versions/keeper.py
@@ -5,6 +5,7 @@
 from collections import abc
 from typing import Protocol
 
+from . import assignment
 from . import leader
 from . import orders
 from ..core import rendezvous
@@ -61,6 +62,7 @@
         port: OrderPort,
         takeover_wait_ms: float,
         needs_single_version: abc.Callable[[str], bool],
+        get_demand: abc.Callable[[], dict[str, float]],
         write_event: abc.Callable[..., None],
         get_lease_now: abc.Callable[[], float],
     ):
@@ -72,6 +74,8 @@
         self.port = port
         self.takeover_wait_ms = takeover_wait_ms
         self.needs_single_version = needs_single_version
+        # Tokens that recent jobs asked of each model.
+        self.get_demand = get_demand
         self.write_event = write_event
         # Counts the time for which the machine is suspended.
         self.get_lease_now = get_lease_now
@@ -141,10 +145,16 @@
             for one in self.registry.get_all_by_service(service)
             if one.endpoint.version_by_model
         ]
+        assigned = assignment.assign_engines(
+            engines, self.version_by_model, self.get_demand()
+        )
         chosen = [
             one
             for one in orders.choose_to_order(
-                engines, self.version_by_model, set(self.load_by_id)
+                engines,
+                self.version_by_model,
+                assigned,
+                set(self.load_by_id),
             )
             if self.retry_at_by_id.get(one.state.endpoint.id, now) <= now
         ]
--- a/pomelopass/versions/orders.py
+++ b/pomelopass/versions/orders.py
@@ -57,6 +57,7 @@
 def choose_to_order(
     engines: abc.Iterable[endpoint.EndpointState],
     version_by_model: dict[str, int],
+    assigned_by_model: dict[str, set[str]],
     loading: abc.Container[str],
 ) -> list[Move]:
     """Return the loads to order now, the least busy engines first.
@@ -71,7 +72,7 @@
     for one in known:
         if one.endpoint.id in loading:
             continue
-        move = _find_move(one, version_by_model)
+        move = _find_move(one, version_by_model, assigned_by_model)
         if move is not None:
             moves.append(move)
     moves.sort(key=_get_move_order)
@@ -79,12 +80,14 @@
 
 
 def _find_move(
-    state: endpoint.EndpointState, version_by_model: dict[str, int]
+    state: endpoint.EndpointState,
+    version_by_model: dict[str, int],
+    assigned_by_model: dict[str, set[str]],
 ) -> Move | None:
     behind = [
         Move(state, model, version)
         for model, version in version_by_model.items()
-        if model in state.endpoint.version_by_model
+        if state.endpoint.id in assigned_by_model.get(model, ())
         and state.get_version(model) < version
     ]
     return max(behind, key=_get_lag, default=None)
