Bound reward calls to half of the places of their service

Cause: a batch whose items end together sent its reward calls at once: up to 39 new connections from one instance to one plain endpoint, and callers beside them waited. Change: a gate in order of arrival; orders reuse the connection of the report before them. Tests: bursts of 40 calls, cancelled calls.

--- a/pomelopass/entry/node.py
+++ b/pomelopass/entry/node.py
@@ -15,6 +15,7 @@
 from ..jobs import job as jobs
 from ..jobs import jobtable
 from ..jobs import keeper as keepers
+from ..jobs import rewardgate
 from ..jobs import rowcodec
 from ..jobs import schedule
 from ..platform import feeds
@@ -86,6 +87,7 @@
             ports.rng,
             ports.write_event,
         )
+        self.gate = rewardgate.RewardGate(self.registry.count_places)
         self.keeper = keepers.Keeper(
             given.name,
             ports.incarnation,
@@ -291,6 +293,7 @@
             scheduler=self.scheduler,
             port=self.ports.endpoints,
             forwarder=self.forwarder,
+            gate=self.gate,
             get_configuration=lambda: self.view.configuration,
             version_field=names.WEIGHT_VERSION,
             rng=self.ports.rng,
--- a/pomelopass/jobs/itemrun.py
+++ b/pomelopass/jobs/itemrun.py
@@ -7,6 +7,7 @@
 
 from . import events
 from . import job as jobs
+from . import rewardgate
 from . import schedule
 from .. import message
 from ..registry import endpoint as endpoints
@@ -39,6 +40,7 @@
     scheduler: schedule.Scheduler
     port: calls.EndpointPort
     forwarder: forward.Forwarder
+    gate: rewardgate.RewardGate
     get_configuration: abc.Callable[[], routes.Configuration | None]
     version_field: str
     rng: random.Random
@@ -311,7 +313,8 @@
         call = calls.Call(
             reward.id, reward.host, 'POST', reward.path, (), reward.body, None
         )
-        outcome = await context.forwarder.forward(call, route)
+        async with context.gate.enter(route.shares[0].service):
+            outcome = await context.forwarder.forward(call, route)
         if outcome.signature is not None and 200 <= outcome.status < 300:
             score = outcome.signature
             return jobs.Result(run.item.id, True, text, versions, score)
--- a/pomelopass/platform/endpointclient.py
+++ b/pomelopass/platform/endpointclient.py
@@ -128,7 +128,7 @@
         )
         try:
             reply = await self.http.open(
-                target.address, request, ORDER_TIMEOUT_MS, fresh=True
+                target.address, request, ORDER_TIMEOUT_MS
             )
             await reply.read(MAX_REPORT_BYTES)
         except message.ExchangeError:
--- a/pomelopass/registry/registry.py
+++ b/pomelopass/registry/registry.py
@@ -75,6 +75,11 @@
             if one.endpoint.service == name
         ]
 
+    def count_places(self, service: str) -> int:
+        """Return how many requests a service runs at a time."""
+        states = self.get_by_service(service)
+        return sum(one.endpoint.slots for one in states)
+
     def get_engine_services(self) -> set[str]:
         """Return the services whose endpoints hold model weights."""
         return {
