Begin the longest items first and give jobs to owners heard of just now

Change: items wait for one turn of the loop and are ordered by the trainer's hint; owners are chosen among instances heard of within a second.

--- a/pomelopass/fleet/member.py
+++ b/pomelopass/fleet/member.py
@@ -9,6 +9,7 @@
 # Heartbeats come twice a second.
 DEAD_AFTER_MS = 1700.0
 FRESH_MS = 900.0
+RECENT_MS = 1000.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -92,6 +93,15 @@
             return False
         return self.is_alive(name, now)
 
+    def get_recent(self, now: float) -> list[Member]:
+        """Return the accepting instances whose heartbeat has just come."""
+        return [
+            one
+            for name, one in self.member_by_name.items()
+            if one.accepting
+            and (now - self.seen_at_by_name[name]) * 1000 < RECENT_MS
+        ]
+
     def get_alive(self, now: float) -> list[Member]:
         """Return the instances that count as alive and accept work."""
         return [
--- a/pomelopass/jobs/job.py
+++ b/pomelopass/jobs/job.py
@@ -29,6 +29,8 @@
     model: str
     reward: RewardCall | None = None
     tokens: int = 0
+    # The trainer's guess of the length of the text, in tokens.
+    expected_length: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/pomelopass/jobs/keeper.py
+++ b/pomelopass/jobs/keeper.py
@@ -100,7 +100,8 @@
     def choose_owner(self, submission: jobs.Submission) -> tuple[str, str]:
         """Return the incarnation and the name that a new job goes to."""
         now = asyncio.get_running_loop().time()
-        alive = self.membership.get_alive(now)
+        # One that died a moment ago would leave the job waiting.
+        alive = self.membership.get_recent(now)
         trainer = f'{submission.host}/{submission.model}'
         name = adoption.choose_owner(trainer, alive, self.name)
         if name == self.name:
--- a/pomelopass/jobs/schedule.py
+++ b/pomelopass/jobs/schedule.py
@@ -31,9 +31,18 @@
     granted: asyncio.Future
 
 
-def get_order(one: Waiting) -> tuple[float, int, int]:
-    """Return the order key: oldest job, then groups nearest to whole."""
-    return (one.deadline_ms, one.group_left(), one.group_index)
+def get_order(one: Waiting) -> tuple[float, float, int, int]:
+    """Return the order key: oldest job, longest item, nearest group.
+
+    Answers a batch with a few long items: begun last, they would hold
+    their groups back alone on idle engines.
+    """
+    return (
+        one.deadline_ms,
+        -one.item.expected_length,
+        one.group_left(),
+        one.group_index,
+    )
 
 
 class Scheduler:
@@ -42,11 +51,12 @@
     def __init__(self, registry: registries.Registry):
         self.registry = registry
         self.waiting: list[Waiting] = []
+        self.scheduled = False
 
     async def acquire(self, waiting: Waiting) -> endpoints.EndpointState:
         """Return the engine with a place taken for the item."""
         self.waiting.append(waiting)
-        self.dispatch()
+        self._dispatch_soon()
         try:
             return await waiting.granted
         except asyncio.CancelledError:
@@ -57,6 +67,13 @@
             if waiting in self.waiting:
                 self.waiting.remove(waiting)
 
+    def _dispatch_soon(self) -> None:
+        # The items of a batch come one by one; their order is chosen once
+        # all of them wait.
+        if not self.scheduled:
+            self.scheduled = True
+            asyncio.get_running_loop().call_soon(self.dispatch)
+
     def release(self, state: endpoints.EndpointState) -> None:
         """Give a place back."""
         state.in_flight -= 1
@@ -64,6 +81,7 @@
 
     def dispatch(self) -> None:
         """Give free places to waiting items in order."""
+        self.scheduled = False
         if not self.waiting:
             return
         now = asyncio.get_running_loop().time()
--- a/pomelopass/platform/jobdecode.py
+++ b/pomelopass/platform/jobdecode.py
@@ -125,9 +125,18 @@
         model=dict(headers).get('model', model),
         reward=reward,
         tokens=one.tokens,
+        expected_length=_to_length(dict(headers).get(names.LENGTH_HINT)),
     )
 
 
+def _to_length(text: str | None) -> float:
+    try:
+        return float(text or 0)
+    except ValueError:
+        # A hint that can't be read is no reason to refuse a job.
+        return 0.0
+
+
 def _encode_result(one: jobs.Result) -> dict:
     encoded = {
         'id': one.item_id,
--- a/pomelopass/platform/names.py
+++ b/pomelopass/platform/names.py
@@ -12,7 +12,7 @@
 LAST_EVENT_ID = 'last-event-id'
 WEIGHT_VERSION = 'weight-versions'
 WAIT_MS = 'wait-ms'
-PREFIX_PARTS = 'prompt-prefix'
+LENGTH_HINT = 'length-hint'
 
 READINESS_PATH = '/-/readiness'
 DIRECTORY_PATH = '/-/resolve'
