--- a/pomelopass/platform/ingress.py
+++ b/pomelopass/platform/ingress.py
@@ -79,7 +79,7 @@
             return make_refusal(404, 'There is no such path.')
         if not self.is_ready():
             return make_refusal(503, 'The instance is not ready.')
-        return message.Reply(200, (), b'')
+        return _make_json({})
 
     async def handle_directory(
         self, request: message.Request
@@ -157,7 +157,7 @@
         )
         status = STATUS_BY_ACCEPTANCE[outcome]
         if status == 202:
-            return message.Reply(202, (), b'')
+            return _make_json({}, 202)
         return make_refusal(status, 'The table service did not answer.')
 
     async def _handle_job(
@@ -167,7 +167,7 @@
         try:
             if request.method == 'DELETE':
                 if await self.desk.end(job_id):
-                    return message.Reply(200, (), b'')
+                    return _make_json({})
                 return make_refusal(404, 'There is no such job.')
             first = int(_get_query(request).get('after', '0'))
             wait = message.find_header(request.headers, names.WAIT_MS)
@@ -242,9 +242,9 @@
     )
 
 
-def _make_json(value: object) -> message.Reply:
+def _make_json(value: object, status: int = 200) -> message.Reply:
     headers = (('content-type', 'application/json'),)
-    return message.Reply(200, headers, orjson.dumps(value))
+    return message.Reply(status, headers, orjson.dumps(value))
 
 
 def _get_path(request: message.Request) -> str:
--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -5,6 +5,7 @@
 from standins import engine
 from standins import instances
 from standins import objects
+from standins import platform
 from standins import relay
 from standins import service
 from standins import table
@@ -14,6 +15,7 @@
     'engine': engine.main,
     'instances': instances.main,
     'objects': objects.main,
+    'platform': platform.main,
     'relay': relay.main,
     'service': service.main,
     'table': table.main,
--- /dev/null
+++ b/standins/platform.py
@@ -0,0 +1,112 @@
+"""Run the platform of entry instances: its table and its endpoints."""
+
+import asyncio
+import json
+import random
+import signal
+
+from pomelopass import message
+from pomelopass.edges import httpserver
+from standins import modelengines
+from standins import platformendpoints
+from standins import platformtable
+from standins import server
+
+__all__ = ['Platform', 'main']
+
+MAX_BODY_BYTES = 33_554_432
+MAX_CONNECTIONS = 4096
+
+
+class Platform:
+    """Hold the table, the endpoints and what they have seen."""
+
+    def __init__(self, seed: int):
+        rng = random.Random(seed)
+        self.table = platformtable.PlatformTable(rng)
+        self.pool = modelengines.EndpointPool(self.table.service, rng)
+        self.server_by_id: dict[str, platformendpoints.EndpointServer] = {}
+
+    async def add(self, one: modelengines.FakeEndpoint) -> None:
+        """Start an endpoint."""
+        endpoint = platformendpoints.EndpointServer(self.pool, one)
+        self.server_by_id[one.id] = endpoint
+        await endpoint.start()
+
+    async def handle(self, request: message.Request) -> message.Reply:
+        """Answer a call of the table, or of the one who runs the test."""
+        if request.target == '/seen':
+            return platformtable.make_json(200, self._get_seen())
+        if request.target == '/endpoint':
+            return self._change_endpoint(request)
+        return await self.table.handle(request)
+
+    def _change_endpoint(self, request: message.Request) -> message.Reply:
+        changes = json.loads(request.body)
+        one = self.pool.endpoint_by_id[changes.pop('id')]
+        for name, value in changes.items():
+            setattr(one, name, value)
+        if one.alive:
+            self.pool.register(one)
+        else:
+            self.table.service.remove(modelengines.ENDPOINT_TABLE, one.id)
+        return platformtable.make_json(200, {})
+
+    def _get_seen(self) -> dict:
+        return {
+            one.id: {
+                'ran': one.ran,
+                'running': one.running,
+                'versions': one.version_by_model,
+                'orders': [
+                    [order.version, order.holder, order.fence]
+                    for order in one.accepted_orders
+                ],
+            }
+            for one in self.pool.endpoint_by_id.values()
+        } | {'events': self.pool.events_by_item}
+
+
+def main() -> None:
+    """Run the platform until a signal comes."""
+    parser = server.make_parser(__doc__)
+    parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument('--engines', type=int, default=3)
+    parser.add_argument('--services', type=int, default=2)
+    parser.add_argument('--models', default='matcher')
+    arguments = parser.parse_args()
+    asyncio.run(_run(arguments))
+
+
+async def _run(arguments) -> None:
+    platform = Platform(arguments.seed)
+    listener = httpserver.HttpServer(
+        platform.handle,
+        lambda status, detail: platformtable.make_json(
+            status, {'error': detail}
+        ),
+        MAX_BODY_BYTES,
+        MAX_CONNECTIONS,
+    )
+    taken, _ = await httpserver.start_server(listener, arguments.address)
+    models = arguments.models.split(',')
+    for number in range(arguments.engines):
+        await platform.add(
+            modelengines.FakeEndpoint(
+                f'engine-{number}',
+                'engines',
+                version_by_model=dict.fromkeys(models, 1),
+            )
+        )
+    for number in range(arguments.services):
+        await platform.add(modelengines.FakeEndpoint(f'desk-{number}', 'desk'))
+    print(json.dumps({'name': arguments.name, 'address': taken}), flush=True)
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    await stopped.wait()
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/standins/platformendpoints.py
@@ -0,0 +1,142 @@
+"""Serve the in-memory endpoints by the platform's protocol."""
+
+import asyncio
+from collections import abc
+import json
+
+import orjson
+
+from pomelopass import message
+from pomelopass.edges import httpserver
+from pomelopass.requests import call as calls
+from pomelopass.versions import orders
+from standins import modelengines
+from standins import platformtable
+
+__all__ = ['EndpointServer']
+
+STATUS_BY_OUTCOME = {
+    orders.OrderOutcome.ACCEPTED: 202,
+    orders.OrderOutcome.HOLDS: 200,
+    orders.OrderOutcome.BUSY: 409,
+    orders.OrderOutcome.FENCED: 412,
+}
+MAX_BODY_BYTES = 33_554_432
+MAX_CONNECTIONS = 1000
+DROPPED_HEADERS = ('host', 'content-length', 'connection')
+
+
+class EndpointServer:
+    """Hold one endpoint of the pool and its listening address."""
+
+    def __init__(
+        self,
+        pool: modelengines.EndpointPool,
+        one: modelengines.FakeEndpoint,
+    ):
+        self.pool = pool
+        self.one = one
+        self.address = ''
+
+    async def start(self) -> None:
+        """Listen on a port that the system chooses, and register."""
+        server = httpserver.HttpServer(
+            self.handle, _make_refusal, MAX_BODY_BYTES, MAX_CONNECTIONS
+        )
+        self.address, _ = await httpserver.start_server(server, '127.0.0.1:0')
+        self.one.address = self.address
+        self.pool.add(self.one)
+
+    async def handle(self, request: message.Request) -> message.Reply:
+        """Answer one request as the endpoint does."""
+        given = dict(request.headers)
+        if not self.one.alive:
+            raise ConnectionResetError
+        expected = given.get('expect-instance')
+        if expected is not None and expected != self.one.id:
+            return platformtable.make_json(421, {})
+        path = request.target.partition('?')[0]
+        if path == '/-/report':
+            return self._report()
+        if path == '/-/order':
+            return await self._order(request)
+        return await self._run(request, given)
+
+    def _report(self) -> message.Reply:
+        models = [
+            {'name': name, 'version': version, 'adapters': []}
+            for name, version in self.one.version_by_model.items()
+        ]
+        return platformtable.make_json(
+            200,
+            {
+                'models': models,
+                'busy': self.one.loading,
+                'seq': self.one.order_count,
+                'in_flight': self.one.running,
+                'queue_depth': 0,
+            },
+        )
+
+    async def _order(self, request: message.Request) -> message.Reply:
+        given = json.loads(request.body)
+        outcome = await self.pool.order_version(
+            self.one,
+            orders.VersionOrder(
+                given['model'],
+                given['version'],
+                given['mode'] == 'wait',
+                given['holder'],
+                given['fence'],
+                given.get('expected', self.one.order_count),
+            ),
+        )
+        status = STATUS_BY_OUTCOME.get(outcome, 400)
+        return platformtable.make_json(status, {})
+
+    async def _run(
+        self, request: message.Request, given: dict[str, str]
+    ) -> message.Reply:
+        call = calls.Call(
+            id=given['attempt-id'],
+            host=given['host'],
+            method=request.method,
+            target=request.target,
+            headers=request.headers,
+            body=request.body,
+            deadline_at=None,
+            last_event_id=given.get('last-event-id'),
+        )
+        try:
+            answer = await self.pool.open(self.one, call, 10_000)
+        except calls.CallFailedError as error:
+            raise ConnectionResetError from error
+        headers = [('attempt-id', call.id)]
+        if answer.not_run:
+            headers.append(('not-executed', '1'))
+        if answer.signature is not None:
+            headers.append(('server-stamp', answer.signature))
+        if answer.weight_version is not None:
+            version = str(answer.weight_version)
+            headers.append(('weight-versions', version))
+            chunks = _cut_off(answer.reply.chunks)
+            return message.Reply(200, tuple(headers), chunks=chunks)
+        body = await answer.reply.read(MAX_BODY_BYTES)
+        return message.Reply(answer.status, tuple(headers), body)
+
+
+async def _cut_off(
+    chunks: abc.AsyncGenerator[bytes, None],
+) -> abc.AsyncGenerator[bytes, None]:
+    # A stream that breaks closes its connection without the last chunk.
+    try:
+        async for chunk in chunks:
+            yield chunk
+    except message.ExchangeError:
+        raise ConnectionResetError from None
+    finally:
+        await asyncio.shield(chunks.aclose())
+
+
+def _make_refusal(status: int, detail: str) -> message.Reply:
+    return message.Reply(status, (), orjson.dumps({'error': detail}))
