--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Run entry processes under random faults and check what they promise."""
--- /dev/null
+++ b/tests/processes/test_soak.py
@@ -0,0 +1,15 @@
+"""Run a short soak with fixed seeds."""
+
+import pytest
+
+from soak import run
+
+SEEDS = (1, 2)
+SECONDS = 6.0
+INSTANCES = 3
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+def test_promises_hold_under_random_faults(tmp_path, seed):
+    failures, events = run.run_soak(tmp_path, seed, SECONDS, INSTANCES)
+    assert failures == [], events
