Clean jobs up, serve metrics, take changed settings in, test requests

Cause: ended jobs stayed for ever; there were no metrics; a settings file that changed was only noted; requests and streams had no tests of their own. Change: the first living instance in a job's order removes it after its time; each logged event is counted and timed; settings are read again at SIGHUP and when the file changes, a bad file leaves those in force.

--- a/pomelopass/entry/__main__.py
+++ b/pomelopass/entry/__main__.py
@@ -13,7 +13,9 @@
 
 from . import eventlog
 from . import node as nodes
+from . import reload
 from . import settings as entrysettings
+from . import telemetry
 from .. import problem
 from ..edges import httpclient
 from ..edges import httpserver
@@ -29,6 +31,8 @@
 MAX_BODY_BYTES = 33_554_432
 MAX_CONNECTIONS = 6000
 POLL_MS = 100.0
+# Shown for a table that has never answered.
+MAX_AGE_S = 86_400.0
 # Callers that hold an older answer of the directory still come this long.
 LINGER_MS = 3500.0
 # Time kept back at the end of the stop limit.
@@ -49,14 +53,17 @@
     if '--check' in words:
         print('The settings are valid.')
         return 0
-    return asyncio.run(run(loaded.unwrap()))
+    return asyncio.run(run(loaded.unwrap(), words[1]))
 
 
-async def run(given: entrysettings.EntrySettings) -> int:
+async def run(given: entrysettings.EntrySettings, path: str) -> int:
     """Serve until a signal comes."""
     log = eventlog.set_up_event_log(given.log_level)
     logger = logging.getLogger('pomelopass')
-    write_event = eventlog.make_write_event(logger, instance=given.name)
+    counted = telemetry.Telemetry(given.name)
+    write_event = counted.wrap(
+        eventlog.make_write_event(logger, instance=given.name)
+    )
     log_task = asyncio.ensure_future(log.run())
     rng = random.SystemRandom()
     http = httpclient.HttpClient()
@@ -73,15 +80,16 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopped.set)
-    loop.add_signal_handler(
-        signal.SIGHUP, lambda: write_event('settings-reload-asked')
-    )
-    servers = await _listen(node)
+    watch = reload.SettingsWatch(path, node.take_settings, write_event)
+    loop.add_signal_handler(signal.SIGHUP, watch.reload)
+    servers = await _listen(node, counted)
     node.start()
+    watching = asyncio.ensure_future(watch.run())
     write_event('started', start=ports.incarnation, process=os.getpid())
     await stopped.wait()
     await _stop(node, servers, write_event)
     await http.close()
+    watching.cancel()
     log_task.cancel()
     with contextlib.suppress(asyncio.CancelledError):
         await log_task
@@ -89,13 +97,25 @@
     return 0
 
 
-async def _listen(node: nodes.Node) -> list[httpserver.HttpServer]:
+async def _listen(
+    node: nodes.Node, counted: telemetry.Telemetry
+) -> list[httpserver.HttpServer]:
     given = node.settings
-    handlers = (
+    handlers = [
         (given.caller_address, node.ingress.handle),
         (given.readiness_address, node.ingress.handle_readiness),
         (given.directory_address, node.ingress.handle_directory),
-    )
+    ]
+
+    async def handle_metrics(request):
+        for name, age_s in node.get_ages_s().items():
+            counted.ages.set({'table': name}, min(age_s, MAX_AGE_S))
+        counted.open.set({'kind': 'jobs'}, len(node.keeper.task_by_id))
+        counted.open.set({'kind': 'waiting'}, len(node.scheduler.waiting))
+        return await counted.handle(request)
+
+    if given.metrics_address is not None:
+        handlers.append((given.metrics_address, handle_metrics))
     servers = []
     for address, handler in handlers:
         server = httpserver.HttpServer(
--- a/pomelopass/entry/node.py
+++ b/pomelopass/entry/node.py
@@ -10,6 +10,7 @@
 from . import view as views
 from ..fleet import beats
 from ..fleet import member
+from ..jobs import cleanup
 from ..jobs import desk as desks
 from ..jobs import itemrun
 from ..jobs import job as jobs
@@ -142,6 +143,15 @@
             directory_ttl_s=given.directory_ttl_s,
             write_event=ports.write_event,
         )
+        self.cleaner = cleanup.Cleaner(
+            given.name,
+            self.table,
+            self.membership,
+            self.keeper.get_records,
+            given.job_kept_s * 1000,
+            self.table.get_now_ms,
+            ports.write_event,
+        )
         self.stopping = False
         self.outage_ended_at = float('-inf')
         self.in_outage = False
@@ -159,11 +169,21 @@
             self.heartbeat.run,
             self.keeper.run,
             self.versions.run,
+            self.cleaner.run,
             self._keep_house,
         ):
             task = asyncio.ensure_future(self._supervise(run))
             self.tasks.append(task)
 
+    def get_ages_s(self) -> dict[str, float]:
+        """Return how old the view of each table is, by its name."""
+        return {one.name: one.get_age_ms() / 1000 for one in self.followers}
+
+    def take_settings(self, given: entrysettings.EntrySettings) -> None:
+        """Take in settings that changed; addresses stay until a restart."""
+        self.settings = given
+        self.ingress.directory_ttl_s = given.directory_ttl_s
+
     def begin_stop(self) -> None:
         """Leave the directory and take no new duty."""
         self.stopping = True
--- /dev/null
+++ b/pomelopass/entry/telemetry.py
@@ -0,0 +1,100 @@
+"""Count what an entry instance does, in Prometheus' format."""
+
+import asyncio
+from collections import abc
+
+import aioprometheus
+from aioprometheus import renderer
+
+from .. import message
+
+__all__ = ['Telemetry']
+
+LATENCY_BUCKETS_S = (0.01, 0.03, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 7.5, 15.0)
+METRICS_PATH = '/metrics'
+OUTCOME_FIELDS = ('outcome', 'reason', 'why', 'change')
+MAX_LABEL_LENGTH = 40
+
+
+class Telemetry:
+    """Hold the metrics of one instance; events feed the counters.
+
+    Each event that is logged is counted by its kind and its outcome, so
+    that logs and metrics never tell two stories.
+    """
+
+    def __init__(self, instance: str):
+        self.registry = aioprometheus.Registry()
+        common = {
+            'const_labels': {'instance': instance},
+            'registry': self.registry,
+        }
+        self.events = aioprometheus.Counter(
+            'pomelopass_events_total', 'Events by kind and outcome.', **common
+        )
+        self.request_seconds = aioprometheus.Histogram(
+            'pomelopass_request_seconds',
+            'Time from a request to its end, by outcome.',
+            buckets=list(LATENCY_BUCKETS_S),
+            **common,
+        )
+        self.run_seconds = aioprometheus.Histogram(
+            'pomelopass_run_seconds',
+            'Time of one run of an item at an engine, by outcome.',
+            buckets=list(LATENCY_BUCKETS_S),
+            **common,
+        )
+        self.wait_seconds = aioprometheus.Histogram(
+            'pomelopass_run_wait_seconds',
+            'Time that an item waited for an engine.',
+            buckets=list(LATENCY_BUCKETS_S),
+            **common,
+        )
+        self.ages = aioprometheus.Gauge(
+            'pomelopass_view_age_seconds',
+            'Time since the table service last told of a table.',
+            **common,
+        )
+        self.open = aioprometheus.Gauge(
+            'pomelopass_open', 'Things at work now, by kind.', **common
+        )
+
+    def note(self, kind: str, fields: dict[str, object]) -> None:
+        """Count an event."""
+        labels = {'kind': kind}
+        for name in OUTCOME_FIELDS:
+            value = fields.get(name)
+            if isinstance(value, str):
+                labels['outcome'] = value[:MAX_LABEL_LENGTH]
+                break
+        self.events.inc(labels)
+        took_ms = fields.get('took_ms')
+        if not isinstance(took_ms, int | float):
+            return
+        outcome = {'outcome': labels.get('outcome', '')}
+        if kind == 'request-ended':
+            self.request_seconds.observe(outcome, took_ms / 1000)
+        elif kind == 'item-run':
+            self.run_seconds.observe(outcome, took_ms / 1000)
+            self.wait_seconds.observe({}, fields['waited_ms'] / 1000)
+
+    def wrap(
+        self, write_event: abc.Callable[..., None]
+    ) -> abc.Callable[..., None]:
+        """Return a function that counts and logs."""
+
+        def write(kind: str, **fields: object) -> None:
+            self.note(kind, fields)
+            write_event(kind, **fields)
+
+        return write
+
+    async def handle(self, request: message.Request) -> message.Reply:
+        """Answer with all metrics as text."""
+        if request.target.partition('?')[0] != METRICS_PATH:
+            return message.Reply(404, (), b'')
+        # Rendering is the only work here that grows with the label sets.
+        await asyncio.sleep(0)
+        content, headers = renderer.render(self.registry, ['text/plain'])
+        given = tuple((name.lower(), one) for name, one in headers.items())
+        return message.Reply(200, given, content)
--- a/pomelopass/jobs/keeper.py
+++ b/pomelopass/jobs/keeper.py
@@ -17,8 +17,6 @@
 __all__ = ['Keeper', 'MakeContext']
 
 CHECK_EVERY_MS = 150.0
-# Ended jobs stay readable this much longer than they have to.
-CLEAN_UP_SLACK_MS = 15_000
 
 # Jobs older than this say nothing of what a trainer asks now.
 DEMAND_WINDOW_MS = 20_000
@@ -92,6 +90,13 @@
         elif ours and not self.stopping and not known.busy:
             self._check(job_id, known, asyncio.get_running_loop().time())
 
+    def get_records(self) -> list[tuple[jobs.JobRecord, int]]:
+        """Return the known records with the versions of their rows."""
+        return [
+            (known.stored.record, known.stored.version)
+            for known in self.known_by_id.values()
+        ]
+
     def get(self, job_id: str) -> jobtable.StoredJob | None:
         """Return the last known state of a job."""
         known = self.known_by_id.get(job_id)
@@ -139,7 +144,7 @@
         self.note(stored)
 
     async def run(self) -> None:
-        """Adopt jobs and clean up until cancelled."""
+        """Adopt jobs until cancelled."""
         while True:
             await asyncio.sleep(CHECK_EVERY_MS / 1000)
             now = asyncio.get_running_loop().time()
--- /dev/null
+++ b/tests/requests/test_stream.py
@@ -0,0 +1,123 @@
+"""Test streams of callers, broken and resumed."""
+
+import asyncio
+import random
+
+import pytest
+
+from pomelopass import message
+from pomelopass.requests import call as calls
+from pomelopass.requests import forward
+from pomelopass.requests import routes
+from pomelopass.requests import stream as streams
+from pomelopass.registry import endpoint as endpoints
+from pomelopass.registry import registry as registries
+from standins import modelengines
+from standins import rowtable
+from standins import virtualloop
+
+
+def make_streams(seed, break_share, engines=3):
+    rng = random.Random(seed)
+    pool = modelengines.EndpointPool(rowtable.RowService(), rng)
+    registry = registries.Registry(lambda *kind, **fields: None)
+    for number in range(engines):
+        one = modelengines.FakeEndpoint(
+            f'e{number}',
+            'engines',
+            version_by_model={'m': 1},
+            break_share=break_share,
+        )
+        pool.add(one)
+        registry.put(
+            endpoints.Endpoint(
+                one.id,
+                'engines',
+                '10.0.0.1:1',
+                'north',
+                8,
+                False,
+                {'m': 1},
+                1,
+            )
+        )
+    forwarder = forward.Forwarder(
+        registry, pool, 'north', rng, lambda *k, **f: None
+    )
+    return pool, streams.StreamForwarder(forwarder, 'weight-versions')
+
+
+def make_route(resumable):
+    return routes.Route(
+        'r',
+        'h',
+        '/',
+        routes.Repeat.STREAMING,
+        (routes.Share('engines', 1.0),),
+        20_000.0,
+        400.0,
+        50,
+        resumable,
+    )
+
+
+async def collect(reply):
+    parts = []
+    try:
+        async for chunk in reply.chunks:
+            parts.append(chunk)
+    except (ConnectionResetError, message.ExchangeError):
+        return b''.join(parts), False
+    return b''.join(parts), True
+
+
+def get_data(stream):
+    blocks = stream.decode().split('\n\n')
+    return [
+        line.removeprefix('data: ')
+        for block in blocks
+        for line in block.split('\n')
+        if line.startswith('data: ')
+    ]
+
+
+@pytest.mark.parametrize('seed', range(12))
+def test_resumable_stream_has_each_event_once(seed):
+    async def scenario():
+        pool, forwarder = make_streams(seed, 0.5)
+        call = calls.Call('s', 'h', 'POST', '/', (), b'', None)
+        reply = await forwarder.open_stream(call, make_route(True))
+        stream, whole = await collect(reply)
+        count = pool.events_by_item['s']
+        expected = [f's.{number}' for number in range(1, count + 1)]
+        assert get_data(stream) == expected[: len(get_data(stream))]
+        if whole:
+            assert get_data(stream) == expected
+
+    virtualloop.run(scenario())
+
+
+def test_stream_that_may_not_be_resumed_never_looks_complete():
+    async def scenario():
+        pool, forwarder = make_streams(1, 1.0)
+        call = calls.Call('s', 'h', 'POST', '/', (), b'', None)
+        reply = await forwarder.open_stream(call, make_route(False))
+        _, whole = await collect(reply)
+        assert not whole
+        ran = sum(len(one.ran) for one in pool.endpoint_by_id.values())
+        assert ran == 1
+
+    virtualloop.run(scenario())
+
+
+def test_full_engines_refuse_with_not_run():
+    async def scenario():
+        pool, forwarder = make_streams(1, 0.0, engines=1)
+        pool.endpoint_by_id['e0'].loading = True
+        loop = asyncio.get_running_loop()
+        call = calls.Call('s', 'h', 'POST', '/', (), b'', loop.time() + 1)
+        outcome = await forwarder.open_stream(call, make_route(False))
+        assert outcome.kind is forward.OutcomeKind.NOT_RUN
+        assert pool.endpoint_by_id['e0'].ran == []
+
+    virtualloop.run(scenario())
