Keep unfinished texts so that a new owner goes on with them

After kills all texts in progress were made again. Ruled out: texts kept by peers (a second store of our own). Change: every 0.6 s the owner keeps texts with 16 or more new events, under the condition of the job's record; a hand-over carries all of them along. Measured: a test with an item of 140 events, killed or handed over after 3 s, failed before (the second owner began with no text) and passes.

--- a/pomelopass/jobs/cleanup.py
+++ b/pomelopass/jobs/cleanup.py
@@ -75,6 +75,7 @@
         names = []
         for wanted in (
             rowcodec.make_result_range(record.id, 0),
+            rowcodec.make_progress_range(record.id),
             rowcodec.make_submission_range(record.id),
         ):
             async for some in rows.read_all(self.table, wanted):
--- a/pomelopass/jobs/itemrun.py
+++ b/pomelopass/jobs/itemrun.py
@@ -7,6 +7,7 @@
 
 from . import events
 from . import job as jobs
+from . import progress as progresses
 from . import rewardgate
 from . import schedule
 from .. import message
@@ -52,34 +53,28 @@
 class _Run:
     item: jobs.Item
     group_index: int
-    texts: list[str] = dataclasses.field(default_factory=list)
-    versions: list[int] = dataclasses.field(default_factory=list)
-    last_event_id: str | None = None
+    progress: progresses.Progress
     errors: int = 0
     breaks: int = 0
     avoid: set[str] = dataclasses.field(default_factory=set)
-    whole: bool = False
     terminated: bool = False
 
-    def restart(self) -> None:
-        """Drop the text, to begin again."""
-        self.texts.clear()
-        self.versions.clear()
-        self.last_event_id = None
-
 
 async def run_item(
-    context: ItemContext, item: jobs.Item, group_index: int
+    context: ItemContext,
+    item: jobs.Item,
+    group_index: int,
+    progress: progresses.Progress,
 ) -> jobs.Result:
     """Return the result of an item; give it up when its time is over."""
-    run = _Run(item, group_index)
+    run = _Run(item, group_index, progress)
     loop = asyncio.get_running_loop()
     left = max(context.expires_at - loop.time(), 0.0)
     try:
         async with asyncio.timeout(left):
-            while not run.whole and not run.terminated:
+            while not run.progress.whole and not run.terminated:
                 await _run_once(context, run)
-            if run.whole:
+            if run.progress.whole:
                 return await _score(context, run)
     except TimeoutError:
         run.terminated = True
@@ -114,7 +109,7 @@
     wait_began = loop.time()
     state = await context.scheduler.acquire(waiting)
     began = loop.time()
-    progressed = len(run.texts)
+    progressed = len(run.progress.texts)
     reason = 'done'
     try:
         reason = await _stream(context, run, route, state, waiting)
@@ -132,14 +127,16 @@
         id=run.item.id,
         endpoint=state.endpoint.id,
         outcome=reason,
-        events=len(run.texts),
-        versions=run.versions,
+        events=len(run.progress.texts),
+        versions=run.progress.versions,
         waited_ms=round((began - wait_began) * 1000, 1),
         took_ms=round((loop.time() - began) * 1000, 1),
     )
-    if run.whole or run.terminated:
+    if run.progress.whole or run.terminated:
         return
-    await _pause(context, run, state, reason, len(run.texts) > progressed)
+    await _pause(
+        context, run, state, reason, len(run.progress.texts) > progressed
+    )
 
 
 async def _pause(
@@ -180,7 +177,7 @@
         headers=run.item.headers,
         body=run.item.body,
         deadline_at=context.expires_at,
-        last_event_id=run.last_event_id,
+        last_event_id=run.progress.last_event_id,
     )
     answer = await context.port.open(state.endpoint, call, left_ms, STALL_MS)
     whole = False
@@ -193,7 +190,7 @@
             whole = True
             return _take_refusal(run, answer, state, route.max_attempts)
         if not _fits(context, run, route, answer.weight_version):
-            run.restart()
+            run.progress.restart()
             return 'version'
         if answer.weight_version is not None:
             endpoints.note_version(
@@ -236,9 +233,9 @@
         return True
     if version < context.submission.min_version:
         return False
-    if not route.single_version or not run.versions:
+    if not route.single_version or not run.progress.versions:
         return True
-    return run.versions[-1] == version
+    return run.progress.versions[-1] == version
 
 
 async def _read_events(
@@ -274,7 +271,7 @@
                 return 'moved'
     if parser.unread.strip():
         raise message.ExchangeError('truncated', 1)
-    run.whole = True
+    run.progress.whole = True
     return 'done'
 
 
@@ -286,19 +283,19 @@
     version: int | None,
 ) -> bool:
     if not _fits(context, run, route, version):
-        run.restart()
+        run.progress.restart()
         return False
-    run.texts.append(event.data)
-    run.last_event_id = event.id
-    if version is not None and version not in run.versions:
-        run.versions.append(version)
+    run.progress.texts.append(event.data)
+    run.progress.last_event_id = event.id
+    if version is not None and version not in run.progress.versions:
+        run.progress.versions.append(version)
     return True
 
 
 async def _score(context: ItemContext, run: _Run) -> jobs.Result:
     reward = run.item.reward
-    text = '\n'.join(run.texts)
-    versions = tuple(run.versions)
+    text = '\n'.join(run.progress.texts)
+    versions = tuple(run.progress.versions)
     if reward is None:
         return jobs.Result(run.item.id, True, text, versions)
     errors = 0
--- a/pomelopass/jobs/jobrun.py
+++ b/pomelopass/jobs/jobrun.py
@@ -7,6 +7,7 @@
 from . import itemrun
 from . import job as jobs
 from . import jobtable
+from . import progress as progresses
 from . import rowcodec
 from ..table import rows
 
@@ -16,6 +17,10 @@
 COALESCE_MS = 20.0
 COMMIT_RETRY_MS = 2000.0
 MAX_RESULTS_AT_ONCE = 40
+# Texts are kept so that another owner need not make them again.
+SAVE_EVERY_MS = 600.0
+MIN_NEW_EVENTS = 16
+MAX_TEXTS_AT_ONCE = 60
 MAX_BYTES_AT_ONCE = 400_000
 
 
@@ -36,12 +41,19 @@
         context: itemrun.ItemContext,
         stored: jobtable.StoredJob,
         listed: abc.Collection[str],
+        progress_by_item: dict[str, progresses.Progress],
         table: jobtable.JobTable,
         on_change: abc.Callable[[jobtable.StoredJob], None],
     ):
         self.context = context
         self.stored = stored
         self.listed = set(listed)
+        self.progress_by_item = dict(progress_by_item)
+        # Events of each text that the table service keeps already.
+        self.saved_by_item: dict[str, int] = {
+            item_id: len(one.texts)
+            for item_id, one in progress_by_item.items()
+        }
         self.table = table
         self.on_change = on_change
         self.finished: list[jobs.Result] = []
@@ -53,6 +65,7 @@
         """Run until all is listed, the job ended or its ownership moved."""
         try:
             self._start_items()
+            self.tasks.add(asyncio.ensure_future(self._save_texts()))
             while self.stored.record.is_open:
                 await self.wake.wait()
                 await asyncio.sleep(COALESCE_MS / 1000)
@@ -71,10 +84,11 @@
             self.stored.record, owner='', owner_name=''
         )
         loop = asyncio.get_running_loop()
+        puts = self._take_unsaved(1)
         settled = await self.table.write(
-            record, self.stored.version, [], loop.time() + 1.0
+            record, self.stored.version, puts, loop.time() + 1.0
         )
-        self._tell('job-handed-over', applied=settled.applied)
+        self._tell('job-handed-over', applied=settled.applied, texts=len(puts))
         if settled.is_settled:
             self.on_change(settled.current)
 
@@ -91,11 +105,51 @@
             self.tasks.add(asyncio.ensure_future(self._run_item(item, index)))
 
     async def _run_item(self, item: jobs.Item, group_index: int) -> None:
-        result = await itemrun.run_item(self.context, item, group_index)
+        progress = self.progress_by_item.setdefault(
+            item.id, progresses.Progress()
+        )
+        result = await itemrun.run_item(
+            self.context, item, group_index, progress
+        )
         self.context.left_by_group[item.group] -= 1
         self.finished.append(result)
         self.wake.set()
 
+    async def _save_texts(self) -> None:
+        while True:
+            await asyncio.sleep(SAVE_EVERY_MS / 1000)
+            puts = self._take_unsaved(MIN_NEW_EVENTS)
+            if not puts or self.unsettled is not None:
+                continue
+            try:
+                await self.table.save_progress(
+                    self.stored.record.id, self.stored.version, puts
+                )
+            except rows.TableError as error:
+                # The texts only spare work: the next time will do.
+                self._tell('texts-not-saved', detail=error.detail)
+
+    def _take_unsaved(self, min_events: int) -> list[tuple[rows.Key, bytes]]:
+        puts = []
+        size = 0
+        for item_id, progress in self.progress_by_item.items():
+            saved = self.saved_by_item.get(item_id, 0)
+            new = len(progress.texts) - saved
+            done = item_id in self.listed
+            if done or new < min_events:
+                continue
+            row = rowcodec.encode_progress(
+                self.stored.record.id, item_id, progress
+            )
+            if row is None or len(puts) >= MAX_TEXTS_AT_ONCE:
+                continue
+            size += len(row[1])
+            if puts and size > MAX_BYTES_AT_ONCE:
+                break
+            self.saved_by_item[item_id] = len(progress.texts)
+            puts.append(row)
+        return puts
+
     async def _commit(self) -> bool:
         if self.unsettled is None:
             self.unsettled = self._make_write()
--- a/pomelopass/jobs/jobtable.py
+++ b/pomelopass/jobs/jobtable.py
@@ -5,6 +5,7 @@
 import zlib
 
 from . import job as jobs
+from . import progress as progresses
 from . import rowcodec
 from ..table import rows
 
@@ -69,6 +70,33 @@
         page = await self.table.read(rowcodec.make_result_range(job_id, first))
         return rowcodec.decode_results(list(page.rows))
 
+    async def fetch_progress(
+        self, job_id: str
+    ) -> dict[str, progresses.Progress]:
+        """Return the unfinished texts by item; raise TableError."""
+        found = {}
+        wanted = rowcodec.make_progress_range(job_id)
+        async for some in rows.read_all(self.table, wanted):
+            for row in some:
+                try:
+                    item_id, progress = rowcodec.decode_progress(row)
+                except ValueError as error:
+                    raise rows.TableError(str(error), False) from None
+                found[item_id] = progress
+        return found
+
+    async def save_progress(
+        self,
+        job_id: str,
+        version: int,
+        puts: list[tuple[rows.Key, bytes]],
+    ) -> None:
+        """Keep unfinished texts if the record is at the version."""
+        key = rowcodec.make_record_key(job_id)
+        await self.table.transact(
+            rows.Transaction(expected=((key, version),), puts=tuple(puts))
+        )
+
     async def fetch_all_results(self, job_id: str) -> dict[int, jobs.Result]:
         """Return all results by position; raise TableError."""
         found = []
--- a/pomelopass/jobs/keeper.py
+++ b/pomelopass/jobs/keeper.py
@@ -9,6 +9,7 @@
 from . import job as jobs
 from . import jobrun
 from . import jobtable
+from . import progress as progresses
 from . import rowcodec
 from ..fleet import member
 from ..requests import routes
@@ -140,7 +141,7 @@
         """Run a job that this instance has just accepted."""
         self.submission_by_id[submission.id] = submission
         if stored.record.owner == self.incarnation:
-            self._start_run(stored, submission, set())
+            self._start_run(stored, submission, set(), {})
         self.note(stored)
 
     async def run(self) -> None:
@@ -223,7 +224,8 @@
                 stored = settled.current
             submission = await self.get_submission(job_id)
             listed = await jobrun.load_listed(self.table, stored.record)
-            self._start_run(stored, submission, listed)
+            texts = await self.table.fetch_progress(job_id)
+            self._start_run(stored, submission, listed, texts)
         except rows.TableError as error:
             self.write_event('job-not-loaded', job=job_id, detail=error.detail)
         finally:
@@ -241,12 +243,15 @@
         stored: jobtable.StoredJob,
         submission: jobs.Submission,
         listed: set[str],
+        texts: dict[str, progresses.Progress],
     ) -> None:
         job_id = submission.id
         context = self.make_context(submission, stored.record)
         if context is None or job_id in self.task_by_id or self.stopping:
             return
-        run = jobrun.JobRun(context, stored, listed, self.table, self.note)
+        run = jobrun.JobRun(
+            context, stored, listed, texts, self.table, self.note
+        )
         task = asyncio.ensure_future(run.run())
         self.run_by_id[job_id] = run
         self.task_by_id[job_id] = task
@@ -254,6 +259,7 @@
             'job-started',
             job=job_id,
             listed=len(listed),
+            texts=len(texts),
             total=stored.record.total,
         )
 
--- a/pomelopass/jobs/rowcodec.py
+++ b/pomelopass/jobs/rowcodec.py
@@ -7,6 +7,7 @@
 import xxhash
 
 from . import job as jobs
+from . import progress as progresses
 from ..table import rows
 
 __all__ = [
@@ -23,6 +24,7 @@
 JOB_TABLE = 'jobs'
 BODY_TABLE = 'job-bodies'
 RESULT_TABLE = 'job-results'
+TEXT_TABLE = 'job-texts'
 PART_COUNT = 16
 PARTS = tuple(f'p{number:02d}' for number in range(PART_COUNT))
 CHUNK_BYTES = 60_000
@@ -128,6 +130,33 @@
     return decoded
 
 
+def encode_progress(
+    job_id: str, item_id: str, progress: progresses.Progress
+) -> tuple[rows.Key, bytes] | None:
+    """Return the row of an unfinished text, or None if it is too long."""
+    value = zlib.compress(orjson.dumps(progress), level=1)
+    if len(value) > CHUNK_BYTES:
+        return None
+    key = rows.Key(TEXT_TABLE, get_part(job_id), f'{job_id}/{item_id}')
+    return key, value
+
+
+def make_progress_range(job_id: str) -> rows.Range:
+    """Return the range of the rows of a job's unfinished texts."""
+    return rows.Range(
+        TEXT_TABLE, get_part(job_id), f'{job_id}/', f'{job_id}/{KEY_END}'
+    )
+
+
+def decode_progress(row: rows.Row) -> tuple[str, progresses.Progress]:
+    """Return the item's id and its unfinished text; raise ValueError."""
+    try:
+        fields = orjson.loads(zlib.decompress(row.value))
+    except zlib.error as error:
+        raise ValueError(str(error)) from None
+    return row.name.key.split('/')[-1], progresses.Progress(**fields)
+
+
 def _encode_bytes(value: object) -> str:
     if isinstance(value, bytes):
         return value.decode('latin-1')
--- a/tests/entry/test_jobs.py
+++ b/tests/entry/test_jobs.py
@@ -215,3 +215,33 @@
         await cluster.stop()
 
     virtualloop.run(scenario())
+
+
+@pytest.mark.parametrize('how', ['kill', 'hand-over'])
+def test_long_text_goes_on_under_a_new_owner(how):
+    async def scenario():
+        cluster = entrybuilders.make_cluster()
+        await asyncio.sleep(2)
+        submission = entrybuilders.make_submission(groups=1, size=1)
+        item_id = submission.items[0].id
+        cluster.pool.events_by_item[item_id] = 140
+        await cluster.submit('entry-0', submission)
+        await asyncio.sleep(3)
+        stored = cluster.entry_by_name['entry-0'].node.keeper.get('job-1')
+        owner = stored.record.owner_name
+        if how == 'kill':
+            cluster.kill(owner)
+        else:
+            await cluster.entry_by_name[owner].node.keeper.stop()
+        results = await cluster.read_all('job-1', 10)
+        check_results(cluster, submission, results)
+        events = [
+            event
+            for entry in cluster.entry_by_name.values()
+            for event in entry.events
+            if event['event'] == 'job-started' and event['job'] == 'job-1'
+        ]
+        assert [event['texts'] for event in events] == [0, 1]
+        await cluster.stop()
+
+    virtualloop.run(scenario())
