--- a/pomelopass/cmdline.py
+++ b/pomelopass/cmdline.py
@@ -8,6 +8,7 @@
 from . import command
 from .commands import config
 from .commands import explain
+from .commands import logs
 from .commands import status
 from .commands import timeline
 
@@ -20,7 +21,11 @@
     """Hold where to find an instance and what to do."""
 
     action: cappa.Subcommands[
-        config.Config | status.Status | timeline.Timeline | explain.Explain
+        config.Config
+        | status.Status
+        | timeline.Timeline
+        | explain.Explain
+        | logs.Logs
     ]
     instance: Annotated[
         str,
@@ -52,8 +57,9 @@
 
 def _run(tool: Tool) -> None:
     action = tool.action
-    offline = isinstance(action, config.Config) and isinstance(
-        action.action, config.Check
+    offline = isinstance(action, logs.Logs) or (
+        isinstance(action, config.Config)
+        and isinstance(action.action, config.Check)
     )
     access = None
     if not offline:
--- a/pomelopass/jobs/keeper.py
+++ b/pomelopass/jobs/keeper.py
@@ -19,6 +19,7 @@
 
 CHECK_EVERY_MS = 150.0
 
+MAX_REMEMBERED_TEXTS = 400
 # Jobs older than this say nothing of what a trainer asks now.
 DEMAND_WINDOW_MS = 20_000
 
@@ -57,6 +58,7 @@
         self.run_by_id: dict[str, jobrun.JobRun] = {}
         self.task_by_id: dict[str, asyncio.Task] = {}
         self.submission_by_id: dict[str, jobs.Submission] = {}
+        self.progress_by_item: dict[str, progresses.Progress] = {}
         self.background: set[asyncio.Task] = set()
         self.stopping = False
 
@@ -249,8 +251,14 @@
         context = self.make_context(submission, stored.record)
         if context is None or job_id in self.task_by_id or self.stopping:
             return
+        carried = self._find_carried(submission)
         run = jobrun.JobRun(
-            context, stored, listed, texts, self.table, self.note
+            context,
+            stored,
+            listed,
+            {**carried, **texts},
+            self.table,
+            self.note,
         )
         task = asyncio.ensure_future(run.run())
         self.run_by_id[job_id] = run
@@ -260,16 +268,39 @@
             job=job_id,
             listed=len(listed),
             texts=len(texts),
+            carried=len(carried),
             total=stored.record.total,
         )
 
         def forget(done: asyncio.Task) -> None:
+            self._remember(run)
             self.task_by_id.pop(job_id, None)
             self.run_by_id.pop(job_id, None)
             self._note_failure(done)
 
         task.add_done_callback(forget)
 
+    def _find_carried(
+        self, submission: jobs.Submission
+    ) -> dict[str, progresses.Progress]:
+        found = {}
+        for item in submission.items:
+            known = self.progress_by_item.get(item.id)
+            if known is None or not known.versions:
+                continue
+            if min(known.versions) >= submission.min_version:
+                found[item.id] = known
+        return found
+
+    def _remember(self, run: jobrun.JobRun) -> None:
+        # Groups that were not complete may come again in a later job.
+        for item_id, progress in run.progress_by_item.items():
+            self.progress_by_item.pop(item_id, None)
+            self.progress_by_item[item_id] = progress
+        surplus = len(self.progress_by_item) - MAX_REMEMBERED_TEXTS
+        for item_id in list(self.progress_by_item)[: max(surplus, 0)]:
+            del self.progress_by_item[item_id]
+
     def _note_failure(self, done: asyncio.Task) -> None:
         if not done.cancelled() and done.exception() is not None:
             self.write_event('task-failed', detail=repr(done.exception()))
--- a/tests/entry/test_jobs.py
+++ b/tests/entry/test_jobs.py
@@ -1,6 +1,7 @@
 """Test jobs on whole entry instances under faults."""
 
 import asyncio
+import dataclasses
 
 import pytest
 
@@ -245,3 +246,34 @@
         await cluster.stop()
 
     virtualloop.run(scenario())
+
+
+@pytest.mark.parametrize(('min_version', 'runs'), [(1, 0), (2, 1)])
+def test_text_of_a_group_that_comes_again_is_used_if_it_fits(
+    min_version, runs
+):
+    async def scenario():
+        cluster = entrybuilders.make_cluster()
+        await asyncio.sleep(2)
+        first = entrybuilders.make_submission(groups=1, size=1)
+        await cluster.submit('entry-0', first)
+        assert len(await cluster.read_all('job-1', 10)) == 1
+        cluster.name_version(entrybuilders.MODEL, 2)
+        await asyncio.sleep(4)
+        again = dataclasses.replace(first, id='job-2', min_version=min_version)
+        item_id = first.items[0].id
+        before = count_runs(cluster, item_id)
+        await cluster.submit('entry-1', again)
+        results = await cluster.read_all('job-2', 10)
+        check_results(cluster, again, results)
+        assert min(results[0].versions) >= min_version
+        assert count_runs(cluster, item_id) - before == runs
+        await cluster.stop()
+
+    virtualloop.run(scenario())
+
+
+def count_runs(cluster, item_id):
+    return sum(
+        one.ran.count(item_id) for one in cluster.pool.endpoint_by_id.values()
+    )
