--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN = $(VENV)/bin
 STAMP = $(VENV)/.installed
 
-.PHONY: setup demo test check bench capacity fuzz mutants docs generate
+.PHONY: setup demo test check bench capacity fuzz mutants docs generate soak
 
 setup: $(STAMP)
 
@@ -20,7 +20,7 @@
 	$(BIN)/ruff check .
 	$(BIN)/flake8 --select H --extend-ignore H304 \
 	  --extend-exclude .venv,pomelopass/wire/gen \
-	  pomelopass standins scripts bench tests
+	  pomelopass standins scripts bench soak tests
 
 test: check
 	$(BIN)/python -m scripts.run_tests
@@ -34,6 +34,9 @@
 fuzz: setup
 	$(BIN)/python -m scripts.fuzz
 
+soak: setup
+	$(BIN)/python -m soak --runs 10
+
 mutants: setup
 	$(BIN)/python -m scripts.mutants
 
@@ -43,6 +46,7 @@
 # Needs the Debian package thrift-compiler; the result is committed.
 generate:
 	thrift -r --gen py:slots -out pomelopass/wire/gen pomelopass/wire/peer.thrift
-	rm -f pomelopass/wire/gen/peer/Peer-remote pomelopass/wire/gen/__init__.py
-	echo '"""Hold the code that thrift generates from peer.thrift."""' \
+	thrift -r --gen py:slots -out pomelopass/wire/gen pomelopass/wire/relay.thrift
+	rm -f pomelopass/wire/gen/*/*-remote pomelopass/wire/gen/__init__.py
+	echo '"""Hold the code that thrift generates from the files beside it."""' \
 	  > pomelopass/wire/gen/__init__.py
--- a/pomelopass/edges/httpserver.py
+++ b/pomelopass/edges/httpserver.py
@@ -6,8 +6,8 @@
 
 import h11
 
-from . import requestreader
 from .. import message
+from . import requestreader
 
 __all__ = ['HttpServer', 'start_server']
 
--- a/pomelopass/entry/__main__.py
+++ b/pomelopass/entry/__main__.py
@@ -11,18 +11,18 @@
 
 from returns import result
 
-from . import eventlog
-from . import node as nodes
-from . import reload
-from . import settings as entrysettings
-from . import telemetry
 from .. import problem
 from ..edges import httpclient
 from ..edges import httpserver
 from ..edges import requestreader
+from . import eventlog
+from . import node as nodes
 from ..platform import endpointclient
 from ..platform import ingress
 from ..platform import rowclient
+from . import reload
+from . import settings as entrysettings
+from . import telemetry
 
 __all__ = ['main']
 
--- a/pomelopass/entry/node.py
+++ b/pomelopass/entry/node.py
@@ -1,13 +1,10 @@
 """Build one entry instance from settings and ports."""
 
 import asyncio
+from collections import abc
 import dataclasses
 import random
-from collections import abc
 
-from . import settings as entrysettings
-from . import tableclock
-from . import view as views
 from ..fleet import beats
 from ..fleet import member
 from ..jobs import cleanup
@@ -27,12 +24,15 @@
 from ..requests import forward
 from ..requests import routes
 from ..requests import stream as streams
+from . import settings as entrysettings
 from ..table import fallback
 from ..table import follower as followers
 from ..table import relay
 from ..table import rows
+from . import tableclock
 from ..versions import keeper as versionkeepers
 from ..versions import leader
+from . import view as views
 
 __all__ = ['Node', 'NodePorts', 'build_node']
 
--- a/pomelopass/entry/reload.py
+++ b/pomelopass/entry/reload.py
@@ -6,8 +6,8 @@
 
 from returns import result
 
-from . import settings as entrysettings
 from .. import problem
+from . import settings as entrysettings
 
 __all__ = ['SettingsWatch']
 
--- a/pomelopass/entry/settings.py
+++ b/pomelopass/entry/settings.py
@@ -20,25 +20,56 @@
         extra='forbid', frozen=True, strict=True
     )
 
-    name: str = pydantic.Field(min_length=1)
-    availability_zone: str = pydantic.Field(min_length=1)
-    caller_address: settings.Address
-    readiness_address: settings.Address
-    directory_address: settings.Address
-    # Other instances reach the table service through this address.
-    relay_address: settings.Address
-    metrics_address: settings.Address | None = None
+    name: str = pydantic.Field(
+        min_length=1, description='Name of the instance.'
+    )
+    availability_zone: str = pydantic.Field(
+        min_length=1, description='Availability zone of the instance.'
+    )
+    caller_address: settings.Address = pydantic.Field(
+        description='Address for callers and trainers, as IP:PORT.'
+    )
+    readiness_address: settings.Address = pydantic.Field(
+        description="Address for the platform's readiness checks."
+    )
+    directory_address: settings.Address = pydantic.Field(
+        description='Address at which callers ask for addresses.'
+    )
+    relay_address: settings.Address = pydantic.Field(
+        description='Address for calls that a peer passes on.'
+    )
+    metrics_address: settings.Address | None = pydantic.Field(
+        default=None, description='Address of the metrics; none if left out.'
+    )
     seed_addresses: tuple[settings.Address, ...] = pydantic.Field(
-        default=(), strict=False
-    )
-    table_address: settings.Address
-    stop_limit_s: float = pydantic.Field(gt=0)
-    takeover_wait_ms: float = pydantic.Field(ge=0)
-    engines_check_fences: bool
-    job_kept_s: float = pydantic.Field(gt=0)
-    directory_ttl_s: float = pydantic.Field(gt=0)
+        default=(),
+        strict=False,
+        description='Relay addresses of other instances to begin with.',
+    )
+    table_address: settings.Address = pydantic.Field(
+        description='Address of the table service.'
+    )
+    stop_limit_s: float = pydantic.Field(
+        gt=0, description='Longest graceful shutdown, in seconds.'
+    )
+    takeover_wait_ms: float = pydantic.Field(
+        ge=0,
+        description='Pause of a new leader where engines do not check '
+        'fences, in milliseconds.',
+    )
+    engines_check_fences: bool = pydantic.Field(
+        description='Whether engines refuse lower fencing numbers.'
+    )
+    job_kept_s: float = pydantic.Field(
+        gt=0, description='How long jobs stay readable, in seconds.'
+    )
+    directory_ttl_s: float = pydantic.Field(
+        gt=0, description='How long callers keep addresses, in seconds.'
+    )
     log_level: str = pydantic.Field(
-        default='INFO', pattern='^(DEBUG|INFO|WARNING|ERROR)$'
+        default='INFO',
+        pattern='^(DEBUG|INFO|WARNING|ERROR)$',
+        description='Least level that is logged.',
     )
 
 
--- a/pomelopass/fleet/beats.py
+++ b/pomelopass/fleet/beats.py
@@ -1,9 +1,9 @@
 """Tell the fleet that this instance lives, and hear the others."""
 
 import asyncio
+from collections import abc
 import dataclasses
 import random
-from collections import abc
 
 from . import member
 from ..table import rows
--- a/pomelopass/jobs/cleanup.py
+++ b/pomelopass/jobs/cleanup.py
@@ -3,10 +3,10 @@
 import asyncio
 from collections import abc
 
-from . import job as jobs
-from . import rowcodec
 from ..core import rendezvous
 from ..fleet import member
+from . import job as jobs
+from . import rowcodec
 from ..table import rows
 
 __all__ = ['Cleaner', 'is_over']
--- a/pomelopass/jobs/desk.py
+++ b/pomelopass/jobs/desk.py
@@ -1,9 +1,9 @@
 """Answer trainers: accept, read and end jobs."""
 
 import asyncio
+from collections import abc
 import dataclasses
 import enum
-from collections import abc
 
 from . import job as jobs
 from . import jobtable
--- a/pomelopass/jobs/itemrun.py
+++ b/pomelopass/jobs/itemrun.py
@@ -1,20 +1,20 @@
 """Run one item of a job until its text is whole and scored."""
 
 import asyncio
+from collections import abc
 import dataclasses
 import random
-from collections import abc
 
+from .. import message
 from . import events
 from . import job as jobs
 from . import progress as progresses
-from . import rewardgate
-from . import schedule
-from .. import message
 from ..registry import endpoint as endpoints
 from ..requests import call as calls
 from ..requests import forward
 from ..requests import routes
+from . import rewardgate
+from . import schedule
 
 __all__ = ['ItemContext', 'run_item']
 
--- a/pomelopass/jobs/jobrun.py
+++ b/pomelopass/jobs/jobrun.py
@@ -1,8 +1,8 @@
 """Run the items of one owned job and commit their results."""
 
 import asyncio
-import dataclasses
 from collections import abc
+import dataclasses
 
 from . import itemrun
 from . import job as jobs
--- a/pomelopass/jobs/keeper.py
+++ b/pomelopass/jobs/keeper.py
@@ -1,18 +1,18 @@
 """Know all jobs, run the owned ones and adopt those without an owner."""
 
 import asyncio
-import dataclasses
 from collections import abc
+import dataclasses
 
 from . import adoption
+from ..fleet import member
 from . import itemrun
 from . import job as jobs
 from . import jobrun
 from . import jobtable
 from . import progress as progresses
-from . import rowcodec
-from ..fleet import member
 from ..requests import routes
+from . import rowcodec
 from ..table import rows
 
 __all__ = ['Keeper', 'MakeContext']
--- a/pomelopass/jobs/schedule.py
+++ b/pomelopass/jobs/schedule.py
@@ -1,8 +1,8 @@
 """Decide which waiting item gets which engine."""
 
 import asyncio
-import dataclasses
 from collections import abc
+import dataclasses
 
 from . import job as jobs
 from ..registry import choice
--- a/pomelopass/platform/endpointclient.py
+++ b/pomelopass/platform/endpointclient.py
@@ -4,10 +4,10 @@
 
 import orjson
 
-from . import endpointdecode
-from . import names
 from .. import message
 from ..edges import httpclient
+from . import endpointdecode
+from . import names
 from ..registry import endpoint
 from ..requests import call as calls
 from ..versions import orders
--- a/pomelopass/platform/ingress.py
+++ b/pomelopass/platform/ingress.py
@@ -7,12 +7,12 @@
 
 import orjson
 
-from . import jobdecode
-from . import names
 from .. import message
 from ..fleet import directory
 from ..fleet import member
+from . import jobdecode
 from ..jobs import desk as desks
+from . import names
 from ..requests import call as calls
 from ..requests import forward
 from ..requests import routes
--- a/pomelopass/platform/jobdecode.py
+++ b/pomelopass/platform/jobdecode.py
@@ -8,10 +8,10 @@
 import pydantic
 from returns import result
 
-from . import names
 from .. import message
 from ..jobs import desk
 from ..jobs import job as jobs
+from . import names
 
 __all__ = ['decode_submission', 'encode_page']
 
--- a/pomelopass/platform/rowclient.py
+++ b/pomelopass/platform/rowclient.py
@@ -5,9 +5,9 @@
 
 import orjson
 
-from . import names
 from .. import message
 from ..edges import httpclient
+from . import names
 from ..table import rows
 
 __all__ = ['RowClient']
--- a/pomelopass/requests/forward.py
+++ b/pomelopass/requests/forward.py
@@ -1,17 +1,17 @@
 """Carry one request to endpoints until one gives a whole answer."""
 
 import asyncio
+from collections import abc
 import dataclasses
 import enum
 import random
-from collections import abc
 
-from . import call as calls
-from . import routes
 from .. import message
+from . import call as calls
 from ..registry import choice
 from ..registry import endpoint as endpoints
 from ..registry import registry as registries
+from . import routes
 
 __all__ = ['Forwarder', 'Outcome', 'OutcomeKind']
 
--- a/pomelopass/requests/stream.py
+++ b/pomelopass/requests/stream.py
@@ -1,16 +1,16 @@
 """Carry the stream of one request, resumed elsewhere where allowed."""
 
 import asyncio
-import dataclasses
 from collections import abc
+import dataclasses
 
+from .. import message
 from . import call as calls
 from . import forward
-from . import routes
-from .. import message
 from ..jobs import events
 from ..registry import choice
 from ..registry import endpoint as endpoints
+from . import routes
 
 __all__ = ['StreamForwarder']
 
--- a/pomelopass/table/relay.py
+++ b/pomelopass/table/relay.py
@@ -7,8 +7,8 @@
 
 from thrift import Thrift
 
-from . import rows
 from ..edges import peerframe
+from . import rows
 from ..wire.gen.relay import TableRelay
 from ..wire.gen.relay import ttypes
 
--- a/pomelopass/versions/keeper.py
+++ b/pomelopass/versions/keeper.py
@@ -1,15 +1,15 @@
 """Bring all engines of each model to its named version."""
 
 import asyncio
-import dataclasses
 from collections import abc
+import dataclasses
 from typing import Protocol
 
 from . import assignment
-from . import leader
-from . import orders
 from ..core import rendezvous
 from ..fleet import member
+from . import leader
+from . import orders
 from ..registry import endpoint as endpoints
 from ..registry import registry as registries
 from ..table import rows
--- a/scripts/write_reference.py
+++ b/scripts/write_reference.py
@@ -7,6 +7,7 @@
 import pydantic
 
 from pomelopass.core import refusal
+from pomelopass.entry import settings as entrysettings
 from pomelopass import kind
 from pomelopass import settings
 
@@ -34,7 +35,12 @@
 
 def make_configuration_part() -> str:
     """Return tables of all settings and configuration fields."""
-    parts = [_make_table('Settings of a daemon', settings.Settings)]
+    parts = [
+        _make_table(
+            'Settings of an entry instance', entrysettings.EntrySettings
+        ),
+        _make_table('Settings of a daemon', settings.Settings),
+    ]
     for one in kind.get_all_kinds():
         parts.append(_make_table(f'`{one.collection}`', one.model))
     return '\n'.join(parts)
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -1,14 +1,14 @@
 """Act as callers and trainers and remember what they were told."""
 
 import asyncio
+from collections import abc
 import dataclasses
 import json
 import random
-from collections import abc
 
-from pomelopass import message
 from pomelopass.edges import httpclient
 from pomelopass.jobs import job as jobs
+from pomelopass import message
 
 __all__ = ['Clients', 'JobSeen']
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -1,10 +1,10 @@
 """Inject series of faults that overlap, chosen by a seed."""
 
 import asyncio
+from collections import abc
 import dataclasses
 import random
 import signal
-from collections import abc
 
 from scripts import entryfleet
 from soak import proxy
--- a/soak/run.py
+++ b/soak/run.py
@@ -5,8 +5,8 @@
 import pathlib
 import random
 
-from pomelopass import message
 from pomelopass.edges import httpclient
+from pomelopass import message
 from scripts import entryfleet
 from soak import checks
 from soak import clients
--- a/standins/modelengines.py
+++ b/standins/modelengines.py
@@ -1,9 +1,9 @@
 """Run model engines and plain services in memory for entry instances."""
 
 import asyncio
+from collections import abc
 import dataclasses
 import random
-from collections import abc
 
 import orjson
 
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -5,8 +5,8 @@
 import random
 import signal
 
-from pomelopass import message
 from pomelopass.edges import httpserver
+from pomelopass import message
 from standins import modelengines
 from standins import platformendpoints
 from standins import platformtable
--- a/standins/platformendpoints.py
+++ b/standins/platformendpoints.py
@@ -6,8 +6,8 @@
 
 import orjson
 
-from pomelopass import message
 from pomelopass.edges import httpserver
+from pomelopass import message
 from pomelopass.requests import call as calls
 from pomelopass.versions import orders
 from standins import modelengines
--- a/tests/requests/test_stream.py
+++ b/tests/requests/test_stream.py
@@ -6,12 +6,12 @@
 import pytest
 
 from pomelopass import message
+from pomelopass.registry import endpoint as endpoints
+from pomelopass.registry import registry as registries
 from pomelopass.requests import call as calls
 from pomelopass.requests import forward
 from pomelopass.requests import routes
 from pomelopass.requests import stream as streams
-from pomelopass.registry import endpoint as endpoints
-from pomelopass.registry import registry as registries
 from standins import modelengines
 from standins import rowtable
 from standins import virtualloop
