Stop requests and items that crash the endpoints that run them

Ruled out: counting every reset (lost answers would stop harmless requests): only an endpoint that takes no connection right after counts as crashed.

--- a/pomelopass/edges/httpclient.py
+++ b/pomelopass/edges/httpclient.py
@@ -142,6 +142,16 @@
             event.status_code, headers, chunks, written, connection.close
         )
 
+    async def can_connect(self, address: str, timeout_ms: float) -> bool:
+        """Say whether a new connection is taken."""
+        deadline = asyncio.get_running_loop().time() + timeout_ms / 1000
+        try:
+            connection = await self._connect(address, deadline, fresh=True)
+        except message.ExchangeError:
+            return False
+        connection.close()
+        return True
+
     async def close(self) -> None:
         """Close the idle connections."""
         for connections in self.idle_by_address.values():
--- a/pomelopass/entry/node.py
+++ b/pomelopass/entry/node.py
@@ -24,6 +24,7 @@
 from ..requests import forward
 from ..requests import routes
 from ..requests import stream as streams
+from ..requests import suspects as suspicions
 from . import settings as entrysettings
 from ..table import fallback
 from ..table import follower as followers
@@ -81,12 +82,14 @@
         self.relay_server = relay.RelayServer(ports.table)
         self.job_table = jobtable.JobTable(self.table)
         self.scheduler = schedule.Scheduler(self.registry)
+        self.suspects = suspicions.Suspects()
         self.forwarder = forward.Forwarder(
             self.registry,
             ports.endpoints,
             given.availability_zone,
             ports.rng,
             ports.write_event,
+            self.suspects,
         )
         self.gate = rewardgate.RewardGate(self.registry.count_places)
         self.keeper = keepers.Keeper(
@@ -129,6 +132,7 @@
                 {},
             ),
             self.view.get_runs,
+            self._get_crashes,
             ports.rng,
         )
         self.ingress = ingresses.Ingress(
@@ -244,13 +248,17 @@
             self.versions.note_leader(row)
             return
         if row.value is None:
-            self.membership.remove(key.removeprefix(beats.KEY_START))
+            name = key.removeprefix(beats.KEY_START)
+            self.membership.remove(name)
+            self.suspects.hear(name, {})
             return
         found = member.decode_member(row.value)
         if found is None:
             self.write_event('member-unreadable', key=row.name.key)
             return
         self.view.put_member(found)
+        if found.name != self.settings.name:
+            self.suspects.hear(found.name, found.crashes_by_fingerprint)
 
     async def _keep_house(self) -> None:
         members = self.followers[2]
@@ -272,6 +280,9 @@
             self.view.count_runs_elsewhere()
             self.scheduler.dispatch()
 
+    def _get_crashes(self) -> dict[str, int]:
+        return self.suspects.get_shared(asyncio.get_running_loop().time())
+
     def _get_demand(self) -> dict[str, float]:
         return self.keeper.get_demand(self.table.get_now_ms())
 
--- a/pomelopass/fleet/beats.py
+++ b/pomelopass/fleet/beats.py
@@ -24,11 +24,13 @@
         table: rows.RowTable,
         own: member.Member,
         get_runs: abc.Callable[[], dict[str, int]],
+        get_crashes: abc.Callable[[], dict[str, int]],
         rng: random.Random,
     ):
         self.table = table
         self.own = own
         self.get_runs = get_runs
+        self.get_crashes = get_crashes
         self.rng = rng
         self.version = 0
         self.now = asyncio.Event()
@@ -55,6 +57,7 @@
             self.own,
             beat=self.own.beat + 1,
             runs_by_endpoint=self.get_runs(),
+            crashes_by_fingerprint=self.get_crashes(),
         )
         key = rows.Key(MEMBER_TABLE, '', f'{KEY_START}{self.own.name}')
         transaction = rows.Transaction(
--- a/pomelopass/fleet/member.py
+++ b/pomelopass/fleet/member.py
@@ -24,6 +24,10 @@
     accepting: bool
     beat: int
     runs_by_endpoint: dict[str, int]
+    # Crashes seen of endpoints, by the content that they ran.
+    crashes_by_fingerprint: dict[str, int] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 def encode_member(member: Member) -> bytes:
--- a/pomelopass/jobs/itemrun.py
+++ b/pomelopass/jobs/itemrun.py
@@ -13,6 +13,7 @@
 from ..requests import call as calls
 from ..requests import forward
 from ..requests import routes
+from ..requests import suspects as suspicions
 from . import rewardgate
 from . import schedule
 
@@ -27,6 +28,7 @@
 BREAKS_BEFORE_PAUSE = 3
 REWARD_PAUSE_MS = 150.0
 UNPROCESSABLE_STATUS = 422
+BREAK_REASONS = ('reset', 'truncated')
 
 
 @dataclasses.dataclass(slots=True)
@@ -56,6 +58,7 @@
     progress: progresses.Progress
     errors: int = 0
     breaks: int = 0
+    crashes: int = 0
     avoid: set[str] = dataclasses.field(default_factory=set)
     terminated: bool = False
 
@@ -113,10 +116,7 @@
     reason = 'done'
     try:
         reason = await _stream(context, run, route, state, waiting)
-    except calls.CallFailedError as error:
-        reason = error.kind
-        endpoints.note_failure(state, loop.time())
-    except message.ExchangeError as error:
+    except (calls.CallFailedError, message.ExchangeError) as error:
         reason = error.kind
         endpoints.note_failure(state, loop.time())
     finally:
@@ -150,6 +150,8 @@
     if reason == 'moved':
         return
     run.breaks = 0 if progressed else run.breaks + 1
+    if reason in BREAK_REASONS and not progressed:
+        await _judge_break(context, run, state)
     if reason == 'endpoint-refused':
         await asyncio.sleep(PAUSE_MS / 1000 * (0.5 + context.rng.random()))
     elif run.breaks >= BREAKS_BEFORE_PAUSE:
@@ -160,6 +162,17 @@
         run.avoid = set()
 
 
+async def _judge_break(
+    context: ItemContext, run: _Run, state: endpoints.EndpointState
+) -> None:
+    if await context.port.is_listening(state.endpoint):
+        return
+    run.crashes += 1
+    if run.crashes >= suspicions.CRASHES_TO_STOP:
+        # It may not be listed as failed before its time is over.
+        await asyncio.sleep(suspicions.SUSPICION_MS / 1000)
+
+
 async def _stream(
     context: ItemContext,
     run: _Run,
--- a/pomelopass/platform/endpointclient.py
+++ b/pomelopass/platform/endpointclient.py
@@ -16,6 +16,7 @@
 
 MAX_REPORT_BYTES = 1_048_576
 ORDER_TIMEOUT_MS = 700
+CONNECT_TIMEOUT_MS = 150
 CONNECTION_HEADERS = frozenset(
     (
         'connection',
@@ -73,6 +74,10 @@
         except message.ExchangeError as error:
             raise calls.CallFailedError(error.kind, True) from None
 
+    async def is_listening(self, target: endpoint.Endpoint) -> bool:
+        """Say whether an endpoint takes a new connection."""
+        return await self.http.can_connect(target.address, CONNECT_TIMEOUT_MS)
+
     async def fetch_report(
         self, target: endpoint.Endpoint
     ) -> orders.Report | None:
--- a/pomelopass/requests/call.py
+++ b/pomelopass/requests/call.py
@@ -47,6 +47,8 @@
 
     def __init__(self, kind: str, may_have_run: bool):
         super().__init__(kind)
+        # An endpoint that ends within a request resets its connection.
+        self.broke_off = may_have_run and kind in ('reset', 'truncated')
         self.kind = kind
         self.may_have_run = may_have_run
 
@@ -64,5 +66,8 @@
     ) -> Answer:
         """Return the head of the answer; raise CallFailedError."""
 
+    async def is_listening(self, target: endpoint.Endpoint) -> bool:
+        """Say whether an endpoint takes a new connection."""
+
     async def read(self, answer: Answer, limit: int) -> bytes:
         """Return the whole body; raise CallFailedError."""
--- a/pomelopass/requests/forward.py
+++ b/pomelopass/requests/forward.py
@@ -12,6 +12,7 @@
 from ..registry import endpoint as endpoints
 from ..registry import registry as registries
 from . import routes
+from . import suspects as suspicions
 
 __all__ = ['Forwarder', 'Outcome', 'OutcomeKind']
 
@@ -65,6 +66,7 @@
     route: routes.Route
     service: str
     give_up_at: float
+    fingerprint: str
     may_have_run: int = 0
     errors: int = 0
     tried: set[str] = dataclasses.field(default_factory=set)
@@ -83,7 +85,9 @@
         availability_zone: str,
         rng: random.Random,
         write_event: abc.Callable[..., None],
+        suspects: suspicions.Suspects,
     ):
+        self.suspects = suspects
         self.registry = registry
         self.port = port
         self.availability_zone = availability_zone
@@ -99,7 +103,8 @@
         call = dataclasses.replace(call, deadline_at=limit)
         service = routes.choose_service(route, self.rng)
         give_up_at = limit - ANSWER_MARGIN_MS / 1000
-        progress = _Progress(call, route, service, give_up_at)
+        fingerprint = suspicions.get_fingerprint(call)
+        progress = _Progress(call, route, service, give_up_at, fingerprint)
         outcome = await self._run(progress)
         self._tell(progress, outcome, now)
         return outcome
@@ -114,6 +119,9 @@
                 now = asyncio.get_running_loop().time()
                 if now >= progress.give_up_at:
                     return self._give_up(progress, bool(tasks))
+                if self.suspects.is_stopped(progress.fingerprint, now):
+                    progress.reason = 'crashes-endpoints'
+                    return self._give_up(progress, False)
                 if not tasks:
                     state = self._choose(progress)
                     if state is None and progress.refused:
@@ -211,6 +219,8 @@
             whole = True
         except calls.CallFailedError as error:
             endpoints.note_failure(state, loop.time())
+            if error.broke_off:
+                await self._judge_break(state, progress.fingerprint)
             return _Attempt(
                 endpoint_id, not error.may_have_run, reason=error.kind
             )
@@ -238,6 +248,19 @@
         )
         return _Attempt(endpoint_id, False, outcome)
 
+    async def _judge_break(
+        self, state: endpoints.EndpointState, fingerprint: str
+    ) -> None:
+        if await self.port.is_listening(state.endpoint):
+            return
+        now = asyncio.get_running_loop().time()
+        self.suspects.note_crash(fingerprint, now)
+        self.write_event(
+            'endpoint-crashed',
+            endpoint=state.endpoint.id,
+            fingerprint=fingerprint,
+        )
+
     def _take(
         self, progress: _Progress, done: abc.Iterable[asyncio.Task]
     ) -> Outcome | None:
@@ -252,6 +275,7 @@
             if attempt.outcome is None:
                 continue
             if attempt.outcome.status < 500:
+                self.suspects.note_answered(progress.fingerprint)
                 return dataclasses.replace(
                     attempt.outcome, errors=progress.errors
                 )
--- a/standins/modelengines.py
+++ b/standins/modelengines.py
@@ -18,6 +18,9 @@
 EVENT_S = 0.03
 LOAD_S = 0.9
 WORK_S = 0.02
+RESTART_S = 1.0
+# An endpoint that runs this body crashes.
+POISON = b'poison'
 ENDPOINT_TABLE = 'servers'
 
 
@@ -96,6 +99,12 @@
         """Return the head of the answer; raise CallFailedError."""
         await asyncio.sleep(0.002)
         one = self.endpoint_by_id[target.id]
+        if call.body == POISON and one.alive:
+            one.ran.append(call.id)
+            one.alive = False
+            loop = asyncio.get_running_loop()
+            loop.call_later(RESTART_S, self._restart, one)
+            raise calls.CallFailedError('reset', True)
         if not one.alive:
             raise calls.CallFailedError('connect-failed', False)
         if one.loading or one.running >= one.slots:
@@ -121,6 +130,11 @@
         except message.ExchangeError as error:
             raise calls.CallFailedError(error.kind, True) from None
 
+    async def is_listening(self, target: endpoints.Endpoint) -> bool:
+        """Say whether an endpoint takes a new connection."""
+        await asyncio.sleep(0.002)
+        return self.endpoint_by_id[target.id].alive
+
     async def fetch_report(
         self, target: endpoints.Endpoint
     ) -> orders.Report | None:
@@ -153,6 +167,11 @@
         loop.call_later(LOAD_S, self._end_load, one, order)
         return orders.OrderOutcome.ACCEPTED
 
+    def _restart(self, one: FakeEndpoint) -> None:
+        one.alive = True
+        one.started_at_ms += 1
+        self.register(one)
+
     def _end_load(self, one: FakeEndpoint, order: orders.VersionOrder) -> None:
         one.loading = False
         if one.alive:
--- a/tests/requests/test_forward.py
+++ b/tests/requests/test_forward.py
@@ -12,6 +12,7 @@
 from pomelopass.requests import call as calls
 from pomelopass.requests import forward
 from pomelopass.requests import routes
+from pomelopass.requests import suspects
 from standins import virtualloop
 
 
@@ -27,6 +28,9 @@
         step = self.script[target.id]
         return await step(call, timeout_ms)
 
+    async def is_listening(self, target):
+        return True
+
     async def read(self, answer, limit):
         return await answer.reply.read(limit)
 
@@ -88,7 +92,12 @@
             )
         port = ScriptedPort(**script)
         forwarder = forward.Forwarder(
-            registry, port, 'north', random.Random(1), lambda *k, **f: None
+            registry,
+            port,
+            'north',
+            random.Random(1),
+            lambda *k, **f: None,
+            suspects.Suspects(),
         )
         loop = asyncio.get_running_loop()
         began = loop.time()
--- a/tests/requests/test_stream.py
+++ b/tests/requests/test_stream.py
@@ -12,6 +12,7 @@
 from pomelopass.requests import forward
 from pomelopass.requests import routes
 from pomelopass.requests import stream as streams
+from pomelopass.requests import suspects
 from standins import modelengines
 from standins import rowtable
 from standins import virtualloop
@@ -42,7 +43,12 @@
             )
         )
     forwarder = forward.Forwarder(
-        registry, pool, 'north', rng, lambda *k, **f: None
+        registry,
+        pool,
+        'north',
+        rng,
+        lambda *k, **f: None,
+        suspects.Suspects(),
     )
     return pool, streams.StreamForwarder(forwarder, 'weight-versions')
 
