Let strong instances run the jobs

Cause: in the grown deployments 44 of 60 instances have half a core; one that owned a trainer's jobs would spend it on the events of their streams. Change: instances tell their capacity with the heartbeat; those under half of the strongest come last in the order of owners and adopters.

--- a/pomelopass/entry/node.py
+++ b/pomelopass/entry/node.py
@@ -130,6 +130,7 @@
                 True,
                 0,
                 {},
+                given.core_share * given.core_speed,
             ),
             self.view.get_runs,
             self._get_crashes,
--- a/pomelopass/entry/settings.py
+++ b/pomelopass/entry/settings.py
@@ -60,6 +60,12 @@
     engines_check_fences: bool = pydantic.Field(
         description='Whether engines refuse lower fencing numbers.'
     )
+    core_share: float = pydantic.Field(
+        default=1.0, gt=0, description='Share of a core that is ours.'
+    )
+    core_speed: float = pydantic.Field(
+        default=1.0, gt=0, description='Speed of that core; 1 is usual.'
+    )
     job_kept_s: float = pydantic.Field(
         gt=0, description='How long jobs stay readable, in seconds.'
     )
--- a/pomelopass/fleet/member.py
+++ b/pomelopass/fleet/member.py
@@ -24,6 +24,8 @@
     accepting: bool
     beat: int
     runs_by_endpoint: dict[str, int]
+    # Processor time a second, in seconds of a usual core.
+    capacity: float = 1.0
     # Crashes seen of endpoints, by the content that they ran.
     crashes_by_fingerprint: dict[str, int] = dataclasses.field(
         default_factory=dict
--- a/pomelopass/jobs/adoption.py
+++ b/pomelopass/jobs/adoption.py
@@ -1,14 +1,32 @@
-"""Decide which instance takes over a job without a living owner."""
+"""Decide which instance runs a job, and which one takes it over."""
 
 from collections import abc
 
 from ..core import rendezvous
 from ..fleet import member
 
-__all__ = ['choose_owner', 'get_wait_ms']
+__all__ = ['choose_owner', 'get_order', 'get_wait_ms']
 
 # Time that each instance leaves to the ones before it in the order.
 STEP_MS = 500.0
+# Instances below this share of the strongest one's capacity come last.
+WEAK_SHARE = 0.5
+
+
+def get_order(key: str, members: abc.Iterable[member.Member]) -> list[str]:
+    """Return the names in the order in which they take a job.
+
+    All instances compute the same order, so that jobs spread evenly
+    without talk. Weak instances come last: the streams of a trainer's
+    batch keep a small core busy.
+    """
+    capacity_by_name = {one.name: one.capacity for one in members}
+    strongest = max(capacity_by_name.values(), default=0.0)
+    ranked = rendezvous.rank(key, list(capacity_by_name))
+    return sorted(
+        ranked,
+        key=lambda name: capacity_by_name[name] < WEAK_SHARE * strongest,
+    )
 
 
 def choose_owner(
@@ -18,18 +36,15 @@
 
     One owner knows all runs of a trainer and keeps its connections.
     """
-    names = [one.name for one in members]
-    return rendezvous.rank(trainer, names)[0] if names else own_name
+    order = get_order(trainer, members)
+    return order[0] if order else own_name
 
 
-def get_wait_ms(job_id: str, own_name: str, alive: abc.Iterable[str]) -> float:
-    """Return how long to wait before an adoption, in milliseconds.
-
-    All instances compute the same order, so that the jobs of a dead owner
-    spread evenly without talk.
-
-    >>> get_wait_ms('a', 'one', ['one'])
-    0.0
-    """
-    order = rendezvous.rank(job_id, list({*alive, own_name}))
+def get_wait_ms(
+    job_id: str, own_name: str, alive: abc.Iterable[member.Member]
+) -> float:
+    """Return how long to wait before an adoption, in milliseconds."""
+    order = get_order(job_id, alive)
+    if own_name not in order:
+        return len(order) * STEP_MS
     return order.index(own_name) * STEP_MS
--- a/pomelopass/jobs/keeper.py
+++ b/pomelopass/jobs/keeper.py
@@ -187,8 +187,8 @@
             return
         if known.ownerless_since is None:
             known.ownerless_since = now
-        names = [one.name for one in self.membership.get_alive(now)]
-        wait_ms = adoption.get_wait_ms(job_id, self.name, names)
+        members = self.membership.get_alive(now)
+        wait_ms = adoption.get_wait_ms(job_id, self.name, members)
         if (now - known.ownerless_since) * 1000 >= wait_ms:
             known.busy = True
             self._spawn(self._adopt(job_id, known, take=True))
