--- a/pomelopass/daemon.py
+++ b/pomelopass/daemon.py
@@ -27,9 +27,9 @@
 from .edges import clock
 from .edges import httpclient
 from .edges import httpserver
+from .edges import ownstores
 from .edges import peerclient
 from .edges import peerserver
-from .edges import platform
 
 __all__ = ['main', 'run']
 
@@ -117,9 +117,9 @@
         clock=clock.SystemClock(),
         rng=random.SystemRandom(),
         http=http,
-        table=platform.TableClient(http, given.table_address),
-        objects=platform.ObjectClient(http, given.object_address),
-        fetch_listing=platform.make_fetch_listing(http, given.list_address),
+        table=ownstores.TableClient(http, given.table_address),
+        objects=ownstores.ObjectClient(http, given.object_address),
+        fetch_listing=ownstores.make_fetch_listing(http, given.list_address),
         peers=peer_client,
         write_event=logs.make_write_event(logging.getLogger('pomelopass')),
     )
--- /dev/null
+++ b/pomelopass/jobs/itemcontext.py
@@ -0,0 +1,49 @@
+"""Hold what the runs of a job's items share and need."""
+
+from collections import abc
+import dataclasses
+import random
+
+from . import job as jobs
+from . import progress as progresses
+from ..requests import call as calls
+from ..requests import forward
+from ..requests import routes
+from . import rewardgate
+from . import schedule
+
+__all__ = ['ItemContext', 'ItemRun']
+
+
+@dataclasses.dataclass(slots=True)
+class ItemContext:
+    """Hold what the runs of a job's items share."""
+
+    submission: jobs.Submission
+    get_route: abc.Callable[[], routes.Route | None]
+    # End of the time after which an item is given up, on the loop's clock.
+    expires_at: float
+    deadline_ms: float
+    scheduler: schedule.Scheduler
+    port: calls.EndpointPort
+    forwarder: forward.Forwarder
+    gate: rewardgate.RewardGate
+    get_configuration: abc.Callable[[], routes.Configuration | None]
+    version_field: str
+    rng: random.Random
+    write_event: abc.Callable[..., None]
+    left_by_group: dict[str, int]
+
+
+@dataclasses.dataclass(slots=True)
+class ItemRun:
+    """Hold the state of an item between its runs."""
+
+    item: jobs.Item
+    group_index: int
+    progress: progresses.Progress
+    errors: int = 0
+    breaks: int = 0
+    crashes: int = 0
+    avoid: set[str] = dataclasses.field(default_factory=set)
+    terminated: bool = False
--- a/pomelopass/jobs/jobrun.py
+++ b/pomelopass/jobs/jobrun.py
@@ -4,6 +4,7 @@
 from collections import abc
 import dataclasses
 
+from . import itemcontext
 from . import itemrun
 from . import job as jobs
 from . import jobtable
@@ -38,7 +39,7 @@
 
     def __init__(
         self,
-        context: itemrun.ItemContext,
+        context: itemcontext.ItemContext,
         stored: jobtable.StoredJob,
         listed: abc.Collection[str],
         progress_by_item: dict[str, progresses.Progress],
--- a/pomelopass/jobs/keeper.py
+++ b/pomelopass/jobs/keeper.py
@@ -6,7 +6,7 @@
 
 from . import adoption
 from ..fleet import member
-from . import itemrun
+from . import itemcontext
 from . import job as jobs
 from . import jobrun
 from . import jobtable
@@ -24,7 +24,7 @@
 DEMAND_WINDOW_MS = 20_000
 
 MakeContext = abc.Callable[
-    [jobs.Submission, jobs.JobRecord], itemrun.ItemContext | None
+    [jobs.Submission, jobs.JobRecord], itemcontext.ItemContext | None
 ]
 
 
--- a/pomelopass/platform/ingress.py
+++ b/pomelopass/platform/ingress.py
@@ -15,6 +15,7 @@
 from . import names
 from ..requests import call as calls
 from ..requests import forward
+from ..requests import outcome as outcomes
 from ..requests import routes
 from ..requests import stream as streams
 from ..table import rows
@@ -52,9 +53,9 @@
     desks.Acceptance.UNKNOWN: 504,
 }
 STATUS_BY_OUTCOME = {
-    forward.OutcomeKind.NOT_RUN: 503,
-    forward.OutcomeKind.MAY_HAVE_RUN: 502,
-    forward.OutcomeKind.TIMED_OUT: 504,
+    outcomes.OutcomeKind.NOT_RUN: 503,
+    outcomes.OutcomeKind.MAY_HAVE_RUN: 502,
+    outcomes.OutcomeKind.TIMED_OUT: 504,
 }
 
 
@@ -132,7 +133,7 @@
                 return outcome
         else:
             outcome = await self.forwarder.forward(call, route)
-        if outcome.kind is forward.OutcomeKind.ANSWERED:
+        if outcome.kind is outcomes.OutcomeKind.ANSWERED:
             return message.Reply(outcome.status, outcome.headers, outcome.body)
         status = STATUS_BY_OUTCOME[outcome.kind]
         return make_refusal(
--- /dev/null
+++ b/pomelopass/requests/attempt.py
@@ -0,0 +1,106 @@
+"""Send a request to one endpoint and judge its answer."""
+
+import asyncio
+from collections import abc
+import dataclasses
+
+from . import call as calls
+from . import outcome as outcomes
+from ..registry import endpoint as endpoints
+from . import suspects as suspicions
+
+__all__ = ['AttemptContext', 'run_attempt']
+
+MAX_ANSWER_BYTES = 33_554_432
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AttemptContext:
+    """Hold what all attempts of an instance share."""
+
+    port: calls.EndpointPort
+    suspects: suspicions.Suspects
+    write_event: abc.Callable[..., None]
+
+
+async def run_attempt(
+    context: AttemptContext,
+    state: endpoints.EndpointState,
+    call: calls.Call,
+    give_up_at: float,
+    fresh: bool,
+    fingerprint: str,
+) -> outcomes.Attempt:
+    """Return how the endpoint answered."""
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    endpoint_id = state.endpoint.id
+    try:
+        answer, body = await _exchange(
+            context, state, call, (give_up_at - began) * 1000, fresh
+        )
+    except calls.CallFailedError as error:
+        endpoints.note_failure(state, loop.time())
+        if error.broke_off:
+            await _judge_break(context, state, fingerprint)
+        return outcomes.Attempt(
+            endpoint_id, not error.may_have_run, reason=error.kind
+        )
+    if answer.load is not None:
+        endpoints.note_load(state, answer.load, loop.time())
+    if answer.not_run:
+        return outcomes.Attempt(endpoint_id, True, reason='endpoint-refused')
+    if 200 <= answer.status < 300 and answer.signature is None:
+        endpoints.note_failure(state, loop.time())
+        return outcomes.Attempt(endpoint_id, False, reason='no-signature')
+    if answer.status < 500:
+        took_ms = (loop.time() - began) * 1000
+        endpoints.note_success(state, took_ms, loop.time())
+    outcome = outcomes.Outcome(
+        outcomes.OutcomeKind.ANSWERED,
+        '',
+        answer.status,
+        answer.headers,
+        body,
+        answer.signature,
+    )
+    return outcomes.Attempt(endpoint_id, False, outcome)
+
+
+async def _exchange(
+    context: AttemptContext,
+    state: endpoints.EndpointState,
+    call: calls.Call,
+    timeout_ms: float,
+    fresh: bool,
+) -> tuple[calls.Answer, bytes]:
+    answer = None
+    whole = False
+    state.in_flight += 1
+    try:
+        answer = await context.port.open(
+            state.endpoint, call, timeout_ms, fresh=fresh
+        )
+        body = await context.port.read(answer, MAX_ANSWER_BYTES)
+        whole = True
+        return answer, body
+    finally:
+        state.in_flight -= 1
+        if answer is not None and not whole:
+            await answer.reply.close()
+
+
+async def _judge_break(
+    context: AttemptContext,
+    state: endpoints.EndpointState,
+    fingerprint: str,
+) -> None:
+    if await context.port.is_listening(state.endpoint):
+        return
+    now = asyncio.get_running_loop().time()
+    context.suspects.note_crash(fingerprint, now)
+    context.write_event(
+        'endpoint-crashed',
+        endpoint=state.endpoint.id,
+        fingerprint=fingerprint,
+    )
--- a/pomelopass/requests/forward.py
+++ b/pomelopass/requests/forward.py
@@ -3,20 +3,19 @@
 import asyncio
 from collections import abc
 import dataclasses
-import enum
 import random
 
-from .. import message
+from . import attempt as attempts
 from . import call as calls
+from . import outcome as outcomes
 from ..registry import choice
 from ..registry import endpoint as endpoints
 from ..registry import registry as registries
 from . import routes
 from . import suspects as suspicions
 
-__all__ = ['Forwarder', 'Outcome', 'OutcomeKind']
+__all__ = ['Forwarder']
 
-MAX_ANSWER_BYTES = 33_554_432
 # Part of the aim after which a second endpoint is asked as well.
 HEDGE_SHARE = 0.45
 MIN_HEDGE_MS = 60.0
@@ -29,37 +28,6 @@
 ANSWER_MARGIN_MS = 25.0
 
 
-class OutcomeKind(enum.Enum):
-    """Say how a request ended."""
-
-    ANSWERED = 'answered'
-    NOT_RUN = 'not-run'
-    MAY_HAVE_RUN = 'may-have-run'
-    TIMED_OUT = 'timed-out'
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Outcome:
-    """Hold the answer to pass on, or why there is none."""
-
-    kind: OutcomeKind
-    reason: str = ''
-    status: int = 0
-    headers: message.Headers = ()
-    body: bytes = b''
-    signature: str | None = None
-    errors: int = 0
-    retry_after_ms: float = 0.0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Attempt:
-    endpoint_id: str
-    not_run: bool
-    outcome: Outcome | None = None
-    reason: str = ''
-
-
 @dataclasses.dataclass(slots=True)
 class _Progress:
     call: calls.Call
@@ -71,7 +39,7 @@
     errors: int = 0
     tried: set[str] = dataclasses.field(default_factory=set)
     refused: set[str] = dataclasses.field(default_factory=set)
-    last: Outcome | None = None
+    last: outcomes.Outcome | None = None
     reason: str = ''
 
 
@@ -88,13 +56,16 @@
         suspects: suspicions.Suspects,
     ):
         self.suspects = suspects
+        self.attempts = attempts.AttemptContext(port, suspects, write_event)
         self.registry = registry
         self.port = port
         self.availability_zone = availability_zone
         self.rng = rng
         self.write_event = write_event
 
-    async def forward(self, call: calls.Call, route: routes.Route) -> Outcome:
+    async def forward(
+        self, call: calls.Call, route: routes.Route
+    ) -> outcomes.Outcome:
         """Return the answer to a request that is not streamed."""
         now = asyncio.get_running_loop().time()
         limit = now + route.timeout_ms / 1000
@@ -109,7 +80,7 @@
         self._tell(progress, outcome, now)
         return outcome
 
-    async def _run(self, progress: _Progress) -> Outcome:
+    async def _run(self, progress: _Progress) -> outcomes.Outcome:
         now = asyncio.get_running_loop().time()
         full_until = now + (progress.give_up_at - now) * FULL_WAIT_SHARE
         idempotent = progress.route.repeat is routes.Repeat.IDEMPOTENT
@@ -196,74 +167,23 @@
         self, progress: _Progress, state: endpoints.EndpointState
     ) -> asyncio.Task:
         progress.tried.add(state.endpoint.id)
-        return asyncio.ensure_future(self._attempt(progress, state))
-
-    async def _attempt(
-        self, progress: _Progress, state: endpoints.EndpointState
-    ) -> _Attempt:
-        loop = asyncio.get_running_loop()
-        began = loop.time()
-        endpoint_id = state.endpoint.id
+        # A kept connection may just be closing; what must not run twice
+        # does not take that chance.
         fresh = progress.route.repeat is not routes.Repeat.IDEMPOTENT
-        state.in_flight += 1
-        answer = None
-        whole = False
-        try:
-            answer = await self.port.open(
-                state.endpoint,
+        return asyncio.ensure_future(
+            attempts.run_attempt(
+                self.attempts,
+                state,
                 progress.call,
-                (progress.give_up_at - began) * 1000,
-                fresh=fresh,
-            )
-            body = await self.port.read(answer, MAX_ANSWER_BYTES)
-            whole = True
-        except calls.CallFailedError as error:
-            endpoints.note_failure(state, loop.time())
-            if error.broke_off:
-                await self._judge_break(state, progress.fingerprint)
-            return _Attempt(
-                endpoint_id, not error.may_have_run, reason=error.kind
+                progress.give_up_at,
+                fresh,
+                progress.fingerprint,
             )
-        finally:
-            state.in_flight -= 1
-            if answer is not None and not whole:
-                await answer.reply.close()
-        if answer.load is not None:
-            endpoints.note_load(state, answer.load, loop.time())
-        if answer.not_run:
-            return _Attempt(endpoint_id, True, reason='endpoint-refused')
-        if 200 <= answer.status < 300 and answer.signature is None:
-            endpoints.note_failure(state, loop.time())
-            return _Attempt(endpoint_id, False, reason='no-signature')
-        if answer.status < 500:
-            took_ms = (loop.time() - began) * 1000
-            endpoints.note_success(state, took_ms, loop.time())
-        outcome = Outcome(
-            OutcomeKind.ANSWERED,
-            '',
-            answer.status,
-            answer.headers,
-            body,
-            answer.signature,
-        )
-        return _Attempt(endpoint_id, False, outcome)
-
-    async def _judge_break(
-        self, state: endpoints.EndpointState, fingerprint: str
-    ) -> None:
-        if await self.port.is_listening(state.endpoint):
-            return
-        now = asyncio.get_running_loop().time()
-        self.suspects.note_crash(fingerprint, now)
-        self.write_event(
-            'endpoint-crashed',
-            endpoint=state.endpoint.id,
-            fingerprint=fingerprint,
         )
 
     def _take(
         self, progress: _Progress, done: abc.Iterable[asyncio.Task]
-    ) -> Outcome | None:
+    ) -> outcomes.Outcome | None:
         for task in done:
             attempt = task.result()
             progress.reason = attempt.reason or progress.reason
@@ -283,22 +203,24 @@
             progress.last = attempt.outcome
         return None
 
-    def _give_up(self, progress: _Progress, pending: bool) -> Outcome:
+    def _give_up(self, progress: _Progress, pending: bool) -> outcomes.Outcome:
         if progress.last is not None:
             return dataclasses.replace(progress.last, errors=progress.errors)
         timed_out = progress.reason == 'timeout' and progress.may_have_run
         if pending or timed_out:
-            return Outcome(OutcomeKind.TIMED_OUT, 'timeout')
+            return outcomes.Outcome(outcomes.OutcomeKind.TIMED_OUT, 'timeout')
         if progress.may_have_run:
-            return Outcome(OutcomeKind.MAY_HAVE_RUN, progress.reason)
-        return Outcome(
-            OutcomeKind.NOT_RUN,
+            return outcomes.Outcome(
+                outcomes.OutcomeKind.MAY_HAVE_RUN, progress.reason
+            )
+        return outcomes.Outcome(
+            outcomes.OutcomeKind.NOT_RUN,
             progress.reason or 'no-endpoint',
             retry_after_ms=NO_ENDPOINT_RETRY_MS,
         )
 
     def _tell(
-        self, progress: _Progress, outcome: Outcome, began: float
+        self, progress: _Progress, outcome: outcomes.Outcome, began: float
     ) -> None:
         took_ms = (asyncio.get_running_loop().time() - began) * 1000
         self.write_event(
--- /dev/null
+++ b/pomelopass/requests/outcome.py
@@ -0,0 +1,41 @@
+"""Say how a request and each of its attempts ended."""
+
+import dataclasses
+import enum
+
+from .. import message
+
+__all__ = ['Attempt', 'Outcome', 'OutcomeKind']
+
+
+class OutcomeKind(enum.Enum):
+    """Say how a request ended."""
+
+    ANSWERED = 'answered'
+    NOT_RUN = 'not-run'
+    MAY_HAVE_RUN = 'may-have-run'
+    TIMED_OUT = 'timed-out'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outcome:
+    """Hold the answer to pass on, or why there is none."""
+
+    kind: OutcomeKind
+    reason: str = ''
+    status: int = 0
+    headers: message.Headers = ()
+    body: bytes = b''
+    signature: str | None = None
+    errors: int = 0
+    retry_after_ms: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Attempt:
+    """Hold how one endpoint answered; no outcome if it failed."""
+
+    endpoint_id: str
+    not_run: bool
+    outcome: Outcome | None = None
+    reason: str = ''
--- a/pomelopass/requests/stream.py
+++ b/pomelopass/requests/stream.py
@@ -8,6 +8,7 @@
 from . import call as calls
 from . import forward
 from ..jobs import events
+from . import outcome as outcomes
 from ..registry import choice
 from ..registry import endpoint as endpoints
 from . import routes
@@ -38,7 +39,7 @@
 
     async def open_stream(
         self, call: calls.Call, route: routes.Route
-    ) -> forward.Outcome | message.Reply:
+    ) -> outcomes.Outcome | message.Reply:
         """Return the reply whose events are still to come, or a failure."""
         now = asyncio.get_running_loop().time()
         limit = call.deadline_at or now + route.timeout_ms / 1000
@@ -46,7 +47,7 @@
         service = routes.choose_service(route, self.forwarder.rng)
         stream = _Stream(call, route, service, limit)
         opened = await self._open(stream)
-        if isinstance(opened, forward.Outcome):
+        if isinstance(opened, outcomes.Outcome):
             return opened
         answer, state = opened
         chunks = self._pass_on(stream, answer, state)
@@ -54,7 +55,7 @@
 
     async def _open(
         self, stream: _Stream
-    ) -> forward.Outcome | tuple[calls.Answer, endpoints.EndpointState]:
+    ) -> outcomes.Outcome | tuple[calls.Answer, endpoints.EndpointState]:
         loop = asyncio.get_running_loop()
         ran = False
         refused: set[str] = set()
@@ -98,10 +99,10 @@
                 return answer, state
             await answer.reply.close()
             refused.add(state.endpoint.id)
-        kind = forward.OutcomeKind.NOT_RUN
+        kind = outcomes.OutcomeKind.NOT_RUN
         if ran:
-            kind = forward.OutcomeKind.MAY_HAVE_RUN
-        return forward.Outcome(
+            kind = outcomes.OutcomeKind.MAY_HAVE_RUN
+        return outcomes.Outcome(
             kind,
             'no-endpoint',
             retry_after_ms=forward.NO_ENDPOINT_RETRY_MS,
@@ -152,6 +153,6 @@
                 if not whole_stream:
                     await answer.reply.close()
             opened = await self._open(stream)
-            if isinstance(opened, forward.Outcome):
+            if isinstance(opened, outcomes.Outcome):
                 raise ConnectionResetError
             answer, state = opened
--- a/pomelopass/table/relay.py
+++ b/pomelopass/table/relay.py
@@ -8,11 +8,12 @@
 from thrift import Thrift
 
 from ..edges import peerframe
+from . import relaycodec
 from . import rows
 from ..wire.gen.relay import TableRelay
 from ..wire.gen.relay import ttypes
 
-__all__ = ['RelayedTable', 'RelayServer']
+__all__ = ['RelayedTable']
 
 CALL_TIMEOUT_MS = 2500
 CONNECT_TIMEOUT_MS = 400
@@ -42,7 +43,7 @@
             lambda client: client.recv_read(),
         )
         return rows.Page(
-            _decode_rows(found.rows),
+            relaycodec.decode_rows(found.rows),
             found.has_more,
             found.version,
             found.now_ms,
@@ -61,7 +62,7 @@
         self, transaction: rows.Transaction
     ) -> rows.Applied | rows.Conflict:
         """Apply a transaction or return the rows that differ."""
-        write = _encode_write(transaction)
+        write = relaycodec.encode_write(transaction)
         outcome = await self._call(
             lambda client: client.send_transact(write),
             lambda client: client.recv_transact(),
@@ -69,7 +70,7 @@
         )
         if outcome.applied:
             return rows.Applied(outcome.rows.version, outcome.rows.now_ms)
-        return rows.Conflict(_decode_rows(outcome.rows.rows))
+        return rows.Conflict(relaycodec.decode_rows(outcome.rows.rows))
 
     async def follow(
         self, table: str, after: int, wait_ms: int
@@ -80,7 +81,7 @@
             lambda client: client.recv_follow(),
         )
         return rows.Changes(
-            _decode_rows(found.rows), found.version, found.now_ms
+            relaycodec.decode_rows(found.rows), found.version, found.now_ms
         )
 
     async def _call(self, send, receive, writes: bool = False):
@@ -126,144 +127,9 @@
         self.resting_until_by_address[address] = now + PEER_REST_MS / 1000
 
 
-class RelayServer:
-    """Answer peers with this instance's own way to the table service."""
-
-    def __init__(self, table: rows.RowTable):
-        self.table = table
-        self.calls = {
-            'read': self._read,
-            'list_parts': self._list_parts,
-            'transact': self._transact,
-            'follow': self._follow,
-        }
-
-    async def serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        """Answer the one call of a connection."""
-        try:
-            data = await peerframe.read_frame(reader)
-            answer = await self._process(data)
-            writer.write(peerframe.make_frame(answer))
-            await writer.drain()
-        except (
-            ArithmeticError,
-            AttributeError,
-            EOFError,
-            LookupError,
-            OSError,
-            TypeError,
-            ValueError,
-            struct.error,
-            Thrift.TException,
-        ):
-            # A peer that sends what can't be read gets no answer.
-            pass
-        finally:
-            writer.close()
-
-    async def _process(self, data: bytes) -> bytes:
-        source = peerframe.make_reader(data)
-        name, _, number = source.readMessageBegin()
-        arguments = getattr(TableRelay, f'{name}_args')()
-        arguments.read(source)
-        result = getattr(TableRelay, f'{name}_result')()
-        try:
-            result.success = await self.calls[name](arguments)
-        except rows.HistoryLostError:
-            result.lost = ttypes.HistoryLost()
-        except rows.TableError as error:
-            result.failed = ttypes.RelayFailed(
-                error.detail, error.may_have_run
-            )
-        target = peerframe.make_writer()
-        target.writeMessageBegin(name, Thrift.TMessageType.REPLY, number)
-        result.write(target)
-        target.writeMessageEnd()
-        return target.trans.getvalue()
-
-    async def _read(self, arguments) -> ttypes.Rows:
-        query = arguments.query
-        page = await self.table.read(
-            rows.Range(
-                query.table, query.part, query.start, query.end, query.limit
-            )
-        )
-        return _encode_rows(
-            page.rows, page.has_more, page.version, page.now_ms
-        )
-
-    async def _list_parts(self, arguments) -> list[str]:
-        return list(await self.table.list_parts(arguments.table))
-
-    async def _transact(self, arguments) -> ttypes.WriteOutcome:
-        outcome = await self.table.transact(_decode_write(arguments.changes))
-        if isinstance(outcome, rows.Applied):
-            empty = ttypes.Rows([], False, outcome.version, outcome.now_ms)
-            return ttypes.WriteOutcome(True, empty)
-        found = _encode_rows(outcome.rows, False, 0, 0)
-        return ttypes.WriteOutcome(False, found)
-
-    async def _follow(self, arguments) -> ttypes.Rows:
-        changes = await self.table.follow(
-            arguments.table, arguments.after, arguments.wait_ms
-        )
-        return _encode_rows(
-            changes.rows, False, changes.version, changes.now_ms
-        )
-
-
 async def _swap(reader, writer, send, receive):
     protocol = peerframe.make_writer()
     send(TableRelay.Client(protocol))
     writer.write(peerframe.make_frame(protocol.trans.getvalue()))
     data = await peerframe.read_frame(reader)
     return receive(TableRelay.Client(peerframe.make_reader(data)))
-
-
-def _encode_rows(
-    found: tuple[rows.Row, ...], has_more: bool, version: int, now_ms: int
-) -> ttypes.Rows:
-    encoded = [
-        ttypes.RowValue(_encode_name(one.name), one.value, one.version)
-        for one in found
-    ]
-    return ttypes.Rows(encoded, has_more, version, now_ms)
-
-
-def _decode_rows(found: list[ttypes.RowValue]) -> tuple[rows.Row, ...]:
-    return tuple(
-        rows.Row(_decode_name(one.name), one.value, one.version)
-        for one in found
-    )
-
-
-def _encode_name(name: rows.Key) -> ttypes.RowName:
-    return ttypes.RowName(name.table, name.part, name.key)
-
-
-def _decode_name(name: ttypes.RowName) -> rows.Key:
-    return rows.Key(name.table, name.part, name.key)
-
-
-def _encode_write(transaction: rows.Transaction) -> ttypes.Write:
-    return ttypes.Write(
-        [
-            ttypes.RowValue(_encode_name(name), None, version)
-            for name, version in transaction.expected
-        ],
-        [
-            ttypes.RowValue(_encode_name(name), value, 0)
-            for name, value in transaction.puts
-        ],
-        [_encode_name(name) for name in transaction.removes],
-    )
-
-
-def _decode_write(write: ttypes.Write) -> rows.Transaction:
-    return rows.Transaction(
-        tuple((_decode_name(one.name), one.version) for one in write.expected),
-        tuple((_decode_name(one.name), one.value) for one in write.puts),
-        tuple(_decode_name(one) for one in write.removes),
-    )
--- /dev/null
+++ b/pomelopass/table/relayserver.py
@@ -0,0 +1,104 @@
+"""Answer peers with this instance's own way to the table service."""
+
+import asyncio
+import struct
+
+from thrift import Thrift
+
+from ..edges import peerframe
+from . import relaycodec
+from . import rows
+from ..wire.gen.relay import TableRelay
+from ..wire.gen.relay import ttypes
+
+__all__ = ['RelayServer']
+
+
+class RelayServer:
+    """Answer peers with this instance's own way to the table service."""
+
+    def __init__(self, table: rows.RowTable):
+        self.table = table
+        self.calls = {
+            'read': self._read,
+            'list_parts': self._list_parts,
+            'transact': self._transact,
+            'follow': self._follow,
+        }
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Answer the one call of a connection."""
+        try:
+            data = await peerframe.read_frame(reader)
+            answer = await self._process(data)
+            writer.write(peerframe.make_frame(answer))
+            await writer.drain()
+        except (
+            ArithmeticError,
+            AttributeError,
+            EOFError,
+            LookupError,
+            OSError,
+            TypeError,
+            ValueError,
+            struct.error,
+            Thrift.TException,
+        ):
+            # A peer that sends what can't be read gets no answer.
+            pass
+        finally:
+            writer.close()
+
+    async def _process(self, data: bytes) -> bytes:
+        source = peerframe.make_reader(data)
+        name, _, number = source.readMessageBegin()
+        arguments = getattr(TableRelay, f'{name}_args')()
+        arguments.read(source)
+        result = getattr(TableRelay, f'{name}_result')()
+        try:
+            result.success = await self.calls[name](arguments)
+        except rows.HistoryLostError:
+            result.lost = ttypes.HistoryLost()
+        except rows.TableError as error:
+            result.failed = ttypes.RelayFailed(
+                error.detail, error.may_have_run
+            )
+        target = peerframe.make_writer()
+        target.writeMessageBegin(name, Thrift.TMessageType.REPLY, number)
+        result.write(target)
+        target.writeMessageEnd()
+        return target.trans.getvalue()
+
+    async def _read(self, arguments) -> ttypes.Rows:
+        query = arguments.query
+        page = await self.table.read(
+            rows.Range(
+                query.table, query.part, query.start, query.end, query.limit
+            )
+        )
+        return relaycodec.encode_rows(
+            page.rows, page.has_more, page.version, page.now_ms
+        )
+
+    async def _list_parts(self, arguments) -> list[str]:
+        return list(await self.table.list_parts(arguments.table))
+
+    async def _transact(self, arguments) -> ttypes.WriteOutcome:
+        outcome = await self.table.transact(
+            relaycodec.decode_write(arguments.changes)
+        )
+        if isinstance(outcome, rows.Applied):
+            empty = ttypes.Rows([], False, outcome.version, outcome.now_ms)
+            return ttypes.WriteOutcome(True, empty)
+        found = relaycodec.encode_rows(outcome.rows, False, 0, 0)
+        return ttypes.WriteOutcome(False, found)
+
+    async def _follow(self, arguments) -> ttypes.Rows:
+        changes = await self.table.follow(
+            arguments.table, arguments.after, arguments.wait_ms
+        )
+        return relaycodec.encode_rows(
+            changes.rows, False, changes.version, changes.now_ms
+        )
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -6,7 +6,7 @@
 import random
 
 from pomelopass import context as contexts
-from pomelopass.edges import platform
+from pomelopass.edges import ownstores
 from pomelopass import gossip
 from pomelopass import instance
 from pomelopass import message
@@ -152,9 +152,9 @@
             clock=clock,
             rng=random.Random(self.rng.random()),
             http=http,
-            table=platform.TableClient(http, TABLE),
-            objects=platform.ObjectClient(http, OBJECTS),
-            fetch_listing=platform.make_fetch_listing(http, LISTING),
+            table=ownstores.TableClient(http, TABLE),
+            objects=ownstores.ObjectClient(http, OBJECTS),
+            fetch_listing=ownstores.make_fetch_listing(http, LISTING),
             peers=peers,
             write_event=lambda kind, fields: None,
         )
--- a/tests/requests/test_forward.py
+++ b/tests/requests/test_forward.py
@@ -11,6 +11,7 @@
 from pomelopass.registry import registry as registries
 from pomelopass.requests import call as calls
 from pomelopass.requests import forward
+from pomelopass.requests import outcome as outcomes
 from pomelopass.requests import routes
 from pomelopass.requests import suspects
 from standins import virtualloop
@@ -113,7 +114,7 @@
 
 IDEMPOTENT = routes.Repeat.IDEMPOTENT
 ONCE = routes.Repeat.NON_IDEMPOTENT
-KINDS = forward.OutcomeKind
+KINDS = outcomes.OutcomeKind
 
 
 def test_idempotent_request_is_sent_again_after_a_reset():
--- a/tests/requests/test_stream.py
+++ b/tests/requests/test_stream.py
@@ -10,6 +10,7 @@
 from pomelopass.registry import registry as registries
 from pomelopass.requests import call as calls
 from pomelopass.requests import forward
+from pomelopass.requests import outcome as outcomes
 from pomelopass.requests import routes
 from pomelopass.requests import stream as streams
 from pomelopass.requests import suspects
@@ -123,7 +124,7 @@
         loop = asyncio.get_running_loop()
         call = calls.Call('s', 'h', 'POST', '/', (), b'', loop.time() + 1)
         outcome = await forwarder.open_stream(call, make_route(False))
-        assert outcome.kind is forward.OutcomeKind.NOT_RUN
+        assert outcome.kind is outcomes.OutcomeKind.NOT_RUN
         assert pool.endpoint_by_id['e0'].ran == []
 
     virtualloop.run(scenario())
