Keep serving while callers come, list instances heard of just now

Change: the directory names instances heard of within a second while most are; an instance that stops goes on until no request came for 1.5 s.

--- a/pomelopass/edges/httpserver.py
+++ b/pomelopass/edges/httpserver.py
@@ -40,6 +40,8 @@
         )
         self.closing = False
         self.in_flight = 0
+        # When the last request came, on the clock of the loop.
+        self.last_at = float('-inf')
         self.connections = 0
         self.idle: set[asyncio.StreamWriter] = set()
         self.listener: asyncio.Server | None = None
@@ -94,6 +96,7 @@
         if request is None:
             return False
         self.in_flight += 1
+        self.last_at = asyncio.get_running_loop().time()
         try:
             answered = await self._answer(requests, writer, request)
         finally:
--- a/pomelopass/entry/__main__.py
+++ b/pomelopass/entry/__main__.py
@@ -35,6 +35,8 @@
 MAX_AGE_S = 86_400.0
 # Callers that hold an older answer of the directory still come this long.
 LINGER_MS = 3500.0
+# A time without a request after which no caller seems to come any more.
+QUIET_MS = 1500.0
 # Time kept back at the end of the stop limit.
 STOP_MARGIN_MS = 700.0
 
@@ -156,6 +158,11 @@
     return handle
 
 
+def _is_busy(server: httpserver.HttpServer) -> bool:
+    idle_ms = (asyncio.get_running_loop().time() - server.last_at) * 1000
+    return server.in_flight > 0 or idle_ms < QUIET_MS
+
+
 async def _stop(
     node: nodes.Node,
     servers: list[httpserver.HttpServer],
@@ -170,7 +177,7 @@
     while loop.time() < min(began + LINGER_MS / 1000, limit):
         await asyncio.sleep(POLL_MS / 1000)
     await node.keeper.stop()
-    while servers[0].in_flight and loop.time() < limit:
+    while _is_busy(servers[0]) and loop.time() < limit:
         await asyncio.sleep(POLL_MS / 1000)
     for server in servers:
         await server.close()
--- a/pomelopass/entry/node.py
+++ b/pomelopass/entry/node.py
@@ -99,7 +99,7 @@
                 self.forwarder, names.WEIGHT_VERSION
             ),
             desk=self.desk,
-            get_members=self._get_alive,
+            get_members=self._get_callable,
             is_ready=self.is_ready,
             directory_ttl_s=given.directory_ttl_s,
             write_event=ports.write_event,
@@ -228,9 +228,12 @@
     def _get_demand(self) -> dict[str, float]:
         return self.keeper.get_demand(self.table.get_now_ms())
 
-    def _get_alive(self) -> list[member.Member]:
+    def _get_callable(self) -> list[member.Member]:
         now = asyncio.get_running_loop().time()
-        return self.membership.get_alive(now)
+        alive = self.membership.get_alive(now)
+        recent = self.membership.get_recent(now)
+        # Late heartbeats of many tell of the table, not of the instances.
+        return recent if 2 * len(recent) > len(alive) else alive
 
     def _get_relay_addresses(self) -> list[str]:
         now = asyncio.get_running_loop().time()
