Wake up half as often at rest

Cause: each wake-up is charged; housekeeping and the log ran 20 times a second each, while places are given out by events anyway.

--- a/pomelopass/entry/eventlog.py
+++ b/pomelopass/entry/eventlog.py
@@ -14,7 +14,7 @@
 __all__ = ['EventLog', 'make_write_event']
 
 MAX_LINES = 4000
-FLUSH_EVERY_MS = 50.0
+FLUSH_EVERY_MS = 100.0
 MAX_WRITE_BYTES = 65_536
 
 
--- a/pomelopass/entry/tablewatch.py
+++ b/pomelopass/entry/tablewatch.py
@@ -22,7 +22,7 @@
 
 __all__ = ['Listeners', 'TableWatch']
 
-HOUSEKEEPING_EVERY_MS = 50.0
+HOUSEKEEPING_EVERY_MS = 100.0
 # Pause after each answer about rows that change with every heartbeat.
 FLEET_REST_MS = 250.0
 JOB_REST_MS = 60.0
