--- /dev/null
+++ b/scripts/jobmutants.py
@@ -0,0 +1,122 @@
+"""Break jobs, versions, requests of entry instances, a line each."""
+
+from scripts import mutant
+
+__all__ = ['MUTANTS']
+
+JOBS = 'tests/entry/test_jobs.py'
+OWNERS = 'tests/entry/test_owners.py'
+VERSIONS = 'tests/entry/test_versions.py'
+POISON = 'tests/entry/test_poison.py'
+FORWARD = 'tests/requests/test_forward.py'
+
+MUTANTS = (
+    mutant.Mutant(
+        'job-commit-without-a-condition',
+        'pomelopass/jobs/jobtable.py',
+        'expected=((key, version),),\n            puts=((key, '
+        'rowcodec.encode_record(record)), *puts),',
+        'puts=((key, rowcodec.encode_record(record)), *puts),',
+        (OWNERS,),
+    ),
+    mutant.Mutant(
+        'listed-items-run-again-after-adoption',
+        'pomelopass/jobs/jobrun.py',
+        '            if item.id in self.listed:\n                continue\n',
+        '',
+        (JOBS,),
+    ),
+    mutant.Mutant(
+        'broken-stream-counts-as-whole',
+        'pomelopass/jobs/itemstream.py',
+        "        raise message.ExchangeError('truncated', 1)",
+        '        pass',
+        (OWNERS,),
+    ),
+    mutant.Mutant(
+        'resume-without-the-last-event',
+        'pomelopass/jobs/itemstream.py',
+        'last_event_id=run.progress.last_event_id,',
+        'last_event_id=None,',
+        (JOBS,),
+    ),
+    mutant.Mutant(
+        'too-old-versions-are-used',
+        'pomelopass/jobs/keeper.py',
+        'if min(known.versions) >= submission.min_version:',
+        'if True:',
+        (JOBS,),
+    ),
+    mutant.Mutant(
+        'end-of-a-job-is-not-heard',
+        'pomelopass/jobs/keeper.py',
+        'if job_id in self.task_by_id and not ours:',
+        'if False:',
+        (OWNERS,),
+    ),
+    mutant.Mutant(
+        'dead-owner-counts-as-alive',
+        'pomelopass/fleet/member.py',
+        '        if member.incarnation != incarnation:\n'
+        '            return False\n',
+        '',
+        (JOBS, VERSIONS),
+    ),
+    mutant.Mutant(
+        'fence-does-not-grow',
+        'pomelopass/versions/leader.py',
+        'old.fence if held else old.fence + 1,',
+        'old.fence,',
+        (VERSIONS,),
+    ),
+    mutant.Mutant(
+        'every-engine-follows-every-model',
+        'pomelopass/versions/orders.py',
+        'if state.endpoint.id in assigned_by_model.get(model, ())\n'
+        '        and state',
+        'if state',
+        ('tests/versions/test_assignment.py',),
+    ),
+    mutant.Mutant(
+        'non-idempotent-request-is-sent-again',
+        'pomelopass/requests/forward.py',
+        'return progress.may_have_run == 0',
+        'return True',
+        (FORWARD,),
+    ),
+    mutant.Mutant(
+        'refusal-costs-an-attempt',
+        'pomelopass/requests/forward.py',
+        'progress.refused.add(attempt.endpoint_id)\n                continue',
+        'progress.refused.add(attempt.endpoint_id)',
+        (FORWARD,),
+    ),
+    mutant.Mutant(
+        'success-needs-no-signature',
+        'pomelopass/requests/attempt.py',
+        'if 200 <= answer.status < 300 and answer.signature is None:',
+        'if False:',
+        (FORWARD,),
+    ),
+    mutant.Mutant(
+        'crashes-are-not-shared',
+        'pomelopass/entry/tablewatch.py',
+        'if found.name != listeners.name:',
+        'if False:',
+        (POISON,),
+    ),
+    mutant.Mutant(
+        'jobs-stay-for-ever',
+        'pomelopass/jobs/cleanup.py',
+        'return age_ms > kept_ms\n',
+        'return False\n',
+        ('tests/jobs/test_cleanup.py',),
+    ),
+    mutant.Mutant(
+        'weak-instances-own-jobs',
+        'pomelopass/jobs/adoption.py',
+        'key=lambda name: capacity_by_name[name] < WEAK_SHARE * strongest,',
+        'key=lambda name: False,',
+        ('tests/jobs/test_adoption.py',),
+    ),
+)
--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -10,6 +10,7 @@
 import tempfile
 
 from scripts import fleetmutants
+from scripts import jobmutants
 from scripts import mutant
 from scripts import requestmutants
 
@@ -18,7 +19,15 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 WORKERS = 4
 TIMEOUT_S = 300
-COPIED = ('pomelopass', 'standins', 'scripts', 'tests', 'bench', 'examples')
+COPIED = (
+    'pomelopass',
+    'standins',
+    'scripts',
+    'soak',
+    'tests',
+    'bench',
+    'examples',
+)
 FILES = ('conftest.py', 'pyproject.toml')
 
 
@@ -34,7 +43,11 @@
 def main() -> int:
     """Run all mutants, or those whose name holds an argument."""
     wanted = sys.argv[1] if len(sys.argv) > 1 else ''
-    mutants = (*requestmutants.MUTANTS, *fleetmutants.MUTANTS)
+    mutants = (
+        *requestmutants.MUTANTS,
+        *fleetmutants.MUTANTS,
+        *jobmutants.MUTANTS,
+    )
     chosen = [one for one in mutants if wanted in one.name]
     with concurrent.futures.ThreadPoolExecutor(WORKERS) as pool:
         outcomes = list(pool.map(run_mutant, chosen))
--- a/standins/modelengines.py
+++ b/standins/modelengines.py
@@ -42,6 +42,8 @@
     fence: int = 0
     error_share: float = 0.0
     break_share: float = 0.0
+    # A broken stream ends as a whole one does, but inside an event.
+    breaks_cleanly: bool = False
     lose_share: float = 0.0
     ran: list[str] = dataclasses.field(default_factory=list)
     accepted_orders: list[orders.VersionOrder] = dataclasses.field(
@@ -200,6 +202,8 @@
                 await asyncio.sleep(EVENT_S * one.slowness)
                 if not one.alive or (breaks and number > total // 2):
                     yield f'id: {number}\nda'.encode()
+                    if one.breaks_cleanly:
+                        return
                     raise message.ExchangeError('truncated', 1)
                 now = one.version_by_model[_get_model(call, one)]
                 line = ''
--- /dev/null
+++ b/tests/entry/test_owners.py
@@ -0,0 +1,77 @@
+"""Test owners that are paused, cut off or told to stop."""
+
+import asyncio
+
+import pytest
+
+from standins import virtualloop
+from tests import entrybuilders
+from tests.entry import test_jobs
+
+
+@pytest.mark.parametrize('seed', range(8))
+def test_former_owner_that_comes_back_changes_no_position(seed):
+    async def scenario():
+        cluster = entrybuilders.make_cluster(seed, engines=2)
+        await asyncio.sleep(2)
+        submission = entrybuilders.make_submission(groups=12)
+        await cluster.submit('entry-0', submission)
+        await asyncio.sleep(0.4)
+        stored = cluster.entry_by_name['entry-0'].node.keeper.get('job-1')
+        owner = cluster.entry_by_name[stored.record.owner_name]
+        owner.client.faults.down = True
+        await asyncio.sleep(3 + 0.1 * seed)
+        owner.client.faults.down = False
+        others = [
+            entry
+            for entry in cluster.entry_by_name.values()
+            if entry is not owner
+        ]
+        results = []
+        while len(results) < len(submission.items):
+            page = await others[0].node.desk.read('job-1', len(results), 500)
+            results.extend(page.results)
+        await asyncio.sleep(4)
+        test_jobs.check_results(cluster, submission, results)
+        fresh = cluster.start('entry-9')
+        await asyncio.sleep(1)
+        page = await fresh.node.desk.read('job-1', 0, 0)
+        assert list(page.results) == results[: len(page.results)]
+        await cluster.stop()
+
+    virtualloop.run(scenario())
+
+
+def test_end_stops_runs_that_would_last():
+    async def scenario():
+        cluster = entrybuilders.make_cluster()
+        await asyncio.sleep(2)
+        submission = entrybuilders.make_submission(groups=2, size=4)
+        for item in submission.items:
+            cluster.pool.events_by_item[item.id] = 400
+        await cluster.submit('entry-0', submission)
+        await asyncio.sleep(1)
+        assert await cluster.entry_by_name['entry-1'].node.desk.end('job-1')
+        await asyncio.sleep(0.5)
+        engines = cluster.pool.endpoint_by_id.values()
+        assert sum(one.running for one in engines) == 0
+        await cluster.stop()
+
+    virtualloop.run(scenario())
+
+
+@pytest.mark.parametrize('seed', range(4))
+def test_stream_that_ends_inside_an_event_is_not_whole(seed):
+    async def scenario():
+        cluster = entrybuilders.make_cluster(seed)
+        for one in cluster.pool.endpoint_by_id.values():
+            one.break_share = 0.4
+            one.breaks_cleanly = True
+        await asyncio.sleep(2)
+        submission = entrybuilders.make_submission(groups=4)
+        await cluster.submit('entry-0', submission)
+        results = await cluster.read_all('job-1', 20)
+        test_jobs.check_results(cluster, submission, results)
+        await cluster.stop()
+
+    virtualloop.run(scenario())
