--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -8,6 +8,7 @@
 import sys
 import tempfile
 
+from scripts import entrydemo
 from scripts import fleet
 from scripts import layout
 from scripts import probe
@@ -80,6 +81,9 @@
             path = pathlib.Path(folder)
             with fleet.Fleet(path, scenario.deployment) as running:
                 faults.extend(run_scenario(running, scenario))
+    print('== Entry instances on the platform')
+    with tempfile.TemporaryDirectory() as folder:
+        faults.extend(entrydemo.run_entries(pathlib.Path(folder)))
     for fault in faults:
         print(f'FAULT: {fault}')
     print('demo failed' if faults else 'demo passed: all counts are right')
--- a/tests/entry/test_owners.py
+++ b/tests/entry/test_owners.py
@@ -5,8 +5,8 @@
 import pytest
 
 from standins import virtualloop
-from tests import entrybuilders
 from tests.entry import test_jobs
+from tests import entrybuilders
 
 
 @pytest.mark.parametrize('seed', range(8))
--- a/tests/processes/test_entry.py
+++ b/tests/processes/test_entry.py
@@ -7,10 +7,10 @@
 
 import pytest
 
+from scripts import entrycalls
 from scripts import entryfleet
 from scripts import probe
 from tests import entrybuilders
-from tests.processes import entrycalls
 
 
 @pytest.fixture
