Send an item to the only engine again, probe a cut way apart from calls

An instance whose way to the table is cut waited for a time-out of 1 s with every fourth call, heartbeats among them. Ruled out: a leak of places (in flight fell to 0). Change: an engine that failed an item is its last choice, not none; while calls go through peers, a probe of its own looks for the direct way.

--- a/pomelopass/jobs/schedule.py
+++ b/pomelopass/jobs/schedule.py
@@ -90,12 +90,13 @@
             need = (one.service, one.model, one.min_version)
             if need in full or one.granted.done():
                 continue
-            state = self._choose(one, one.avoid)
+            # An engine that failed the item is the last choice, not none.
+            state = self._choose(one, one.avoid) or self._choose(one, ())
             if state is not None:
                 state.in_flight += 1
                 self.waiting.remove(one)
                 one.granted.set_result(state)
-            elif not one.avoid or self._choose(one, ()) is None:
+            else:
                 full.add(need)
 
     def _choose(
--- a/pomelopass/table/fallback.py
+++ b/pomelopass/table/fallback.py
@@ -11,7 +11,9 @@
 # Direct calls that fail in a row before calls go through peers.
 FAILURES_TO_FALL_BACK = 2
 # Time between two direct tries while calls go through peers.
-RETRY_DIRECT_MS = 400
+PROBE_EVERY_MS = 400
+# Any read shows that the service serves us; this one returns nothing.
+PROBE_RANGE = rows.Range('probe', '', limit=1)
 
 
 class FallbackTable:
@@ -27,9 +29,8 @@
         self.relayed = relayed
         self.write_event = write_event
         self.failures_in_row = 0
-        self.next_direct_at = 0.0
-        self.last_success_at = 0.0
-        self.last_failure_at = float('-inf')
+        self.next_probe_at = 0.0
+        self.probe: asyncio.Task | None = None
 
     async def read(self, wanted: rows.Range) -> rows.Page:
         """Return rows of one part."""
@@ -54,36 +55,49 @@
     async def _call(
         self, run: abc.Callable[[rows.RowTable], abc.Awaitable[Any]]
     ) -> Any:
-        now = asyncio.get_running_loop().time()
-        fallen_back = self.failures_in_row >= FAILURES_TO_FALL_BACK
-        if not fallen_back or now >= self.next_direct_at:
-            self.next_direct_at = now + RETRY_DIRECT_MS / 1000
-            try:
-                answer = await run(self.direct)
-            except rows.HistoryLostError:
-                self._note_success()
-                raise
-            except rows.TableError as error:
-                self._note_failure(error)
-                # A write that may have run is not sent another way: its
-                # sender decides, since only the sender knows its condition.
-                if error.may_have_run or not fallen_back:
-                    raise
-            else:
-                self._note_success()
-                return answer
-        answer = await run(self.relayed)
-        self.last_success_at = asyncio.get_running_loop().time()
+        if self.failures_in_row < FAILURES_TO_FALL_BACK:
+            return await self._call_directly(run)
+        self._probe_soon()
+        return await run(self.relayed)
+
+    async def _call_directly(
+        self, run: abc.Callable[[rows.RowTable], abc.Awaitable[Any]]
+    ) -> Any:
+        # A write that may have run is not sent another way here: its sender
+        # decides, since only the sender knows its condition.
+        try:
+            answer = await run(self.direct)
+        except rows.HistoryLostError:
+            self._note_success()
+            raise
+        except rows.TableError as error:
+            self._note_failure(error)
+            raise
+        self._note_success()
         return answer
 
+    def _probe_soon(self) -> None:
+        # A way that is cut costs a time-out: no call of ours waits for it.
+        now = asyncio.get_running_loop().time()
+        probing = self.probe is not None and not self.probe.done()
+        if not probing and now >= self.next_probe_at:
+            self.next_probe_at = now + PROBE_EVERY_MS / 1000
+            self.probe = asyncio.ensure_future(self._probe())
+
+    async def _probe(self) -> None:
+        try:
+            await self.direct.read(PROBE_RANGE)
+        except rows.TableError as error:
+            self._note_failure(error)
+        else:
+            self._note_success()
+
     def _note_success(self) -> None:
         if self.failures_in_row >= FAILURES_TO_FALL_BACK:
             self.write_event('table-regained')
         self.failures_in_row = 0
-        self.last_success_at = asyncio.get_running_loop().time()
 
     def _note_failure(self, error: rows.TableError) -> None:
         self.failures_in_row += 1
-        self.last_failure_at = asyncio.get_running_loop().time()
         if self.failures_in_row == FAILURES_TO_FALL_BACK:
             self.write_event('table-lost', detail=error.detail)
--- a/tests/entry/test_owners.py
+++ b/tests/entry/test_owners.py
@@ -75,3 +75,20 @@
         await cluster.stop()
 
     virtualloop.run(scenario())
+
+
+def test_item_that_the_only_engine_refused_once_is_sent_to_it_again():
+    async def scenario():
+        cluster = entrybuilders.make_cluster(engines=1)
+        await asyncio.sleep(2)
+        engine = cluster.pool.endpoint_by_id['engine-0']
+        engine.loading = True
+        submission = entrybuilders.make_submission(groups=2)
+        await cluster.submit('entry-0', submission)
+        await asyncio.sleep(0.15)
+        engine.loading = False
+        results = await cluster.read_all('job-1', 10)
+        test_jobs.check_results(cluster, submission, results)
+        await cluster.stop()
+
+    virtualloop.run(scenario())
--- /dev/null
+++ b/tests/table/test_fallback.py
@@ -0,0 +1,69 @@
+"""Test the way to the table service while it refuses an instance."""
+
+import asyncio
+import random
+
+import pytest
+
+from pomelopass.table import fallback
+from pomelopass.table import rows
+from standins import rowtable
+from standins import virtualloop
+
+KEY = rows.Key('t', '', 'k')
+WRITE = rows.Transaction(puts=((KEY, b'v'),))
+
+
+def make_table():
+    service = rowtable.RowService()
+    rng = random.Random(1)
+    direct = rowtable.RowClient(service, rng)
+    relayed = rowtable.RowClient(service, rng)
+    events = []
+    table = fallback.FallbackTable(
+        direct, relayed, lambda kind, **fields: events.append(kind)
+    )
+    return table, direct, relayed, events
+
+
+async def fail_twice(table):
+    for _ in range(2):
+        with pytest.raises(rows.TableError):
+            await table.transact(WRITE)
+
+
+def test_calls_go_through_a_peer_without_waiting_for_a_cut_way():
+    async def scenario():
+        table, direct, _, events = make_table()
+        direct.faults.silent = True
+        await fail_twice(table)
+        loop = asyncio.get_running_loop()
+        for _ in range(20):
+            began = loop.time()
+            assert isinstance(await table.transact(WRITE), rows.Applied)
+            assert loop.time() - began < 0.05
+            await asyncio.sleep(0.1)
+        assert events == ['table-lost']
+        direct.faults.silent = False
+        for _ in range(30):
+            await table.read(rows.Range('t', ''))
+            await asyncio.sleep(0.1)
+        assert events == ['table-lost', 'table-regained']
+
+    virtualloop.run(scenario())
+
+
+def test_write_that_may_have_run_is_not_sent_another_way():
+    async def scenario():
+        table, direct, relayed, _ = make_table()
+        direct.faults.lose_answers = 1.0
+        with pytest.raises(rows.TableError) as error:
+            await table.transact(
+                rows.Transaction(expected=((KEY, 0),), puts=((KEY, b'v'),))
+            )
+        assert error.value.may_have_run
+        page = await relayed.read(rows.Range('t', ''))
+        assert len(page.rows) == 1
+        assert page.version == 1
+
+    virtualloop.run(scenario())
