--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -60,6 +60,11 @@
             writer.transport.abort()
             return
         self.writers |= {writer, far_writer}
+        # The loop ends with connections open: that is no fault.
+        with contextlib.suppress(asyncio.CancelledError):
+            await self._pump_both(reader, writer, far_reader, far_writer)
+
+    async def _pump_both(self, reader, writer, far_reader, far_writer) -> None:
         try:
             await asyncio.gather(
                 self._pump(reader, far_writer, 'cut_out'),
