--- a/scripts/write_reference.py
+++ b/scripts/write_reference.py
@@ -2,6 +2,7 @@
 
 import pathlib
 import sys
+import types
 import typing
 
 import pydantic
@@ -75,6 +76,16 @@
 
 
 def _get_type_name(annotation: object) -> str:
+    origin = typing.get_origin(annotation)
+    if origin is typing.Annotated:
+        return _get_type_name(typing.get_args(annotation)[0])
+    if origin in (types.UnionType, typing.Union):
+        names = [_get_type_name(one) for one in typing.get_args(annotation)]
+        return ' or '.join(names)
+    if origin is tuple:
+        return f'list of {_get_type_name(typing.get_args(annotation)[0])}'
+    if annotation is types.NoneType:
+        return 'nothing'
     if typing.get_origin(annotation) is typing.Literal:
         values = typing.get_args(annotation)
         return ' or '.join(f'`"{value}"`' for value in values)
