Remove what nothing reads

Ruled out: joining the generated thrift code that the duplicate list names, and the two halves of the old and new table types, which differ in their keys.

--- a/pomelopass/jobs/desk.py
+++ b/pomelopass/jobs/desk.py
@@ -16,8 +16,6 @@
 # Longest time in which the table service is asked to settle a write.
 SETTLE_MS = 1800.0
 MAX_PAGE_BYTES = 900_000
-# A known state is trusted this long without another read.
-READ_AGAIN_MS = 1000.0
 
 
 class Acceptance(enum.Enum):
--- a/pomelopass/registry/endpoint.py
+++ b/pomelopass/registry/endpoint.py
@@ -54,8 +54,6 @@
     load: Load | None = None
     load_at: float = float('-inf')
     version_by_model: dict[str, int] = dataclasses.field(default_factory=dict)
-    confirmed: bool = True
-    running: dict[str, float] = dataclasses.field(default_factory=dict)
 
     def is_resting(self, now: float) -> bool:
         """Say whether the endpoint is passed over after failures."""
--- a/pomelopass/registry/registry.py
+++ b/pomelopass/registry/registry.py
@@ -88,11 +88,6 @@
             if one.endpoint.version_by_model
         }
 
-    def is_present(self, state: endpoints.EndpointState) -> bool:
-        """Say whether this very incarnation still takes new work."""
-        known = self.state_by_id.get(state.endpoint.id)
-        return known is state and not state.endpoint.is_draining
-
     def _tell(self, found: endpoints.Endpoint, change: str) -> None:
         self.write_event(
             'endpoint-changed',
--- a/pomelopass/table/follower.py
+++ b/pomelopass/table/follower.py
@@ -38,7 +38,6 @@
         self.version = 0
         self.loaded = False
         self.fresh_at = float('-inf')
-        self.changed = asyncio.Event()
 
     def get_age_ms(self) -> float:
         """Return the time since the service last answered."""
@@ -97,7 +96,6 @@
         self.version = max(self.version, first_version or 0)
         self.loaded = True
         self.fresh_at = asked_at
-        self._wake()
 
     async def _step(self) -> None:
         changes = await self.table.follow(self.name, self.version, WAIT_MS)
@@ -105,9 +103,3 @@
             self.take(row)
         self.version = max(self.version, changes.version)
         self.fresh_at = asyncio.get_running_loop().time()
-        if changes.rows:
-            self._wake()
-
-    def _wake(self) -> None:
-        self.changed.set()
-        self.changed = asyncio.Event()
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -27,9 +27,6 @@
     post: abc.Callable[[str, dict], abc.Awaitable[None]]
     note: abc.Callable[[str], None]
     busy: set[str] = dataclasses.field(default_factory=set)
-    incarnation_by_name: dict[str, int] = dataclasses.field(
-        default_factory=dict
-    )
 
     async def run(self, seconds: float) -> None:
         """Inject faults for a time, then undo them all."""
@@ -81,8 +78,6 @@
         while popen.poll() is None:
             await asyncio.sleep(0.1)
         await asyncio.sleep(self.get_last_s() / 3)
-        known = self.incarnation_by_name.get(name, 0)
-        self.incarnation_by_name[name] = known + 1
         self.fleet.start_entry(name)
         await asyncio.sleep(1.0)
         self.busy.discard(name)
--- a/standins/platformtable.py
+++ b/standins/platformtable.py
@@ -13,8 +13,6 @@
 
 __all__ = ['PlatformTable']
 
-READ_BYTES = 8_388_608
-
 
 class PlatformTable:
     """Hold the service and the faults that all callers meet.
--- a/standins/rowtable.py
+++ b/standins/rowtable.py
@@ -92,7 +92,6 @@
         self.service = service
         self.rng = rng
         self.faults = Faults()
-        self.late: set[asyncio.TimerHandle] = set()
 
     async def read(self, wanted: rows.Range) -> rows.Page:
         """Return rows of one part."""
