Let engines take turns at versions, keep jobs off instances behind a peer

Instances cut off from the table owned new jobs and listed results 1.2 to 3.5 s apart through peers, some of them cut off too. Change: engines whose weights the next batch can't use load first; those of the last version serve meanwhile, and load when idle or until half of them hold the newest; runs prefer the newest weights. A record tells how far behind its job may be. After a refusal one run asks first. A run moves after three slow checks in a row. Heartbeats tell whether an instance reaches the table itself; owners and the directory's answers are chosen among those, relayed calls go to them, and the peer that answered last is asked again. Ruled out: too few engines (half of the places were empty).

--- a/pomelopass/entry/node.py
+++ b/pomelopass/entry/node.py
@@ -30,6 +30,7 @@
 from ..table import rows
 from . import tableclock
 from . import tablewatch
+from ..versions import assignment
 from ..versions import keeper as versionkeepers
 from . import view as views
 
@@ -123,6 +124,7 @@
             self.keeper,
             self.job_table,
             self.table.get_now_ms,
+            lambda model: self.versions.version_by_model.get(model, 0),
             self.ports.write_event,
         )
         self.cleaner = cleanup.Cleaner(
@@ -161,10 +163,11 @@
                 True,
                 0,
                 {},
-                self.settings.core_share * self.settings.core_speed,
+                capacity=self.settings.core_share * self.settings.core_speed,
             ),
             self.view.get_runs,
             self._get_crashes,
+            self.fallback.is_direct,
             self.ports.rng,
         )
 
@@ -225,27 +228,28 @@
     def _get_crashes(self) -> dict[str, int]:
         return self.suspects.get_shared(asyncio.get_running_loop().time())
 
-    def _get_demand(self) -> dict[str, float]:
+    def _get_demand(self) -> dict[str, assignment.Demand]:
         return self.keeper.get_demand(self.table.get_now_ms())
 
     def _get_callable(self) -> list[member.Member]:
         now = asyncio.get_running_loop().time()
         alive = self.membership.get_alive(now)
-        recent = self.membership.get_recent(now)
+        recent = self.membership.get_direct(now)
         # Late heartbeats of many tell of the table, not of the instances.
         return recent if 2 * len(recent) > len(alive) else alive
 
     def _get_relay_addresses(self) -> list[str]:
         now = asyncio.get_running_loop().time()
-        own = self.settings.relay_address
-        known = {
-            one.relay_address
+        alive = [
+            one
             for name, one in self.membership.member_by_name.items()
-            if self.membership.is_alive(name, now)
-        }
-        if not known - {own}:
-            known = set(self.settings.seed_addresses)
-        return sorted(known - {own})
+            if name != self.settings.name
+            and self.membership.is_alive(name, now)
+        ]
+        direct = {one.relay_address for one in alive if one.is_direct}
+        known = direct or {one.relay_address for one in alive}
+        seeds = set(self.settings.seed_addresses)
+        return sorted((known or seeds) - {self.settings.relay_address})
 
     def _make_item_context(
         self, submission: jobs.Submission, record: jobs.JobRecord
--- a/pomelopass/entry/view.py
+++ b/pomelopass/entry/view.py
@@ -38,7 +38,7 @@
         return True
 
     def put_member(self, found: member.Member) -> None:
-        """Take in a heartbeat and the runs that it tells of."""
+        """Take in a heartbeat."""
         now = asyncio.get_running_loop().time()
         known = self.membership.member_by_name.get(found.name)
         if known is None or known.incarnation != found.incarnation:
@@ -46,7 +46,6 @@
                 'instance-found', instance=found.name, start=found.incarnation
             )
         self.membership.put(found, now)
-        self.count_runs_elsewhere()
 
     def count_runs_elsewhere(self) -> None:
         """Add up what other living instances run at each endpoint."""
@@ -54,7 +53,9 @@
         own_name = self.membership.own_name
         count_by_id: dict[str, int] = {}
         for name, one in self.membership.member_by_name.items():
-            if name == own_name or not self.membership.is_alive(name, now):
+            if not one.runs_by_endpoint or name == own_name:
+                continue
+            if not self.membership.is_alive(name, now):
                 continue
             for endpoint_id, count in one.runs_by_endpoint.items():
                 known = count_by_id.get(endpoint_id, 0)
--- a/pomelopass/fleet/beats.py
+++ b/pomelopass/fleet/beats.py
@@ -25,12 +25,14 @@
         own: member.Member,
         get_runs: abc.Callable[[], dict[str, int]],
         get_crashes: abc.Callable[[], dict[str, int]],
+        is_direct: abc.Callable[[], bool],
         rng: random.Random,
     ):
         self.table = table
         self.own = own
         self.get_runs = get_runs
         self.get_crashes = get_crashes
+        self.is_direct = is_direct
         self.rng = rng
         self.version = 0
         self.now = asyncio.Event()
@@ -56,6 +58,7 @@
         self.own = dataclasses.replace(
             self.own,
             beat=self.own.beat + 1,
+            is_direct=self.is_direct(),
             runs_by_endpoint=self.get_runs(),
             crashes_by_fingerprint=self.get_crashes(),
         )
--- a/pomelopass/fleet/member.py
+++ b/pomelopass/fleet/member.py
@@ -30,6 +30,8 @@
     crashes_by_fingerprint: dict[str, int] = dataclasses.field(
         default_factory=dict
     )
+    # Whether its own way to the table service works.
+    is_direct: bool = True
 
 
 def encode_member(member: Member) -> bytes:
@@ -108,6 +110,15 @@
             and (now - self.seen_at_by_name[name]) * 1000 < RECENT_MS
         ]
 
+    def get_direct(self, now: float) -> list[Member]:
+        """Return the recent instances that reach the table themselves.
+
+        If these are few, the table is away rather than the instances.
+        """
+        recent = self.get_recent(now)
+        direct = [one for one in recent if one.is_direct]
+        return direct if 2 * len(direct) > len(recent) else recent
+
     def get_alive(self, now: float) -> list[Member]:
         """Return the instances that count as alive and accept work."""
         return [
--- a/pomelopass/jobs/adoption.py
+++ b/pomelopass/jobs/adoption.py
@@ -13,24 +13,29 @@
 WEAK_SHARE = 0.5
 
 
-def get_order(key: str, members: abc.Iterable[member.Member]) -> list[str]:
+def get_order(key: str, members: abc.Collection[member.Member]) -> list[str]:
     """Return the names in the order in which they take a job.
 
     All instances compute the same order, so that jobs spread evenly
-    without talk. Weak instances come last: the streams of a trainer's
-    batch keep a small core busy.
+    without talk. Weak instances come last, since the streams of a batch keep
+    a small core busy, and after them those that reach the table through a
+    peer: each write of theirs takes a way more.
     """
     capacity_by_name = {one.name: one.capacity for one in members}
     strongest = max(capacity_by_name.values(), default=0.0)
+    relayed = {one.name for one in members if not one.is_direct}
     ranked = rendezvous.rank(key, list(capacity_by_name))
     return sorted(
         ranked,
-        key=lambda name: capacity_by_name[name] < WEAK_SHARE * strongest,
+        key=lambda name: (
+            name in relayed,
+            capacity_by_name[name] < WEAK_SHARE * strongest,
+        ),
     )
 
 
 def choose_owner(
-    trainer: str, members: abc.Iterable[member.Member], own_name: str
+    trainer: str, members: abc.Collection[member.Member], own_name: str
 ) -> str:
     """Return the name of the instance that runs a trainer's jobs.
 
@@ -41,7 +46,7 @@
 
 
 def get_wait_ms(
-    job_id: str, own_name: str, alive: abc.Iterable[member.Member]
+    job_id: str, own_name: str, alive: abc.Collection[member.Member]
 ) -> float:
     """Return how long to wait before an adoption, in milliseconds."""
     order = get_order(job_id, alive)
--- a/pomelopass/jobs/desk.py
+++ b/pomelopass/jobs/desk.py
@@ -43,11 +43,13 @@
         keeper: keepers.Keeper,
         table: jobtable.JobTable,
         get_table_ms: abc.Callable[[], int],
+        get_named_version: abc.Callable[[str], int],
         write_event: abc.Callable[..., None],
     ):
         self.keeper = keeper
         self.table = table
         self.get_table_ms = get_table_ms
+        self.get_named_version = get_named_version
         self.write_event = write_event
         self.results_by_id: dict[str, dict[int, jobs.Result]] = {}
 
@@ -66,6 +68,11 @@
             accepted_ms=self.get_table_ms(),
             model=submission.model,
             tokens=sum(one.tokens for one in submission.items),
+            allowed_lag=max(
+                0,
+                self.get_named_version(submission.model)
+                - submission.min_version,
+            ),
         )
         *before, last = jobtable.split_writes(puts)
         loop = asyncio.get_running_loop()
--- a/pomelopass/jobs/itemstream.py
+++ b/pomelopass/jobs/itemstream.py
@@ -15,6 +15,8 @@
 # Longest wait for the next event before another engine goes on.
 STALL_MS = 1600.0
 MOVE_CHECK_MS = 250.0
+# A neighbour of the engine may slow it for a moment; that is no reason.
+SLOW_CHECKS_TO_MOVE = 3
 UNPROCESSABLE_STATUS = 422
 MAX_REFUSAL_BYTES = 1_048_576
 
@@ -114,6 +116,7 @@
     version = answer.weight_version
     last_at = None
     next_check = loop.time() + MOVE_CHECK_MS / 1000
+    slow_checks = 0
     async for chunk in answer.reply.chunks:
         found = parser.feed(chunk)
         now = loop.time()
@@ -130,7 +133,9 @@
             last_at = now
         if now >= next_check:
             next_check = now + MOVE_CHECK_MS / 1000
-            if context.scheduler.find_faster(state, waiting):
+            is_slow = context.scheduler.find_faster(state, waiting)
+            slow_checks = slow_checks + 1 if is_slow else 0
+            if slow_checks >= SLOW_CHECKS_TO_MOVE:
                 return 'moved'
     if parser.unread.strip():
         raise message.ExchangeError('truncated', 1)
--- a/pomelopass/jobs/job.py
+++ b/pomelopass/jobs/job.py
@@ -62,6 +62,8 @@
     accepted_ms: int
     model: str = ''
     tokens: int = 0
+    # Versions that its samples may be behind the one named at acceptance.
+    allowed_lag: int = 0
     listed: int = 0
     ended: bool = False
     writes: int = 0
--- a/pomelopass/jobs/keeper.py
+++ b/pomelopass/jobs/keeper.py
@@ -14,6 +14,7 @@
 from ..requests import routes
 from . import rowcodec
 from ..table import rows
+from ..versions import assignment
 
 __all__ = ['Keeper', 'MakeContext']
 
@@ -109,21 +110,26 @@
         """Return the incarnation and the name that a new job goes to."""
         now = asyncio.get_running_loop().time()
         # One that died a moment ago would leave the job waiting.
-        alive = self.membership.get_recent(now)
+        alive = self.membership.get_direct(now)
         trainer = f'{submission.host}/{submission.model}'
         name = adoption.choose_owner(trainer, alive, self.name)
         if name == self.name:
             return self.incarnation, self.name
         return self.membership.member_by_name[name].incarnation, name
 
-    def get_demand(self, now_ms: int) -> dict[str, float]:
-        """Return the tokens that recent jobs asked of each model."""
-        demand: dict[str, float] = {}
-        for known in self.known_by_id.values():
-            record = known.stored.record
+    def get_demand(self, now_ms: int) -> dict[str, assignment.Demand]:
+        """Return what recent jobs ask of each model."""
+        demand: dict[str, assignment.Demand] = {}
+        known = sorted(
+            (one.stored.record for one in self.known_by_id.values()),
+            key=lambda record: record.accepted_ms,
+        )
+        for record in known:
             if now_ms - record.accepted_ms < DEMAND_WINDOW_MS:
-                asked = demand.get(record.model, 0.0)
-                demand[record.model] = asked + record.tokens
+                before = demand.get(record.model, assignment.Demand(0.0))
+                demand[record.model] = assignment.Demand(
+                    before.tokens + record.tokens, record.allowed_lag
+                )
         return demand
 
     async def wait_for_change(self, job_id: str, timeout_s: float) -> None:
--- a/pomelopass/registry/choice.py
+++ b/pomelopass/registry/choice.py
@@ -9,6 +9,8 @@
 # Pace assumed of an endpoint that has not answered yet, in milliseconds.
 UNKNOWN_PACE_MS = 20.0
 OTHER_ZONE_PENALTY = 1.1
+# An engine with older weights is taken when the newest ones are this busy.
+OLD_WEIGHTS_PENALTY = 1.4
 
 
 def choose_for_call(
@@ -46,7 +48,8 @@
     """Return the endpoint for a generation, or None while all are full.
 
     Answers many generations of one batch that arrive at once: they spread
-    by free places and by the pace of each endpoint.
+    by free places and by the pace of each endpoint, the newest weights
+    first.
     """
     free = [
         one
@@ -57,10 +60,15 @@
         and get_free_places(one) > 0
     ]
 
+    newest = max((one.get_version(model) for one in free), default=0)
+
     def get_cost(one: endpoints.EndpointState) -> float:
         pace_ms = one.pace_ms or UNKNOWN_PACE_MS
         used = one.in_flight + one.in_flight_elsewhere
-        return pace_ms * (1.0 + used / max(one.endpoint.slots, 1))
+        penalty = OLD_WEIGHTS_PENALTY
+        if one.get_version(model) == newest:
+            penalty = 1.0
+        return pace_ms * (1.0 + used / max(one.endpoint.slots, 1)) * penalty
 
     return min(free, key=get_cost, default=None)
 
@@ -68,4 +76,7 @@
 def get_free_places(one: endpoints.EndpointState) -> int:
     """Return how many more runs the endpoint holds without a queue."""
     used = one.in_flight + one.in_flight_elsewhere
+    if one.refusals_in_row:
+        # One run finds out whether it takes work again.
+        return 1 - one.in_flight
     return one.endpoint.slots - used
--- a/pomelopass/table/fallback.py
+++ b/pomelopass/table/fallback.py
@@ -32,6 +32,10 @@
         self.next_probe_at = 0.0
         self.probe: asyncio.Task | None = None
 
+    def is_direct(self) -> bool:
+        """Say whether calls go to the service without a peer."""
+        return self.failures_in_row < FAILURES_TO_FALL_BACK
+
     async def read(self, wanted: rows.Range) -> rows.Page:
         """Return rows of one part."""
         return await self._call(lambda table: table.read(wanted))
@@ -55,7 +59,7 @@
     async def _call(
         self, run: abc.Callable[[rows.RowTable], abc.Awaitable[Any]]
     ) -> Any:
-        if self.failures_in_row < FAILURES_TO_FALL_BACK:
+        if self.is_direct():
             return await self._call_directly(run)
         self._probe_soon()
         return await run(self.relayed)
@@ -93,7 +97,7 @@
             self._note_success()
 
     def _note_success(self) -> None:
-        if self.failures_in_row >= FAILURES_TO_FALL_BACK:
+        if not self.is_direct():
             self.write_event('table-regained')
         self.failures_in_row = 0
 
--- a/pomelopass/table/relay.py
+++ b/pomelopass/table/relay.py
@@ -32,6 +32,8 @@
         self.get_addresses = get_addresses
         self.rng = rng
         self.resting_until_by_address: dict[str, float] = {}
+        # The peer that answered last is asked again.
+        self.trusted = ''
 
     async def read(self, wanted: rows.Range) -> rows.Page:
         """Return rows of one part."""
@@ -93,7 +95,9 @@
         ]
         if not addresses:
             raise rows.TableError('no peer reaches the table', False)
-        address = self.rng.choice(addresses)
+        address = self.trusted
+        if address not in addresses:
+            address = self.rng.choice(addresses)
         sent = False
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1000):
@@ -102,7 +106,9 @@
             try:
                 sent = True
                 async with asyncio.timeout(CALL_TIMEOUT_MS / 1000):
-                    return await _swap(reader, writer, send, receive)
+                    answer = await _swap(reader, writer, send, receive)
+                self.trusted = address
+                return answer
             finally:
                 writer.close()
         except ttypes.HistoryLost:
--- a/pomelopass/versions/keeper.py
+++ b/pomelopass/versions/keeper.py
@@ -62,7 +62,7 @@
         port: OrderPort,
         takeover_wait_ms: float,
         needs_single_version: abc.Callable[[str], bool],
-        get_demand: abc.Callable[[], dict[str, float]],
+        get_demand: abc.Callable[[], dict[str, assignment.Demand]],
         write_event: abc.Callable[..., None],
         get_lease_now: abc.Callable[[], float],
     ):
@@ -74,7 +74,6 @@
         self.port = port
         self.takeover_wait_ms = takeover_wait_ms
         self.needs_single_version = needs_single_version
-        # Tokens that recent jobs asked of each model.
         self.get_demand = get_demand
         self.write_event = write_event
         # Counts the time for which the machine is suspended.
@@ -146,7 +145,13 @@
             if one.endpoint.version_by_model
         ]
         assigned = assignment.assign_engines(
-            engines, self.version_by_model, self.get_demand()
+            engines,
+            self.version_by_model,
+            self.get_demand(),
+            [
+                assignment.Load(endpoint_id, one.model, one.version)
+                for endpoint_id, one in self.load_by_id.items()
+            ],
         )
         chosen = [
             one
--- a/tests/jobs/test_adoption.py
+++ b/tests/jobs/test_adoption.py
@@ -1,6 +1,7 @@
 """Test which instance runs a job."""
 
 import collections
+import dataclasses
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -39,3 +40,31 @@
     assert min(counts.values()) > 140
     waits = [adoption.get_wait_ms('job', one.name, members) for one in members]
     assert sorted(waits) == [0.0, 500.0, 1000.0, 1500.0, 2000.0]
+
+
+def test_instance_behind_a_peer_runs_jobs_only_if_no_other_can():
+    members = [make_member(f'm{one}') for one in range(4)]
+    relayed = [
+        dataclasses.replace(one, is_direct=False) for one in members[:2]
+    ]
+    for number in range(30):
+        some = [*relayed, *members[2:]]
+        owner = adoption.choose_owner(f'trainer-{number}', some, 'x')
+        assert owner in ('m2', 'm3')
+    assert adoption.choose_owner('t', relayed, 'x') in ('m0', 'm1')
+
+
+def test_callers_are_sent_to_instances_that_reach_the_table_themselves():
+    membership = member.Membership('m0')
+    for number in range(5):
+        one = make_member(f'm{number}')
+        if number < 2:
+            one = dataclasses.replace(one, is_direct=False)
+        membership.put(one, 10.0)
+    names = {one.name for one in membership.get_direct(10.5)}
+    assert names == {'m2', 'm3', 'm4'}
+    # With the table away for most, all of them go on.
+    membership.put(
+        dataclasses.replace(make_member('m4'), is_direct=False), 10.5
+    )
+    assert len(membership.get_direct(10.6)) == 5
--- a/tests/versions/test_assignment.py
+++ b/tests/versions/test_assignment.py
@@ -24,7 +24,12 @@
         named = {'a': version, 'b': version}
         for _ in range(6):
             assigned = assignment.assign_engines(
-                engines, named, {'a': 900.0, 'b': 600.0}
+                engines,
+                named,
+                {
+                    'a': assignment.Demand(900.0),
+                    'b': assignment.Demand(600.0),
+                },
             )
             moves = orders.choose_to_order(engines, named, assigned, ())
             for one in moves:
@@ -49,7 +54,74 @@
         for one in range(count)
     ]
     named = dict.fromkeys(demand, 2)
-    assigned = assignment.assign_engines(engines, named, demand)
+    assigned = assignment.assign_engines(
+        engines,
+        named,
+        {model: assignment.Demand(some) for model, some in demand.items()},
+    )
     assert all(assigned.values())
     ids = set().union(*assigned.values())
     assert ids == {one.endpoint.id for one in engines}
+
+
+def serve_versions(engines, demand, rounds):
+    """Load named versions; return the fewest engines that serve a model."""
+    fewest = len(engines)
+    for version in range(2, 2 + rounds):
+        named = dict.fromkeys(demand, version)
+        for model in demand:
+            usable = [
+                one for one in engines if version - one.get_version(model) <= 1
+            ]
+            fewest = min(fewest, len(usable))
+        for _ in range(6):
+            assigned = assignment.assign_engines(engines, named, demand)
+            for one in orders.choose_to_order(engines, named, assigned, ()):
+                one.state.version_by_model[one.model] = one.version
+    return fewest
+
+
+def test_versions_take_turns_on_busy_engines():
+    # Three trainers name versions in step while all engines are busy.
+    engines = [make_state(f'e{one}', a=1, b=1, c=1) for one in range(18)]
+    for one in engines:
+        one.in_flight = 6
+    demand = {model: assignment.Demand(100.0, 1) for model in 'abc'}
+    assert serve_versions(engines, demand, 2) >= 6
+    for version in range(4, 9):
+        named = dict.fromkeys(demand, version)
+        for _ in range(6):
+            assigned = assignment.assign_engines(engines, named, demand)
+            moves = orders.choose_to_order(engines, named, assigned, ())
+            for one in moves:
+                lag = one.version - one.state.get_version(one.model)
+                assert lag > 1, 'weights that still serve were replaced'
+                one.state.version_by_model[one.model] = one.version
+        for model in demand:
+            serving = [
+                one for one in engines if version - one.get_version(model) <= 1
+            ]
+            assert len(serving) == 12
+
+
+def test_busy_engine_keeps_weights_that_serve_and_an_idle_one_loads():
+    engines = [make_state(f'e{one}', a=1) for one in range(4)]
+    for one in engines[:3]:
+        one.in_flight = 1
+    demand = {'a': assignment.Demand(1.0, 1)}
+    assigned = assignment.assign_engines(engines, {'a': 2}, demand)
+    assert 'e3' in assigned['a']
+    assert len(assigned['a']) == 2
+    engines[1].in_flight = 0
+    assigned = assignment.assign_engines(engines, {'a': 2}, demand)
+    assert {'e1', 'e3'} <= assigned['a']
+
+
+def test_engine_that_loads_counts_as_holding_the_version():
+    engines = [make_state(f'e{one}', a=1, b=1) for one in range(2)]
+    demand = {model: assignment.Demand(1.0) for model in 'ab'}
+    loads = [assignment.Load('e1', 'a', 2)]
+    assigned = assignment.assign_engines(
+        engines, {'a': 2, 'b': 2}, demand, loads
+    )
+    assert assigned == {'a': {'e1'}, 'b': {'e0'}}
