Group the modules of the own interface by what they do

Contracts stay beside their folders. Ruled out: joining callers/ with requests/, whose verdicts and keys differ.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -8,7 +8,7 @@
 from bench import documents
 from bench import slope
 from bench import training
-from pomelopass import context as contexts
+from pomelopass.callers import places
 from pomelopass.core import attemptend
 from pomelopass.core import endpoint
 from pomelopass.core import health
@@ -16,8 +16,8 @@
 from pomelopass.core import peers
 from pomelopass.core import workclass
 from pomelopass.edges import peerframe
-from pomelopass import gossip
-from pomelopass import places
+from pomelopass.running import context as contexts
+from pomelopass.running import gossip
 from pomelopass.wire.gen.peer import Peer
 from standins import virtualloop
 
--- a/bench/documents.py
+++ b/bench/documents.py
@@ -5,7 +5,7 @@
 
 from bench import deployment
 from bench import slope
-from pomelopass import configuration
+from pomelopass.configuring import configuration
 from pomelopass.core import batch
 from pomelopass.core import claimbook
 from pomelopass.core import claims
--- a/pomelopass/__init__.py
+++ b/pomelopass/__init__.py
@@ -15,11 +15,11 @@
 ]
 
 MODULE_BY_VERB = {
-    'build_instance': 'instance',
-    'check_configuration': 'configuration',
+    'build_instance': 'running.instance',
+    'check_configuration': 'configuring.configuration',
     'get_duty_by_name': 'duty',
     'get_policy_by_name': 'policy',
-    'load_settings': 'settings',
+    'load_settings': 'running.settings',
 }
 
 
--- a/pomelopass/callerwork.py
+++ b/pomelopass/callers/callerwork.py
@@ -2,13 +2,13 @@
 
 import xxhash
 
-from . import context as contexts
-from . import message
+from .. import message
+from ..core import affinity
+from ..core import length
+from ..core import refusal
+from ..kinds import service
+from ..running import context as contexts
 from . import work
-from .core import affinity
-from .core import length
-from .core import refusal
-from .kinds import service
 
 __all__ = ['get_service', 'make_work', 'note_end']
 
--- a/pomelopass/claimflow.py
+++ b/pomelopass/callers/claimflow.py
@@ -4,16 +4,16 @@
 
 from returns import result
 
+from .. import message
 from . import claimwriter
-from . import context as contexts
-from . import message
+from ..core import claimbook
+from ..core import claimreply
+from ..core import claims
+from ..core import refusal
+from ..core import verdict
+from ..running import context as contexts
+from ..wire.gen.peer import ttypes
 from . import work
-from .core import claimbook
-from .core import claimreply
-from .core import claims
-from .core import refusal
-from .core import verdict
-from .wire.gen.peer import ttypes
 
 __all__ = ['begin', 'note_dispatched', 'note_requeued', 'settle']
 
--- a/pomelopass/claimwriter.py
+++ b/pomelopass/callers/claimwriter.py
@@ -5,8 +5,8 @@
 
 from returns import result
 
-from . import context as contexts
-from .core import tablerow
+from ..core import tablerow
+from ..running import context as contexts
 
 __all__ = ['write']
 
--- a/pomelopass/completionrequest.py
+++ b/pomelopass/callers/completionrequest.py
@@ -4,9 +4,9 @@
 
 import pydantic
 
-from . import trainerrequest
+from ..core import refusal
+from ..training import trainerrequest
 from . import work
-from .core import refusal
 
 __all__ = ['CompletionRequest', 'read_request']
 
--- a/pomelopass/crash.py
+++ b/pomelopass/callers/crash.py
@@ -2,14 +2,14 @@
 
 import json
 
-from . import context as contexts
-from . import gossip
-from . import message
+from .. import message
+from ..core import ejection
+from ..core import quarantine
+from ..core import refusal
+from ..core import verdict
+from ..running import context as contexts
+from ..running import gossip
 from . import work
-from .core import ejection
-from .core import quarantine
-from .core import refusal
-from .core import verdict
 
 __all__ = ['check_quarantine', 'judge_failure', 'note_success']
 
--- a/pomelopass/dispatch.py
+++ b/pomelopass/callers/dispatch.py
@@ -1,17 +1,17 @@
 """Send requests to endpoints and retry where that is safe."""
 
+from .. import message
 from . import claimflow
-from . import context as contexts
+from ..core import attemptend
+from ..core import ejection
+from ..core import length
+from ..core import refusal
+from ..core import retry
+from ..core import verdict
 from . import crash
-from . import message
+from ..running import context as contexts
 from . import slots
 from . import work
-from .core import attemptend
-from .core import ejection
-from .core import length
-from .core import refusal
-from .core import retry
-from .core import verdict
 
 __all__ = ['plan_retry', 'run_plain']
 
--- a/pomelopass/endpointstate.py
+++ b/pomelopass/callers/endpointstate.py
@@ -3,9 +3,9 @@
 import json
 from typing import Any
 
-from . import context as contexts
-from . import message
-from .core import endpoint
+from .. import message
+from ..core import endpoint
+from ..running import context as contexts
 
 __all__ = ['fetch']
 
--- a/pomelopass/generation.py
+++ b/pomelopass/callers/generation.py
@@ -6,16 +6,16 @@
 
 import orjson
 
+from .. import message
 from . import claimflow
-from . import context as contexts
+from ..core import attemptend
+from ..core import length
+from ..core import verdict
 from . import crash
 from . import dispatch
-from . import message
+from ..running import context as contexts
 from . import slots
 from . import work
-from .core import attemptend
-from .core import length
-from .core import verdict
 
 __all__ = ['Answered', 'Piece', 'stream', 'stream_attempt']
 
--- a/pomelopass/places.py
+++ b/pomelopass/callers/places.py
@@ -3,17 +3,17 @@
 import dataclasses
 import math
 
-from . import context as contexts
+from ..core import affinity
+from ..core import ejection
+from ..core import endpoint
+from ..core import health
+from ..core import membership
+from ..core import quota
+from ..core import routing
+from ..core import workclass
 from . import poolstate
+from ..running import context as contexts
 from . import work
-from .core import affinity
-from .core import ejection
-from .core import endpoint
-from .core import health
-from .core import membership
-from .core import quota
-from .core import routing
-from .core import workclass
 
 __all__ = ['Wish', 'take_place']
 
--- a/pomelopass/poolstate.py
+++ b/pomelopass/callers/poolstate.py
@@ -5,12 +5,12 @@
 import asyncio
 import dataclasses
 
-from . import policy
-from .core import admission
-from .core import affinity
-from .core import health
-from .core import length
-from .core import retry
+from .. import policy
+from ..core import admission
+from ..core import affinity
+from ..core import health
+from ..core import length
+from ..core import retry
 
 __all__ = ['PoolState']
 
--- a/pomelopass/slots.py
+++ b/pomelopass/callers/slots.py
@@ -2,19 +2,19 @@
 
 import asyncio
 
-from . import context as contexts
+from ..core import admission
+from ..core import attemptend
+from ..core import ejection
+from ..core import health
+from ..core import length
+from ..core import membership
+from ..core import refusal
+from ..core import verdict
+from ..core import workclass
 from . import places
 from . import poolstate
+from ..running import context as contexts
 from . import work
-from .core import admission
-from .core import attemptend
-from .core import ejection
-from .core import health
-from .core import length
-from .core import membership
-from .core import refusal
-from .core import verdict
-from .core import workclass
 
 __all__ = ['acquire', 'finish', 'pump', 'release', 'review']
 
--- a/pomelopass/work.py
+++ b/pomelopass/callers/work.py
@@ -2,10 +2,10 @@
 
 import dataclasses
 
-from . import message
-from .core import refusal
-from .core import routing
-from .core import verdict
+from .. import message
+from ..core import refusal
+from ..core import routing
+from ..core import verdict
 
 __all__ = ['Refused', 'Slot', 'Work']
 
--- a/pomelopass/command.py
+++ b/pomelopass/command.py
@@ -10,7 +10,7 @@
 import cappa
 
 from . import message
-from . import problem
+from .configuring import problem
 from .edges import httpclient
 
 __all__ = ['Access', 'CommandError', 'call', 'call_all', 'find_instances']
--- a/pomelopass/commands/config.py
+++ b/pomelopass/commands/config.py
@@ -10,9 +10,9 @@
 from returns import result
 
 from .. import command
-from .. import configuration
-from .. import isotime
-from .. import problem
+from ..configuring import configuration
+from ..configuring import problem
+from ..reporting import isotime
 
 __all__ = ['Config']
 
--- a/pomelopass/commands/logs.py
+++ b/pomelopass/commands/logs.py
@@ -9,8 +9,8 @@
 import cappa
 
 from .. import command
-from .. import savedlogs
-from .. import timelinepage
+from ..reporting import savedlogs
+from ..reporting import timelinepage
 
 __all__ = ['Logs']
 
--- a/pomelopass/commands/timeline.py
+++ b/pomelopass/commands/timeline.py
@@ -7,8 +7,8 @@
 import cappa
 
 from .. import command
-from .. import isotime
-from .. import timelinepage
+from ..reporting import isotime
+from ..reporting import timelinepage
 
 __all__ = ['Timeline']
 
--- /dev/null
+++ b/pomelopass/configuring/__init__.py
@@ -0,0 +1,1 @@
+"""Check, publish and adopt full configurations."""
--- a/pomelopass/configadoption.py
+++ b/pomelopass/configuring/configadoption.py
@@ -6,9 +6,9 @@
 
 from . import configstore
 from . import configuration
-from . import context as contexts
-from .core import adoption
-from .core import tablerow
+from ..core import adoption
+from ..core import tablerow
+from ..running import context as contexts
 
 __all__ = ['adopt_newest', 'start']
 
--- a/pomelopass/configstore.py
+++ b/pomelopass/configuring/configstore.py
@@ -5,14 +5,14 @@
 
 from returns import result
 
+from ..callers import work
 from . import configuration
-from . import context as contexts
+from ..core import adoption
+from ..core import refusal
+from ..core import tablerow
+from ..core import verdict
 from . import problem
-from . import work
-from .core import adoption
-from .core import refusal
-from .core import tablerow
-from .core import verdict
+from ..running import context as contexts
 
 __all__ = [
     'Proposal',
--- a/pomelopass/configuration.py
+++ b/pomelopass/configuring/configuration.py
@@ -7,16 +7,16 @@
 import pydantic
 from returns import result
 
+from .. import kind
+from .. import policy
 from . import document
-from . import kind
-from . import policy
+from ..kinds import placementrule
+from ..kinds import pool
+from ..kinds import service
+from ..kinds import trainer
+from ..kinds import weightversion
 from . import problem
 from . import util
-from .kinds import placementrule
-from .kinds import pool
-from .kinds import service
-from .kinds import trainer
-from .kinds import weightversion
 
 __all__ = ['Configuration', 'check_configuration', 'get_digest']
 
--- a/pomelopass/daemon.py
+++ b/pomelopass/daemon.py
@@ -13,16 +13,10 @@
 import cappa
 from returns import result
 
-from . import context as contexts
-from . import gossip
-from . import instance
-from . import logs
 from . import message
 from . import ports
-from . import problem
-from . import problemdetails
 from . import route
-from . import settings
+from .configuring import problem
 from .core import stopping
 from .edges import clock
 from .edges import httpclient
@@ -30,6 +24,12 @@
 from .edges import ownstores
 from .edges import peerclient
 from .edges import peerserver
+from .reporting import logs
+from .reporting import problemdetails
+from .running import context as contexts
+from .running import gossip
+from .running import instance
+from .running import settings
 
 __all__ = ['main', 'run']
 
--- a/pomelopass/duties/batches.py
+++ b/pomelopass/duties/batches.py
@@ -3,14 +3,9 @@
 import asyncio
 import functools
 
-from .. import askreader
-from .. import batchstate
-from .. import context as contexts
-from .. import delivery
-from .. import generation
-from .. import places
-from .. import sampling
-from .. import work
+from ..callers import generation
+from ..callers import places
+from ..callers import work
 from ..core import batch
 from ..core import fairness
 from ..core import lease
@@ -19,6 +14,11 @@
 from ..core import sample
 from ..core import straggler
 from ..core import workclass
+from ..running import context as contexts
+from ..training import askreader
+from ..training import batchstate
+from ..training import delivery
+from ..training import sampling
 
 __all__ = ['run']
 
--- a/pomelopass/duties/weights.py
+++ b/pomelopass/duties/weights.py
@@ -5,13 +5,13 @@
 
 from returns import result
 
-from .. import context as contexts
-from .. import endpointstate
 from .. import message
-from .. import published
+from ..callers import endpointstate
 from ..core import lease
 from ..core import membership
 from ..core import rollout
+from ..running import context as contexts
+from ..training import published
 
 __all__ = ['run']
 
--- a/pomelopass/duty.py
+++ b/pomelopass/duty.py
@@ -7,8 +7,7 @@
 
 from returns import result
 
-from . import configuration
-from . import context as contexts
+from .configuring import configuration
 from .core import lease
 from .core import peers
 from .core import rendezvous
@@ -16,6 +15,7 @@
 from .core import tablerow
 from .duties import batches
 from .duties import weights
+from .running import context as contexts
 
 __all__ = [
     'KEEP_EVERY_MS',
--- a/pomelopass/entry/__main__.py
+++ b/pomelopass/entry/__main__.py
@@ -11,7 +11,7 @@
 
 from returns import result
 
-from .. import problem
+from ..configuring import problem
 from ..edges import httpclient
 from ..edges import httpserver
 from ..edges import requestreader
--- a/pomelopass/entry/eventlog.py
+++ b/pomelopass/entry/eventlog.py
@@ -9,7 +9,7 @@
 
 import orjson
 
-from .. import isotime
+from ..reporting import isotime
 
 __all__ = ['EventLog', 'make_write_event']
 
--- a/pomelopass/entry/reload.py
+++ b/pomelopass/entry/reload.py
@@ -6,7 +6,7 @@
 
 from returns import result
 
-from .. import problem
+from ..configuring import problem
 from . import settings as entrysettings
 
 __all__ = ['SettingsWatch']
--- a/pomelopass/entry/settings.py
+++ b/pomelopass/entry/settings.py
@@ -5,10 +5,10 @@
 import pydantic
 from returns import result
 
-from .. import document
-from .. import problem
-from .. import settings
-from .. import util
+from ..configuring import document
+from ..configuring import problem
+from ..configuring import util
+from ..running import settings
 
 __all__ = ['EntrySettings', 'check_entry_settings', 'load_entry_settings']
 
--- /dev/null
+++ b/pomelopass/reporting/__init__.py
@@ -0,0 +1,1 @@
+"""Tell people and programs what instances did."""
--- a/pomelopass/problemdetails.py
+++ b/pomelopass/reporting/problemdetails.py
@@ -3,9 +3,9 @@
 import json
 import math
 
-from . import message
-from .core import refusal
-from .core import verdict
+from .. import message
+from ..core import refusal
+from ..core import verdict
 
 __all__ = ['make_json_reply', 'make_refusal_reply', 'make_status_refusal']
 
--- a/pomelopass/route.py
+++ b/pomelopass/route.py
@@ -4,13 +4,12 @@
 import dataclasses
 import re
 
-from . import context as contexts
 from . import message
-from . import problemdetails
-from . import work
+from .callers import work
 from .core import refusal
 from .core import stopping
 from .core import verdict
+from .reporting import problemdetails
 from .routes import batches
 from .routes import completions
 from .routes import entries
@@ -20,6 +19,7 @@
 from .routes import plain
 from .routes import probes
 from .routes import weights
+from .running import context as contexts
 
 __all__ = ['Route', 'handle_caller', 'handle_operator']
 
--- a/pomelopass/routes/completions.py
+++ b/pomelopass/routes/completions.py
@@ -6,15 +6,15 @@
 
 import orjson
 
-from .. import callerwork
-from .. import completionrequest
-from .. import context as contexts
-from .. import generation
 from .. import message
-from .. import problemdetails
-from .. import work
+from ..callers import callerwork
+from ..callers import completionrequest
+from ..callers import generation
+from ..callers import work
 from ..core import refusal
 from ..core import verdict
+from ..reporting import problemdetails
+from ..running import context as contexts
 
 __all__ = ['ROUTES']
 
--- a/pomelopass/routes/entries.py
+++ b/pomelopass/routes/entries.py
@@ -3,11 +3,11 @@
 import re
 from urllib import parse
 
-from .. import context as contexts
 from .. import message
-from .. import problemdetails
 from ..core import peers
 from ..core import stopping
+from ..reporting import problemdetails
+from ..running import context as contexts
 
 __all__ = ['ROUTES', 'get_own_view']
 
--- a/pomelopass/routes/keys.py
+++ b/pomelopass/routes/keys.py
@@ -2,10 +2,10 @@
 
 import re
 
-from .. import context as contexts
 from .. import message
-from .. import problemdetails
 from ..core import issuedkey
+from ..reporting import problemdetails
+from ..running import context as contexts
 
 __all__ = ['ROUTES']
 
--- a/pomelopass/routes/operatorconfig.py
+++ b/pomelopass/routes/operatorconfig.py
@@ -6,14 +6,14 @@
 import pydantic
 from returns import result
 
-from .. import configadoption
-from .. import configstore
-from .. import context as contexts
 from .. import message
-from .. import problemdetails
-from .. import trainerrequest
-from .. import work
+from ..callers import work
+from ..configuring import configadoption
+from ..configuring import configstore
 from ..core import refusal
+from ..reporting import problemdetails
+from ..running import context as contexts
+from ..training import trainerrequest
 
 __all__ = ['ROUTES']
 
--- a/pomelopass/routes/operatorstatus.py
+++ b/pomelopass/routes/operatorstatus.py
@@ -4,15 +4,15 @@
 import re
 from urllib import parse
 
-from .. import context as contexts
 from .. import message
-from .. import problemdetails
 from ..core import decisions
 from ..core import health
 from ..core import lease
 from ..core import membership
 from ..core import peers
 from . import entries
+from ..reporting import problemdetails
+from ..running import context as contexts
 
 __all__ = ['ROUTES']
 
--- a/pomelopass/routes/plain.py
+++ b/pomelopass/routes/plain.py
@@ -3,14 +3,14 @@
 import asyncio
 import re
 
-from .. import callerwork
-from .. import claimflow
-from .. import context as contexts
-from .. import dispatch
 from .. import message
-from .. import problemdetails
-from .. import work
+from ..callers import callerwork
+from ..callers import claimflow
+from ..callers import dispatch
+from ..callers import work
 from ..core import verdict
+from ..reporting import problemdetails
+from ..running import context as contexts
 
 __all__ = ['ROUTES']
 
--- a/pomelopass/routes/probes.py
+++ b/pomelopass/routes/probes.py
@@ -2,11 +2,11 @@
 
 import re
 
-from .. import context as contexts
 from .. import message
-from .. import metrics
-from .. import problemdetails
 from ..core import stopping
+from ..reporting import metrics
+from ..reporting import problemdetails
+from ..running import context as contexts
 
 __all__ = ['ROUTES']
 
--- a/pomelopass/routes/weights.py
+++ b/pomelopass/routes/weights.py
@@ -6,15 +6,15 @@
 import pydantic
 from returns import result
 
-from .. import context as contexts
 from .. import message
-from .. import problemdetails
-from .. import trainerrequest
-from .. import work
+from ..callers import work
 from ..core import handover
 from ..core import refusal
 from ..core import tablerow
 from ..core import verdict
+from ..reporting import problemdetails
+from ..running import context as contexts
+from ..training import trainerrequest
 
 __all__ = ['ROUTES']
 
--- /dev/null
+++ b/pomelopass/running/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the state of an instance and its periodic work."""
--- a/pomelopass/context.py
+++ b/pomelopass/running/context.py
@@ -6,25 +6,25 @@
 import dataclasses
 import random
 
-from . import batchstate
-from . import configuration
-from . import metrics
-from . import policy
-from . import poolstate
-from . import ports
+from .. import policy
+from .. import ports
+from ..callers import poolstate
+from ..configuring import configuration
+from ..core import admission
+from ..core import adoption
+from ..core import claimbook
+from ..core import decisions
+from ..core import lease
+from ..core import membership
+from ..core import news
+from ..core import peers
+from ..core import quarantine
+from ..core import stopping
+from ..core import tablerow
+from ..reporting import metrics
 from . import settings
 from . import signals
-from .core import admission
-from .core import adoption
-from .core import claimbook
-from .core import decisions
-from .core import lease
-from .core import membership
-from .core import news
-from .core import peers
-from .core import quarantine
-from .core import stopping
-from .core import tablerow
+from ..training import batchstate
 
 __all__ = ['Context', 'get_pool_state', 'note', 'share_news']
 
--- a/pomelopass/gossip.py
+++ b/pomelopass/running/gossip.py
@@ -3,15 +3,15 @@
 import asyncio
 
 from . import context as contexts
-from .core import claimbook
-from .core import claims
-from .core import decisions
-from .core import membership
-from .core import news
-from .core import peers
-from .core import quarantine
-from .routes import entries
-from .wire.gen.peer import ttypes
+from ..core import claimbook
+from ..core import claims
+from ..core import decisions
+from ..core import membership
+from ..core import news
+from ..core import peers
+from ..core import quarantine
+from ..routes import entries
+from ..wire.gen.peer import ttypes
 
 __all__ = [
     'PeerHandler',
--- a/pomelopass/instance.py
+++ b/pomelopass/running/instance.py
@@ -1,15 +1,15 @@
 """Build a whole instance from settings and ports."""
 
+from .. import duty
+from .. import ports
 from . import context as contexts
-from . import duty
+from ..core import claimbook
+from ..core import decisions
+from ..core import stopping
 from . import gossip
 from . import loops
-from . import metrics
-from . import ports
+from ..reporting import metrics
 from . import settings
-from .core import claimbook
-from .core import decisions
-from .core import stopping
 
 __all__ = ['build_instance', 'start', 'stop']
 
--- a/pomelopass/loops.py
+++ b/pomelopass/running/loops.py
@@ -3,18 +3,18 @@
 import asyncio
 from collections import abc
 
-from . import configadoption
+from .. import duty
+from ..callers import endpointstate
+from ..callers import slots
+from ..callers import work
+from ..configuring import configadoption
 from . import context as contexts
-from . import duty
-from . import endpointstate
+from ..core import claims
+from ..core import health
+from ..core import membership
+from ..core import quarantine
+from ..core import rendezvous
 from . import gossip
-from . import slots
-from . import work
-from .core import claims
-from .core import health
-from .core import membership
-from .core import quarantine
-from .core import rendezvous
 
 __all__ = ['start_loops']
 
--- a/pomelopass/settings.py
+++ b/pomelopass/running/settings.py
@@ -7,9 +7,9 @@
 import pydantic
 from returns import result
 
-from . import document
-from . import problem
-from . import util
+from ..configuring import document
+from ..configuring import problem
+from ..configuring import util
 
 __all__ = ['Settings', 'check_settings', 'load_settings']
 
--- /dev/null
+++ b/pomelopass/training/__init__.py
@@ -0,0 +1,1 @@
+"""Make the batches that trainers ask for."""
--- a/pomelopass/askreader.py
+++ b/pomelopass/training/askreader.py
@@ -5,11 +5,11 @@
 from returns import result
 
 from . import batchstate
-from . import context as contexts
+from ..core import batch
+from ..core import handover
+from ..core import tablerow
 from . import published
-from .core import batch
-from .core import handover
-from .core import tablerow
+from ..running import context as contexts
 
 __all__ = ['look']
 
--- a/pomelopass/batchstate.py
+++ b/pomelopass/training/batchstate.py
@@ -3,9 +3,9 @@
 import asyncio
 import dataclasses
 
-from .core import batch
-from .core import fairness
-from .core import publication
+from ..core import batch
+from ..core import fairness
+from ..core import publication
 
 __all__ = ['BatchesState', 'OpenStep']
 
--- a/pomelopass/delivery.py
+++ b/pomelopass/training/delivery.py
@@ -7,14 +7,14 @@
 
 from . import askreader
 from . import batchstate
-from . import context as contexts
-from . import gossip
+from ..core import batch
+from ..core import handover
+from ..core import lease
+from ..core import publication
+from ..core import sample
 from . import published
-from .core import batch
-from .core import handover
-from .core import lease
-from .core import publication
-from .core import sample
+from ..running import context as contexts
+from ..running import gossip
 
 __all__ = ['try_hand_over']
 
--- a/pomelopass/published.py
+++ b/pomelopass/training/published.py
@@ -4,11 +4,11 @@
 
 from returns import result
 
-from . import context as contexts
-from .core import handover
-from .core import publication
-from .core import rollout
-from .core import tablerow
+from ..core import handover
+from ..core import publication
+from ..core import rollout
+from ..core import tablerow
+from ..running import context as contexts
 
 __all__ = ['fetch']
 
--- a/pomelopass/sampling.py
+++ b/pomelopass/training/sampling.py
@@ -5,18 +5,18 @@
 
 import orjson
 
+from .. import message
 from . import batchstate
-from . import callerwork
-from . import context as contexts
-from . import crash
-from . import dispatch
-from . import generation
-from . import message
-from . import work
-from .core import affinity
-from .core import batch
-from .core import sample
-from .core import verdict
+from ..callers import callerwork
+from ..callers import crash
+from ..callers import dispatch
+from ..callers import generation
+from ..callers import work
+from ..core import affinity
+from ..core import batch
+from ..core import sample
+from ..core import verdict
+from ..running import context as contexts
 
 __all__ = ['make_sample', 'make_sample_work']
 
--- a/pomelopass/trainerrequest.py
+++ b/pomelopass/training/trainerrequest.py
@@ -4,10 +4,10 @@
 
 import pydantic
 
-from . import context as contexts
-from . import work
-from .core import refusal
-from .kinds import trainer
+from ..callers import work
+from ..core import refusal
+from ..kinds import trainer
+from ..running import context as contexts
 
 __all__ = ['get_trainer', 'read_body']
 
--- a/scripts/fleetmutants.py
+++ b/scripts/fleetmutants.py
@@ -22,7 +22,7 @@
     ),
     mutant.Mutant(
         'configuration-without-a-marker',
-        'pomelopass/configadoption.py',
+        'pomelopass/configuring/configadoption.py',
         'if not adoption.may_adopt(context.adoption, head, kept):',
         'if not adoption.may_adopt(context.adoption, head, True):',
         (CONFIGURATIONS,),
@@ -36,7 +36,7 @@
     ),
     mutant.Mutant(
         'proposal-on-any-base',
-        'pomelopass/configstore.py',
+        'pomelopass/configuring/configstore.py',
         "if known['version'] != proposal.base_version:",
         'if False:',
         (CONFIGURATIONS,),
@@ -50,14 +50,14 @@
     ),
     mutant.Mutant(
         'leaving-by-itself-is-not-seen',
-        'pomelopass/loops.py',
+        'pomelopass/running/loops.py',
         "if not value.get('leaving'):",
         'if True:',
         (LEAVING,),
     ),
     mutant.Mutant(
         'news-of-leaving-is-dropped',
-        'pomelopass/gossip.py',
+        'pomelopass/running/gossip.py',
         'if one.kind == LEAVING_KIND:',
         'if False:',
         (LEAVING,),
@@ -71,7 +71,7 @@
     ),
     mutant.Mutant(
         'crash-is-not-told',
-        'pomelopass/crash.py',
+        'pomelopass/callers/crash.py',
         '    await gossip.tell_peers(context)\n',
         '',
         (POISON,),
@@ -86,21 +86,21 @@
     ),
     mutant.Mutant(
         'truncated-stream-counts-as-whole',
-        'pomelopass/generation.py',
+        'pomelopass/callers/generation.py',
         'if not whole or rest:',
         'if False:',
         (ANSWERS,),
     ),
     mutant.Mutant(
         'event-of-another-request-is-passed-on',
-        'pomelopass/generation.py',
+        'pomelopass/callers/generation.py',
         "if value.get('id') != attempt_id:",
         'if False:',
         (ANSWERS,),
     ),
     mutant.Mutant(
         'reply-to-another-request-is-passed-on',
-        'pomelopass/dispatch.py',
+        'pomelopass/callers/dispatch.py',
         'if missing or echoed not in (None, item.attempt_id):',
         'if False:',
         (ANSWERS,),
@@ -135,7 +135,7 @@
     ),
     mutant.Mutant(
         'duties-are-not-released',
-        'pomelopass/instance.py',
+        'pomelopass/running/instance.py',
         '    await duty.release_leases(context)\n',
         '',
         (STOPPING,),
@@ -177,7 +177,7 @@
     ),
     mutant.Mutant(
         'empty-pool-waits',
-        'pomelopass/slots.py',
+        'pomelopass/callers/slots.py',
         '    _check_pool(context, item)\n',
         '',
         ('tests/scenarios/test_pools.py',),
--- a/scripts/requestmutants.py
+++ b/scripts/requestmutants.py
@@ -53,7 +53,7 @@
     ),
     mutant.Mutant(
         'lost-owner-counts-as-never-sent',
-        'pomelopass/claimflow.py',
+        'pomelopass/callers/claimflow.py',
         'return _refuse(refusal.Code.KEY_OWNER_LOST, _may_have_run())',
         'return await _take_over(context, item, owner)',
         (ORDERS,),
@@ -102,14 +102,14 @@
     ),
     mutant.Mutant(
         'ordered-version-is-named',
-        'pomelopass/generation.py',
+        'pomelopass/callers/generation.py',
         "value.get('weight_version', UNKNOWN_VERSION)",
         '1',
         (BATCHES,),
     ),
     mutant.Mutant(
         'lost-answer-of-a-hand-over-is-a-failure',
-        'pomelopass/delivery.py',
+        'pomelopass/training/delivery.py',
         "json.loads(row.value)['token'] == token",
         'False',
         ('tests/test_delivery.py',),
@@ -123,7 +123,7 @@
     ),
     mutant.Mutant(
         'carried-groups-are-forgotten',
-        'pomelopass/delivery.py',
+        'pomelopass/training/delivery.py',
         'if not chosen.carried:',
         'if True:',
         (BATCHES,),
--- a/scripts/write_reference.py
+++ b/scripts/write_reference.py
@@ -10,7 +10,7 @@
 from pomelopass.core import refusal
 from pomelopass.entry import settings as entrysettings
 from pomelopass import kind
-from pomelopass import settings
+from pomelopass.running import settings
 
 __all__ = ['main', 'make_api_part', 'make_configuration_part']
 
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -5,14 +5,14 @@
 import dataclasses
 import random
 
-from pomelopass import context as contexts
 from pomelopass.edges import ownstores
-from pomelopass import gossip
-from pomelopass import instance
 from pomelopass import message
 from pomelopass import ports
 from pomelopass import route
-from pomelopass import settings
+from pomelopass.running import context as contexts
+from pomelopass.running import gossip
+from pomelopass.running import instance
+from pomelopass.running import settings
 from standins import engine
 from standins import instances
 from standins import memory
--- a/tests/core/test_bounds.py
+++ b/tests/core/test_bounds.py
@@ -10,7 +10,7 @@
 from pomelopass.core import news
 from pomelopass.core import peers
 from pomelopass.core import rendezvous
-from pomelopass import loops
+from pomelopass.running import loops
 
 ZONES = 11
 
--- a/tests/edges/test_httpserver.py
+++ b/tests/edges/test_httpserver.py
@@ -7,7 +7,7 @@
 
 from pomelopass.edges import httpserver
 from pomelopass import message
-from pomelopass import problemdetails
+from pomelopass.reporting import problemdetails
 
 MAX_BODY_BYTES = 1000
 
--- a/tests/scenarios/test_stopping.py
+++ b/tests/scenarios/test_stopping.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from pomelopass.core import stopping
-from pomelopass import instance
+from pomelopass.running import instance
 from standins import virtualloop
 from tests import builders
 from tests.scenarios import test_answers
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -5,7 +5,7 @@
 import pytest
 from returns import result
 
-from pomelopass import configuration
+from pomelopass.configuring import configuration
 from scripts import fleet
 from tests import builders
 
--- a/tests/test_savedlogs.py
+++ b/tests/test_savedlogs.py
@@ -2,7 +2,7 @@
 
 import json
 
-from pomelopass import savedlogs
+from pomelopass.reporting import savedlogs
 from tests import test_cmdline
 
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -4,7 +4,7 @@
 
 from returns import result
 
-from pomelopass import settings
+from pomelopass.running import settings
 
 
 def make_text(**changes: object) -> str:
--- a/tests/test_timelinepage.py
+++ b/tests/test_timelinepage.py
@@ -1,6 +1,6 @@
 """Check the page of the time line."""
 
-from pomelopass import timelinepage
+from pomelopass.reporting import timelinepage
 
 
 def test_page_has_a_row_an_event_and_escapes_text():
