--- a/pomelopass/entry/node.py
+++ b/pomelopass/entry/node.py
@@ -15,6 +15,7 @@
 from ..jobs import keeper as keepers
 from ..jobs import rewardgate
 from ..jobs import schedule
+from ..jobs import share
 from ..platform import ingress as ingresses
 from ..platform import names
 from ..registry import registry as registries
@@ -36,12 +37,6 @@
 
 __all__ = ['Node', 'NodePorts', 'build_node']
 
-HOUSEKEEPING_EVERY_MS = 50.0
-# Pause after each answer about rows that change with every heartbeat.
-BUSY_TABLE_REST_MS = 250.0
-JOB_TABLE_REST_MS = 60.0
-# Silence of the table service that counts as an outage.
-OUTAGE_MS = 1200.0
 RESTART_PAUSE_MS = 200.0
 
 
@@ -80,7 +75,7 @@
         self.table = tableclock.TableClock(self.fallback)
         self.relay_server = relayserver.RelayServer(ports.table)
         self.job_table = jobtable.JobTable(self.table)
-        self.scheduler = schedule.Scheduler(self.registry)
+        self.scheduler = schedule.Scheduler(self.registry, self._get_run_limit)
         self.suspects = suspicions.Suspects()
         self.forwarder = forward.Forwarder(
             self.registry,
@@ -225,6 +220,20 @@
             self.write_event,
         )
 
+    def _get_run_limit(self, service: str) -> int | None:
+        engines = self.registry.get_by_service(service)
+        models = {
+            model for one in engines for model in one.endpoint.version_by_model
+        }
+        return share.get_run_limit(
+            (record for record, _ in self.keeper.get_records()),
+            self.ports.incarnation,
+            models,
+            self.registry.count_places(service),
+            sum(one.in_flight_elsewhere for one in engines),
+            self.table.get_now_ms(),
+        )
+
     def _get_crashes(self) -> dict[str, int]:
         return self.suspects.get_shared(asyncio.get_running_loop().time())
 
