--- a/pomelopass/reporting/savedlogs.py
+++ b/pomelopass/reporting/savedlogs.py
@@ -7,7 +7,7 @@
 __all__ = ['LogLine', 'find_related', 'read_lines']
 
 ID_FIELDS = ('id', 'job', 'endpoint', 'model', 'service')
-LIST_FIELDS = ('items', 'endpoints')
+LIST_FIELDS = ('items', 'endpoints', 'refused_by')
 SHOWN_ELSEWHERE = ('time', 'steady_ms', 'level', 'event', 'instance')
 
 
@@ -71,7 +71,7 @@
 
 def _tells_of_job(one: LogLine, jobs: set[str]) -> bool:
     # Lines about other items of the same job are left out.
-    if 'id' in one.fields or 'items' in one.fields:
+    if 'id' in one.fields or isinstance(one.fields.get('items'), list):
         return False
     return str(one.fields.get('job')) in jobs
 
--- a/pomelopass/requests/forward.py
+++ b/pomelopass/requests/forward.py
@@ -39,6 +39,8 @@
     errors: int = 0
     tried: set[str] = dataclasses.field(default_factory=set)
     refused: set[str] = dataclasses.field(default_factory=set)
+    # All that refused it, also before the last pause.
+    refused_by: set[str] = dataclasses.field(default_factory=set)
     last: outcomes.Outcome | None = None
     reason: str = ''
 
@@ -190,6 +192,7 @@
             if attempt.not_run:
                 progress.tried.discard(attempt.endpoint_id)
                 progress.refused.add(attempt.endpoint_id)
+                progress.refused_by.add(attempt.endpoint_id)
                 continue
             progress.may_have_run += 1
             if attempt.outcome is None:
@@ -231,6 +234,7 @@
             status=outcome.status,
             reason=outcome.reason,
             endpoints=sorted(progress.tried),
+            refused_by=sorted(progress.refused_by),
             may_have_run=progress.may_have_run,
             took_ms=round(took_ms, 1),
         )
