--- a/pomelopass/jobs/itemrun.py
+++ b/pomelopass/jobs/itemrun.py
@@ -20,7 +20,6 @@
 LONGEST_PAUSE_MS = 2000.0
 # An item that breaks this many engines in a row waits between its tries.
 BREAKS_BEFORE_PAUSE = 3
-BREAK_REASONS = ('reset', 'truncated')
 
 
 async def run_item(
@@ -114,7 +113,7 @@
     if reason == 'moved':
         return
     run.breaks = 0 if progressed else run.breaks + 1
-    if reason in BREAK_REASONS and not progressed:
+    if reason in calls.BREAK_KINDS and not progressed:
         await _judge_break(context, run, state)
     if reason == 'endpoint-refused':
         await asyncio.sleep(PAUSE_MS / 1000 * (0.5 + context.rng.random()))
--- a/pomelopass/requests/attempt.py
+++ b/pomelopass/requests/attempt.py
@@ -9,7 +9,7 @@
 from ..registry import endpoint as endpoints
 from . import suspects as suspicions
 
-__all__ = ['AttemptContext', 'run_attempt']
+__all__ = ['AttemptContext', 'judge_break', 'run_attempt']
 
 MAX_ANSWER_BYTES = 33_554_432
 
@@ -42,7 +42,7 @@
     except calls.CallFailedError as error:
         endpoints.note_failure(state, loop.time())
         if error.broke_off:
-            await _judge_break(context, state, fingerprint)
+            await judge_break(context, state, fingerprint)
         return outcomes.Attempt(
             endpoint_id, not error.may_have_run, reason=error.kind
         )
@@ -90,11 +90,12 @@
             await answer.reply.close()
 
 
-async def _judge_break(
+async def judge_break(
     context: AttemptContext,
     state: endpoints.EndpointState,
     fingerprint: str,
 ) -> None:
+    """Count a crash if the endpoint takes no connection any more."""
     if await context.port.is_listening(state.endpoint):
         return
     now = asyncio.get_running_loop().time()
--- a/pomelopass/requests/call.py
+++ b/pomelopass/requests/call.py
@@ -6,7 +6,10 @@
 from .. import message
 from ..registry import endpoint
 
-__all__ = ['Answer', 'Call', 'CallFailedError', 'EndpointPort']
+__all__ = ['BREAK_KINDS', 'Answer', 'Call', 'CallFailedError', 'EndpointPort']
+
+# How an exchange ends when the endpoint breaks it off.
+BREAK_KINDS = ('reset', 'truncated')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -48,7 +51,7 @@
     def __init__(self, kind: str, may_have_run: bool):
         super().__init__(kind)
         # An endpoint that ends within a request resets its connection.
-        self.broke_off = may_have_run and kind in ('reset', 'truncated')
+        self.broke_off = may_have_run and kind in BREAK_KINDS
         self.kind = kind
         self.may_have_run = may_have_run
 
--- a/tests/requests/test_stream.py
+++ b/tests/requests/test_stream.py
@@ -128,3 +128,65 @@
         assert pool.endpoint_by_id['e0'].ran == []
 
     virtualloop.run(scenario())
+
+
+def tell_events(forwarder):
+    told = []
+    forwarder.forwarder.write_event = lambda kind, **fields: told.append(
+        (kind, fields)
+    )
+    return told
+
+
+def make_call(body=b''):
+    loop = asyncio.get_running_loop()
+    return calls.Call('s', 'h', 'POST', '/', (), body, loop.time() + 20)
+
+
+def test_each_stream_leaves_one_line_with_its_end():
+    async def scenario():
+        pool, forwarder = make_streams(1, 0.0)
+        told = tell_events(forwarder)
+        reply = await forwarder.open_stream(make_call(), make_route(True))
+        await collect(reply)
+        reply = await forwarder.open_stream(make_call(), make_route(True))
+        await anext(reply.chunks)
+        await reply.chunks.aclose()
+        for one in pool.endpoint_by_id.values():
+            one.running = one.slots
+        await forwarder.open_stream(make_call(), make_route(False))
+        outcomes_told = [fields['outcome'] for _, fields in told]
+        assert outcomes_told == ['answered', 'caller-left', 'not-run']
+        assert told[-1][1]['refused_by'] == ['e0', 'e1', 'e2']
+        assert told[0][1]['last_event_id'] is not None
+
+    virtualloop.run(scenario())
+
+
+def test_stream_is_refused_in_time_to_come_again_while_engines_are_full():
+    async def scenario():
+        pool, forwarder = make_streams(1, 0.0, engines=1)
+        pool.endpoint_by_id['e0'].running = 8
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        outcome = await forwarder.open_stream(make_call(), make_route(False))
+        assert outcome.kind is outcomes.OutcomeKind.NOT_RUN
+        assert outcome.retry_after_ms > 0
+        assert loop.time() - began < 20 * 0.7
+
+    virtualloop.run(scenario())
+
+
+def test_stream_that_crashes_engines_is_stopped():
+    async def scenario():
+        pool, forwarder = make_streams(1, 0.0, engines=6)
+        told = tell_events(forwarder)
+        for _ in range(6):
+            await forwarder.open_stream(
+                make_call(modelengines.POISON), make_route(True)
+            )
+        ran = sum(len(one.ran) for one in pool.endpoint_by_id.values())
+        assert ran == suspects.CRASHES_TO_STOP
+        assert told[-1][1]['reason'] == 'crashes-endpoints'
+
+    virtualloop.run(scenario())
