Split the keeper, the node and long functions of the job path

Change: remembered texts, the demand of models and the context of a job's items are modules of their own; who is called and who relays is decided by the membership; record, call, order and waiting item are made in functions of their own. No behaviour changes. Ruled out: splitting by layer (each part would need the others' state).

--- /dev/null
+++ b/pomelopass/entry/itemcontexts.py
@@ -0,0 +1,77 @@
+"""Make what the items of an owned job share."""
+
+import asyncio
+from collections import abc
+
+from ..jobs import itemcontext
+from ..jobs import job as jobs
+from ..jobs import rewardgate
+from ..jobs import schedule
+from ..platform import names
+from ..requests import call as calls
+from ..requests import forward
+from ..requests import routes
+from . import tableclock
+from . import view as views
+
+__all__ = ['ItemContexts']
+
+
+class ItemContexts:
+    """Hold the parts of an instance that items use."""
+
+    def __init__(
+        self,
+        get_job_kept_ms: abc.Callable[[], float],
+        view: views.View,
+        table: tableclock.TableClock,
+        scheduler: schedule.Scheduler,
+        port: calls.EndpointPort,
+        forwarder: forward.Forwarder,
+        gate: rewardgate.RewardGate,
+    ):
+        self.get_job_kept_ms = get_job_kept_ms
+        self.view = view
+        self.table = table
+        self.scheduler = scheduler
+        self.port = port
+        self.forwarder = forwarder
+        self.gate = gate
+
+    def make(
+        self, submission: jobs.Submission, record: jobs.JobRecord
+    ) -> itemcontext.ItemContext | None:
+        """Return the context of a job, or None before any configuration."""
+        if self.view.configuration is None:
+            return None
+        route = self._find_route(submission)
+        ttl_ms = self.get_job_kept_ms()
+        deadline_ms = 0.0
+        if route is not None:
+            ttl_ms = route.item_ttl_ms or ttl_ms
+            deadline_ms = route.job_deadline_ms
+        age_ms = self.table.get_now_ms() - record.accepted_ms
+        now = asyncio.get_running_loop().time()
+        return itemcontext.ItemContext(
+            submission=submission,
+            get_route=lambda: self._find_route(submission),
+            expires_at=now + (ttl_ms - age_ms) / 1000,
+            deadline_ms=record.accepted_ms + deadline_ms,
+            scheduler=self.scheduler,
+            port=self.port,
+            forwarder=self.forwarder,
+            gate=self.gate,
+            get_configuration=lambda: self.view.configuration,
+            version_field=names.WEIGHT_VERSION,
+            rng=self.forwarder.rng,
+            write_event=self.forwarder.write_event,
+            left_by_group={},
+        )
+
+    def _find_route(self, submission: jobs.Submission) -> routes.Route | None:
+        configuration = self.view.configuration
+        if configuration is None:
+            return None
+        return routes.find_route(
+            configuration, submission.host, submission.target
+        )
--- a/pomelopass/entry/node.py
+++ b/pomelopass/entry/node.py
@@ -7,10 +7,9 @@
 
 from ..fleet import beats
 from ..fleet import member
+from . import itemcontexts
 from ..jobs import cleanup
 from ..jobs import desk as desks
-from ..jobs import itemcontext
-from ..jobs import job as jobs
 from ..jobs import jobtable
 from ..jobs import keeper as keepers
 from ..jobs import rewardgate
@@ -20,7 +19,6 @@
 from ..registry import registry as registries
 from ..requests import call as calls
 from ..requests import forward
-from ..requests import routes
 from ..requests import stream as streams
 from ..requests import suspects as suspicions
 from . import settings as entrysettings
@@ -84,7 +82,6 @@
             ports.write_event,
             self.suspects,
         )
-        self.gate = rewardgate.RewardGate(self.registry.count_places)
         self._build_jobs()
         self._build_duties()
         self.ingress = ingresses.Ingress(
@@ -106,12 +103,21 @@
         self.tasks: list[asyncio.Task] = []
 
     def _build_jobs(self) -> None:
+        contexts = itemcontexts.ItemContexts(
+            lambda: self.settings.job_kept_s * 1000,
+            self.view,
+            self.table,
+            self.scheduler,
+            self.ports.endpoints,
+            self.forwarder,
+            rewardgate.RewardGate(self.registry.count_places),
+        )
         self.keeper = keepers.Keeper(
             self.settings.name,
             self.ports.incarnation,
             self.job_table,
             self.membership,
-            self._make_item_context,
+            contexts.make,
             self.ports.write_event,
         )
         self.desk = desks.Desk(
@@ -227,59 +233,14 @@
 
     def _get_callable(self) -> list[member.Member]:
         now = asyncio.get_running_loop().time()
-        alive = self.membership.get_alive(now)
-        recent = self.membership.get_direct(now)
-        # Late heartbeats of many tell of the table, not of the instances.
-        return recent if 2 * len(recent) > len(alive) else alive
+        return self.membership.get_callable(now)
 
     def _get_relay_addresses(self) -> list[str]:
         now = asyncio.get_running_loop().time()
-        alive = [
-            one
-            for name, one in self.membership.member_by_name.items()
-            if name != self.settings.name
-            and self.membership.is_alive(name, now)
-        ]
-        direct = {one.relay_address for one in alive if one.is_direct}
-        known = direct or {one.relay_address for one in alive}
+        known = self.membership.get_relay_addresses(now)
         seeds = set(self.settings.seed_addresses)
         return sorted((known or seeds) - {self.settings.relay_address})
 
-    def _make_item_context(
-        self, submission: jobs.Submission, record: jobs.JobRecord
-    ) -> itemcontext.ItemContext | None:
-        configuration = self.view.configuration
-        route = keepers.find_job_route(configuration, submission)
-        if configuration is None:
-            return None
-        loop = asyncio.get_running_loop()
-        ttl_ms = self.settings.job_kept_s * 1000
-        deadline_ms = 0.0
-        if route is not None:
-            ttl_ms = route.item_ttl_ms or ttl_ms
-            deadline_ms = route.job_deadline_ms
-        age_ms = self.table.get_now_ms() - record.accepted_ms
-        return itemcontext.ItemContext(
-            submission=submission,
-            get_route=lambda: self._get_job_route(submission),
-            expires_at=loop.time() + (ttl_ms - age_ms) / 1000,
-            deadline_ms=record.accepted_ms + deadline_ms,
-            scheduler=self.scheduler,
-            port=self.ports.endpoints,
-            forwarder=self.forwarder,
-            gate=self.gate,
-            get_configuration=lambda: self.view.configuration,
-            version_field=names.WEIGHT_VERSION,
-            rng=self.ports.rng,
-            write_event=self.write_event,
-            left_by_group={},
-        )
-
-    def _get_job_route(
-        self, submission: jobs.Submission
-    ) -> routes.Route | None:
-        return keepers.find_job_route(self.view.configuration, submission)
-
     async def _supervise(
         self, run: abc.Callable[[], abc.Awaitable[None]]
     ) -> None:
--- a/pomelopass/fleet/member.py
+++ b/pomelopass/fleet/member.py
@@ -119,6 +119,23 @@
         direct = [one for one in recent if one.is_direct]
         return direct if 2 * len(direct) > len(recent) else recent
 
+    def get_callable(self, now: float) -> list[Member]:
+        """Return the instances that callers are sent to."""
+        alive = self.get_alive(now)
+        recent = self.get_direct(now)
+        # Late heartbeats of many tell of the table, not of the instances.
+        return recent if 2 * len(recent) > len(alive) else alive
+
+    def get_relay_addresses(self, now: float) -> set[str]:
+        """Return where other instances pass calls to the table on."""
+        alive = [
+            one
+            for name, one in self.member_by_name.items()
+            if name != self.own_name and self.is_alive(name, now)
+        ]
+        direct = {one.relay_address for one in alive if one.is_direct}
+        return direct or {one.relay_address for one in alive}
+
     def get_alive(self, now: float) -> list[Member]:
         """Return the instances that count as alive and accept work."""
         return [
--- a/pomelopass/jobs/desk.py
+++ b/pomelopass/jobs/desk.py
@@ -58,18 +58,7 @@
         if self.keeper.get(submission.id) is not None:
             return Acceptance.ACCEPTED
         puts = rowcodec.encode_submission(submission)
-        owner, owner_name = self.keeper.choose_owner(submission)
-        record = jobs.JobRecord(
-            id=submission.id,
-            owner=owner,
-            owner_name=owner_name,
-            total=len(submission.items),
-            chunks=len(puts),
-            accepted_ms=self.get_table_ms(),
-            model=submission.model,
-            tokens=sum(one.tokens for one in submission.items),
-            allowed_lag=self._get_allowed_lag(submission),
-        )
+        record = self._make_record(submission, len(puts))
         *before, last = jobtable.split_writes(puts)
         loop = asyncio.get_running_loop()
         try:
@@ -94,7 +83,7 @@
             items=len(submission.items),
             min_version=submission.min_version,
             outcome=outcome.value,
-            owner=owner_name,
+            owner=record.owner_name,
         )
         return outcome
 
@@ -153,6 +142,22 @@
         self.keeper.note(stored)
         return True
 
+    def _make_record(
+        self, submission: jobs.Submission, chunks: int
+    ) -> jobs.JobRecord:
+        owner, owner_name = self.keeper.choose_owner(submission)
+        return jobs.JobRecord(
+            id=submission.id,
+            owner=owner,
+            owner_name=owner_name,
+            total=len(submission.items),
+            chunks=chunks,
+            accepted_ms=self.get_table_ms(),
+            model=submission.model,
+            tokens=sum(one.tokens for one in submission.items),
+            allowed_lag=self._get_allowed_lag(submission),
+        )
+
     def _get_allowed_lag(self, submission: jobs.Submission) -> int:
         # A step is asked once the version of its number is named; news of
         # the naming may not have come here yet.
--- a/pomelopass/jobs/itemrun.py
+++ b/pomelopass/jobs/itemrun.py
@@ -59,17 +59,7 @@
         # The route was removed: nothing may run its items any more.
         run.terminated = True
         return
-    waiting = schedule.Waiting(
-        item=run.item,
-        model=run.item.model,
-        service=routes.choose_service(route, context.rng),
-        min_version=context.submission.min_version,
-        deadline_ms=context.deadline_ms,
-        group_left=lambda: context.left_by_group[run.item.group],
-        group_index=run.group_index,
-        avoid=run.avoid,
-        granted=loop.create_future(),
-    )
+    waiting = _make_waiting(context, run, route)
     wait_began = loop.time()
     state = await context.scheduler.acquire(waiting)
     began = loop.time()
@@ -102,6 +92,24 @@
     )
 
 
+def _make_waiting(
+    context: itemcontext.ItemContext,
+    run: itemcontext.ItemRun,
+    route: routes.Route,
+) -> schedule.Waiting:
+    return schedule.Waiting(
+        item=run.item,
+        model=run.item.model,
+        service=routes.choose_service(route, context.rng),
+        min_version=context.submission.min_version,
+        deadline_ms=context.deadline_ms,
+        group_left=lambda: context.left_by_group[run.item.group],
+        group_index=run.group_index,
+        avoid=run.avoid,
+        granted=asyncio.get_running_loop().create_future(),
+    )
+
+
 async def _pause(
     context: itemcontext.ItemContext,
     run: itemcontext.ItemRun,
--- a/pomelopass/jobs/itemstream.py
+++ b/pomelopass/jobs/itemstream.py
@@ -34,17 +34,9 @@
     """
     loop = asyncio.get_running_loop()
     left_ms = (context.expires_at - loop.time()) * 1000
-    call = calls.Call(
-        id=run.item.id,
-        host=context.submission.host,
-        method='POST',
-        target=run.item.path,
-        headers=run.item.headers,
-        body=run.item.body,
-        deadline_at=context.expires_at,
-        last_event_id=run.progress.last_event_id,
+    answer = await context.port.open(
+        state.endpoint, _make_call(context, run), left_ms, STALL_MS
     )
-    answer = await context.port.open(state.endpoint, call, left_ms, STALL_MS)
     whole = False
     try:
         if answer.load is not None:
@@ -71,6 +63,21 @@
             await answer.reply.close()
 
 
+def _make_call(
+    context: itemcontext.ItemContext, run: itemcontext.ItemRun
+) -> calls.Call:
+    return calls.Call(
+        id=run.item.id,
+        host=context.submission.host,
+        method='POST',
+        target=run.item.path,
+        headers=run.item.headers,
+        body=run.item.body,
+        deadline_at=context.expires_at,
+        last_event_id=run.progress.last_event_id,
+    )
+
+
 def _take_refusal(
     run: itemcontext.ItemRun,
     answer: calls.Answer,
--- a/pomelopass/jobs/keeper.py
+++ b/pomelopass/jobs/keeper.py
@@ -5,25 +5,22 @@
 import dataclasses
 
 from . import adoption
+from . import demand as demands
 from ..fleet import member
 from . import itemcontext
 from . import job as jobs
 from . import jobrun
 from . import jobtable
 from . import progress as progresses
-from ..requests import routes
 from . import rowcodec
 from ..table import rows
+from . import textmemory
 from ..versions import assignment
 
 __all__ = ['Keeper', 'MakeContext']
 
 CHECK_EVERY_MS = 150.0
 
-MAX_REMEMBERED_TEXTS = 400
-# Jobs older than this say nothing of what a trainer asks now.
-DEMAND_WINDOW_MS = 20_000
-
 MakeContext = abc.Callable[
     [jobs.Submission, jobs.JobRecord], itemcontext.ItemContext | None
 ]
@@ -59,7 +56,7 @@
         self.run_by_id: dict[str, jobrun.JobRun] = {}
         self.task_by_id: dict[str, asyncio.Task] = {}
         self.submission_by_id: dict[str, jobs.Submission] = {}
-        self.progress_by_item: dict[str, progresses.Progress] = {}
+        self.memory = textmemory.TextMemory()
         self.background: set[asyncio.Task] = set()
         self.stopping = False
 
@@ -119,18 +116,8 @@
 
     def get_demand(self, now_ms: int) -> dict[str, assignment.Demand]:
         """Return what recent jobs ask of each model."""
-        demand: dict[str, assignment.Demand] = {}
-        known = sorted(
-            (one.stored.record for one in self.known_by_id.values()),
-            key=lambda record: record.accepted_ms,
-        )
-        for record in known:
-            if now_ms - record.accepted_ms < DEMAND_WINDOW_MS:
-                before = demand.get(record.model, assignment.Demand(0.0))
-                demand[record.model] = assignment.Demand(
-                    before.tokens + record.tokens, record.allowed_lag
-                )
-        return demand
+        records = (one.stored.record for one in self.known_by_id.values())
+        return demands.get_demand(records, now_ms)
 
     async def wait_for_change(self, job_id: str, timeout_s: float) -> None:
         """Return when a job may have changed or the time is over."""
@@ -257,7 +244,7 @@
         context = self.make_context(submission, stored.record)
         if context is None or job_id in self.task_by_id or self.stopping:
             return
-        carried = self._find_carried(submission)
+        carried = self.memory.find_carried(submission)
         run = jobrun.JobRun(
             context,
             stored,
@@ -279,43 +266,13 @@
         )
 
         def forget(done: asyncio.Task) -> None:
-            self._remember(run)
+            self.memory.remember(run.progress_by_item)
             self.task_by_id.pop(job_id, None)
             self.run_by_id.pop(job_id, None)
             self._note_failure(done)
 
         task.add_done_callback(forget)
 
-    def _find_carried(
-        self, submission: jobs.Submission
-    ) -> dict[str, progresses.Progress]:
-        found = {}
-        for item in submission.items:
-            known = self.progress_by_item.get(item.id)
-            if known is None or not known.versions:
-                continue
-            if min(known.versions) >= submission.min_version:
-                found[item.id] = known
-        return found
-
-    def _remember(self, run: jobrun.JobRun) -> None:
-        # Groups that were not complete may come again in a later job.
-        for item_id, progress in run.progress_by_item.items():
-            self.progress_by_item.pop(item_id, None)
-            self.progress_by_item[item_id] = progress
-        surplus = len(self.progress_by_item) - MAX_REMEMBERED_TEXTS
-        for item_id in list(self.progress_by_item)[: max(surplus, 0)]:
-            del self.progress_by_item[item_id]
-
     def _note_failure(self, done: asyncio.Task) -> None:
         if not done.cancelled() and done.exception() is not None:
             self.write_event('task-failed', detail=repr(done.exception()))
-
-
-def find_job_route(
-    configuration: routes.Configuration | None, submission: jobs.Submission
-) -> routes.Route | None:
-    """Return the route of a job in the configuration in force."""
-    if configuration is None:
-        return None
-    return routes.find_route(configuration, submission.host, submission.target)
--- a/pomelopass/table/relay.py
+++ b/pomelopass/table/relay.py
@@ -19,6 +19,14 @@
 CONNECT_TIMEOUT_MS = 400
 # Time for which a peer is not asked again after it failed.
 PEER_REST_MS = 1000
+BROKEN_CALLS = (
+    EOFError,
+    OSError,
+    TimeoutError,
+    ValueError,
+    struct.error,
+    Thrift.TException,
+)
 
 
 class RelayedTable:
@@ -87,46 +95,47 @@
         )
 
     async def _call(self, send, receive, writes: bool = False):
-        now = asyncio.get_running_loop().time()
-        addresses = [
-            one
-            for one in self.get_addresses()
-            if self.resting_until_by_address.get(one, 0.0) <= now
-        ]
-        if not addresses:
-            raise rows.TableError('no peer reaches the table', False)
-        address = self.trusted
-        if address not in addresses:
-            address = self.rng.choice(addresses)
-        sent = False
+        address = self._choose()
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1000):
                 host, _, port = address.rpartition(':')
                 reader, writer = await asyncio.open_connection(host, int(port))
-            try:
-                sent = True
-                async with asyncio.timeout(CALL_TIMEOUT_MS / 1000):
-                    answer = await _swap(reader, writer, send, receive)
-                self.trusted = address
-                return answer
-            finally:
-                writer.close()
+        except (OSError, TimeoutError) as error:
+            raise self._give_up(address, error, False) from None
+        try:
+            async with asyncio.timeout(CALL_TIMEOUT_MS / 1000):
+                answer = await _swap(reader, writer, send, receive)
         except ttypes.HistoryLost:
             raise rows.HistoryLostError from None
         except ttypes.RelayFailed as failed:
             self._rest(address)
             raise rows.TableError(failed.detail, failed.may_have_run) from None
-        except (
-            EOFError,
-            OSError,
-            TimeoutError,
-            ValueError,
-            struct.error,
-            Thrift.TException,
-        ) as error:
-            self._rest(address)
-            detail = f'{address}: {type(error).__name__}'
-            raise rows.TableError(detail, writes and sent) from None
+        except BROKEN_CALLS as error:
+            raise self._give_up(address, error, writes) from None
+        finally:
+            writer.close()
+        self.trusted = address
+        return answer
+
+    def _choose(self) -> str:
+        now = asyncio.get_running_loop().time()
+        addresses = [
+            one
+            for one in self.get_addresses()
+            if self.resting_until_by_address.get(one, 0.0) <= now
+        ]
+        if not addresses:
+            raise rows.TableError('no peer reaches the table', False)
+        if self.trusted in addresses:
+            return self.trusted
+        return self.rng.choice(addresses)
+
+    def _give_up(
+        self, address: str, error: Exception, may_have_run: bool
+    ) -> rows.TableError:
+        self._rest(address)
+        detail = f'{address}: {type(error).__name__}'
+        return rows.TableError(detail, may_have_run)
 
     def _rest(self, address: str) -> None:
         now = asyncio.get_running_loop().time()
--- a/pomelopass/versions/assignment.py
+++ b/pomelopass/versions/assignment.py
@@ -93,13 +93,7 @@
         for one in served
         if one.in_flight + one.in_flight_elsewhere == 0
     }
-    # Engines that hold the newest weights of few models come first.
-    held: collections.Counter[str] = collections.Counter(
-        endpoint_id
-        for lag_by_id in lags.values()
-        for endpoint_id, lag in lag_by_id.items()
-        if lag <= 0
-    )
+    held = _count_newest(lags)
     assigned: dict[str, set[str]] = {}
     for model in models:
         chosen = _choose_holders(
@@ -110,6 +104,18 @@
     return assigned
 
 
+def _count_newest(
+    lags: dict[str, dict[str, int]],
+) -> collections.Counter[str]:
+    # Engines that hold the newest weights of few models come first.
+    return collections.Counter(
+        endpoint_id
+        for lag_by_id in lags.values()
+        for endpoint_id, lag in lag_by_id.items()
+        if lag <= 0
+    )
+
+
 def _get_lags(
     served: list[endpoint.EndpointState],
     model: str,
--- a/pomelopass/versions/keeper.py
+++ b/pomelopass/versions/keeper.py
@@ -197,15 +197,7 @@
         age_ms = (self.get_lease_now() - self.confirmed_at) * 1000
         if age_ms > CONFIRMED_FOR_MS:
             return
-        row = self._get_leadership(service).row
-        order = orders.VersionOrder(
-            model=model,
-            version=version,
-            finish_runs_first=self.needs_single_version(model),
-            holder=self.incarnation,
-            fence=row.fence,
-            expected_count=report.order_count,
-        )
+        order = self._make_order(service, move, report)
         outcome = await self.port.order_version(target, order)
         self.write_event(
             'engine-ordered',
@@ -224,6 +216,18 @@
                 model, version, now, now + FIRST_REPORT_MS / 1000
             )
 
+    def _make_order(
+        self, service: str, move: orders.Move, report: orders.Report
+    ) -> orders.VersionOrder:
+        return orders.VersionOrder(
+            model=move.model,
+            version=move.version,
+            finish_runs_first=self.needs_single_version(move.model),
+            holder=self.incarnation,
+            fence=self._get_leadership(service).row.fence,
+            expected_count=report.order_count,
+        )
+
     async def _follow_loads(self) -> None:
         now = asyncio.get_running_loop().time()
         for endpoint_id, load in list(self.load_by_id.items()):
