--- a/bench/stepdata.py
+++ b/bench/stepdata.py
@@ -13,6 +13,8 @@
 
 FOLDER = pathlib.Path(__file__).resolve().parent / 'patterns'
 HOST = 'trainer.bench'
+# The users count a group that is read this long after its step was asked.
+DUE_S = 7.5
 MEAN_EVENTS = 20.0
 MAX_EVENTS = 149
 # Spread of the lengths and of the trainer's guesses, as sigma of a logarithm.
--- a/bench/steps.py
+++ b/bench/steps.py
@@ -7,17 +7,15 @@
 import sys
 
 from bench import stepdata
+from bench import stepfleet
 from bench import target
 from pomelopass.registry import endpoint as endpoints
 from pomelopass.versions import assignment
 from standins import entries
-from standins import modelengines
 from standins import virtualloop
 
 __all__ = ['StepCounts', 'measure_steps', 'replay']
 
-# The users count a group that is read this long after its step was asked.
-DUE_S = 7.5
 GIVE_UP_S = 12.0
 SETTLE_S = 2.0
 GROUPS_TARGET = target.Target(
@@ -101,12 +99,13 @@
 async def _replay(
     pattern: stepdata.Pattern, policy: Policy, seed: int
 ) -> StepCounts:
-    cluster = _make_cluster(pattern, seed)
+    cluster = stepfleet.make_cluster(pattern, seed)
     policy(cluster)
     await asyncio.sleep(SETTLE_S)
     counts = StepCounts()
     faults = [
-        asyncio.ensure_future(_inject(cluster, one)) for one in pattern.faults
+        asyncio.ensure_future(stepfleet.inject(cluster, one))
+        for one in pattern.faults
     ]
     rng = random.Random(seed)
     await asyncio.gather(
@@ -121,55 +120,6 @@
     return counts
 
 
-def _make_cluster(
-    pattern: stepdata.Pattern, seed: int
-) -> entries.EntryCluster:
-    cluster = entries.EntryCluster(seed)
-    models = [one.model for one in pattern.trainers]
-    route = {
-        'name': 'jobs',
-        'hostname': stepdata.HOST,
-        'path_prefix': '/jobs/',
-        'route_type': 'rollout',
-        'service': 'engines',
-        'timeout_ms': 10_000,
-        'target_latency_ms': 400,
-        'max_attempts': 3,
-        'result_deadline_ms': DUE_S * 1000,
-        'item_ttl_s': 40,
-    }
-    service = {
-        'name': 'engines',
-        'engine': {'models': [{'name': model} for model in models]},
-    }
-    limits = {
-        'max_header_bytes': 16_384,
-        'max_body_bytes': 1_000_000,
-        'header_timeout_ms': 3000,
-        'idle_timeout_ms': 15_000,
-    }
-    cluster.put_configuration(
-        {
-            'version': 1,
-            'routes': [route],
-            'services': [service],
-            'limits': limits,
-        }
-    )
-    for number in range(pattern.engines):
-        cluster.pool.add(
-            modelengines.FakeEndpoint(
-                f'engine-{number:02d}',
-                'engines',
-                pattern.slots,
-                dict.fromkeys(models, 1),
-            )
-        )
-    for number in range(pattern.instances):
-        cluster.start(f'entry-{number:02d}')
-    return cluster
-
-
 async def _train(
     cluster: entries.EntryCluster,
     trainer: stepdata.TrainerLoad,
@@ -192,7 +142,7 @@
         await cluster.submit(name, built)
         whole_s = await _wait_for_groups(cluster, built)
         counts.waited += built.target_groups
-        counts.in_time += sum(one <= DUE_S for one in whole_s)
+        counts.in_time += sum(one <= stepdata.DUE_S for one in whole_s)
         counts.step_s.append(loop.time() - asked_at)
         await cluster.entry_by_name[name].node.desk.end(built.id)
         await asyncio.sleep(trainer.train_s)
@@ -221,23 +171,6 @@
     return whole_s[: built.target_groups]
 
 
-async def _inject(
-    cluster: entries.EntryCluster, fault: stepdata.Fault
-) -> None:
-    await asyncio.sleep(fault.at_s)
-    names = list(cluster.pool.endpoint_by_id)[: fault.engines]
-    if fault.kind == 'lost':
-        for name in names:
-            cluster.pool.crash(name)
-        return
-    chosen = [cluster.pool.endpoint_by_id[name] for name in names]
-    for one in chosen:
-        one.slowness = fault.factor
-    await asyncio.sleep(fault.for_s)
-    for one in chosen:
-        one.slowness = 1.0
-
-
 def _choose_least_loaded(
     states, avoid, model, min_version, now
 ) -> endpoints.EndpointState | None:
--- a/scripts/jobmutants.py
+++ b/scripts/jobmutants.py
@@ -9,6 +9,9 @@
 VERSIONS = 'tests/entry/test_versions.py'
 POISON = 'tests/entry/test_poison.py'
 FORWARD = 'tests/requests/test_forward.py'
+STREAM = 'tests/requests/test_stream.py'
+ASSIGNMENT = 'tests/versions/test_assignment.py'
+ADOPTION = 'tests/jobs/test_adoption.py'
 
 MUTANTS = (
     mutant.Mutant(
@@ -119,4 +122,46 @@
         'key=lambda name: False,',
         ('tests/jobs/test_adoption.py',),
     ),
+    mutant.Mutant(
+        'weights-that-serve-load-first',
+        'pomelopass/versions/assignment.py',
+        '    chosen.extend(unusable)\n',
+        '    chosen.extend(usable)\n',
+        (ASSIGNMENT,),
+    ),
+    mutant.Mutant(
+        'lag-from-news-alone',
+        'pomelopass/jobs/desk.py',
+        'newest = max(named, submission.step)',
+        'newest = named',
+        (VERSIONS,),
+    ),
+    mutant.Mutant(
+        'instances-behind-a-peer-own-jobs',
+        'pomelopass/jobs/adoption.py',
+        '            name in relayed,\n',
+        '',
+        (ADOPTION,),
+    ),
+    mutant.Mutant(
+        'callers-sent-to-instances-behind-a-peer',
+        'pomelopass/fleet/member.py',
+        'direct = [one for one in recent if one.is_direct]',
+        'direct = recent',
+        (ADOPTION,),
+    ),
+    mutant.Mutant(
+        'streams-never-suspected',
+        'pomelopass/requests/stream.py',
+        'if suspects.is_stopped(stream.fingerprint, loop.time()):',
+        'if False:',
+        (STREAM,),
+    ),
+    mutant.Mutant(
+        'relay-forgets-who-answered',
+        'pomelopass/table/relay.py',
+        '        self.trusted = address\n',
+        '',
+        ('tests/table/test_relay.py',),
+    ),
 )
