Put the soak's proxies before endpoints too

Change: each endpoint registers behind a proxy of its own; the stand-in's report says again with true or false whether it loads (since it names the model that it loads, the field had become a text).

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -19,7 +19,11 @@
 
 @dataclasses.dataclass(slots=True)
 class Injector:
-    """Hold what faults can hit, and those that came."""
+    """Hold what faults can hit, and those that came.
+
+    An instance's proxy is its way to the table, an endpoint's the way of all
+    instances to it.
+    """
 
     fleet: entryfleet.EntryFleet
     proxy_by_name: dict[str, proxy.Proxy]
@@ -108,7 +112,7 @@
             ('delay_s', 'cut_out', 'cut_back', 'refuse', 'reset')
         )
         last_s = self.get_last_s()
-        self.note(f'{kind} between {name} and the table for {last_s:.1f} s')
+        self.note(f'{kind} on the way of {name} for {last_s:.1f} s')
         if kind == 'reset':
             one.reset_all()
             return
--- a/soak/run.py
+++ b/soak/run.py
@@ -83,8 +83,20 @@
             await way.start()
             self.proxy_by_name[name] = way
             self.fleet.start_entry(name, table_address=way.address)
+        await self._put_proxies_before_endpoints()
         await asyncio.to_thread(self.fleet.wait_ready)
 
+    async def _put_proxies_before_endpoints(self) -> None:
+        seen = await asyncio.to_thread(self.fleet.get_seen)
+        seen.pop('events')
+        for endpoint_id, one in seen.items():
+            way = proxy.Proxy(one['address'])
+            await way.start()
+            self.proxy_by_name[endpoint_id] = way
+            await self.post(
+                '/endpoint', {'id': endpoint_id, 'address': way.address}
+            )
+
     async def _put_configuration(self, version: int) -> None:
         value = entrybuilders.make_configuration(version=version)
         row = {'table': 'op', 'key': 'config', 'value': value}
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -55,6 +55,7 @@
     def _get_seen(self) -> dict:
         return {
             one.id: {
+                'address': one.address,
                 'ran': one.ran,
                 'running': one.running,
                 'versions': one.version_by_model,
--- a/standins/platformendpoints.py
+++ b/standins/platformendpoints.py
@@ -71,7 +71,7 @@
             200,
             {
                 'models': models,
-                'busy': self.one.loading,
+                'busy': self.one.loading is not None,
                 'seq': self.one.order_count,
                 'in_flight': self.one.running,
                 'queue_depth': 0,
