Hold the ports of processes that tests start

Ruled out: a fault of the product's start (the log names the address in use); fixed ports. Change: a fleet holds its ports, bound and not listening, until it ends; a server with SO_REUSEADDR may listen there, the system gives them to nobody else. Noticed, not changed: the entry process prints a trace where an address is in use; the own daemon ends with status 3 and a line.

--- a/scripts/entryfleet.py
+++ b/scripts/entryfleet.py
@@ -32,6 +32,7 @@
         self.table_address = ''
         self.settings_by_name: dict[str, dict] = {}
         self.popen_by_name: dict[str, subprocess.Popen] = {}
+        self.held = probe.HeldPorts()
         folder.mkdir(parents=True, exist_ok=True)
 
     def __enter__(self) -> 'EntryFleet':
@@ -49,6 +50,7 @@
                 popen.kill()
         for popen in processes:
             popen.wait()
+        self.held.close()
 
     def start_platform(self, *options: str) -> None:
         """Start the table and the endpoints."""
@@ -119,7 +121,7 @@
         seeds = [
             one['relay_address'] for one in self.settings_by_name.values()
         ]
-        ports = probe.take_ports(len(ADDRESSES))
+        ports = self.held.take(len(ADDRESSES))
         settings = {
             kind: f'127.0.0.1:{port}'
             for kind, port in zip(ADDRESSES, ports, strict=True)
--- a/scripts/probe.py
+++ b/scripts/probe.py
@@ -6,7 +6,7 @@
 import urllib.error
 import urllib.request
 
-__all__ = ['call', 'take_ports', 'wait_for']
+__all__ = ['HeldPorts', 'call', 'wait_for']
 
 START_TIMEOUT_S = 20.0
 POLL_S = 0.1
@@ -47,12 +47,27 @@
     raise TimeoutError('The state was not reached in time.')
 
 
-def take_ports(count: int) -> list[int]:
-    """Return ports that the system has free."""
-    sockets = [socket.socket() for _ in range(count)]
-    for one in sockets:
-        one.bind(('127.0.0.1', 0))
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
-    return ports
+class HeldPorts:
+    """Keep free ports from other processes until closed.
+
+    A held port is bound and not listening: a server that sets SO_REUSEADDR, as
+    asyncio does, may listen there, and the system gives it to no one else.
+    """
+
+    def __init__(self) -> None:
+        self.sockets: list[socket.socket] = []
+
+    def take(self, count: int) -> list[int]:
+        """Return more ports that the system has free."""
+        taken = [socket.socket() for _ in range(count)]
+        for one in taken:
+            one.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            one.bind(('127.0.0.1', 0))
+        self.sockets += taken
+        return [one.getsockname()[1] for one in taken]
+
+    def close(self) -> None:
+        """Give all ports back."""
+        for one in self.sockets:
+            one.close()
+        self.sockets.clear()
--- a/tests/processes/test_entry.py
+++ b/tests/processes/test_entry.py
@@ -101,7 +101,7 @@
         fleet.start_entry('entry-0')
         fleet.start_entry('entry-1')
         # Nothing listens there: every call of this instance fails.
-        nowhere = f'127.0.0.1:{probe.take_ports(1)[0]}'
+        nowhere = f'127.0.0.1:{fleet.held.take(1)[0]}'
         fleet.start_entry('entry-2', table_address=nowhere)
         fleet.wait_ready()
         submission = entrybuilders.make_submission()
