--- a/bench/steps.py
+++ b/bench/steps.py
@@ -107,10 +107,16 @@
         asyncio.ensure_future(stepfleet.inject(cluster, one))
         for one in pattern.faults
     ]
-    rng = random.Random(seed)
+    # Each trainer asks the same of all policies, whatever their pace.
     await asyncio.gather(
         *(
-            _train(cluster, one, pattern.steps, counts, rng)
+            _train(
+                cluster,
+                one,
+                pattern.steps,
+                counts,
+                random.Random(f'{seed} {one.model}'),
+            )
             for one in pattern.trainers
         )
     )
