--- a/scripts/jobmutants.py
+++ b/scripts/jobmutants.py
@@ -45,7 +45,7 @@
     ),
     mutant.Mutant(
         'too-old-versions-are-used',
-        'pomelopass/jobs/keeper.py',
+        'pomelopass/jobs/textmemory.py',
         'if min(known.versions) >= submission.min_version:',
         'if True:',
         (JOBS,),
@@ -90,8 +90,9 @@
     mutant.Mutant(
         'refusal-costs-an-attempt',
         'pomelopass/requests/forward.py',
-        'progress.refused.add(attempt.endpoint_id)\n                continue',
-        'progress.refused.add(attempt.endpoint_id)',
+        'progress.refused_by.add(attempt.endpoint_id)\n'
+        '                continue',
+        'progress.refused_by.add(attempt.endpoint_id)',
         (FORWARD,),
     ),
     mutant.Mutant(
@@ -118,8 +119,8 @@
     mutant.Mutant(
         'weak-instances-own-jobs',
         'pomelopass/jobs/adoption.py',
-        'key=lambda name: capacity_by_name[name] < WEAK_SHARE * strongest,',
-        'key=lambda name: False,',
+        '            capacity_by_name[name] < WEAK_SHARE * strongest,\n',
+        '',
         ('tests/jobs/test_adoption.py',),
     ),
     mutant.Mutant(
