Give duties a state of their own in the context

Cause: Context held seven fields that only duties and their readers use. Change: DutyState takes them, named by the duty; no behaviour changes. Ruled out: a state for each duty (leases and rows are shared among them). Measured: core, scenario, delivery and route tests pass, and the process tests of training, orders and operation.

--- a/bench/sharing.py
+++ b/bench/sharing.py
@@ -92,7 +92,7 @@
 def _count_made(built: cluster.Cluster) -> dict[str, float]:
     made = dict.fromkeys(SHARES, 0.0)
     for member in built.member_by_name.values():
-        for state in member.context.batches_by_duty.values():
+        for state in member.context.duties.batches_by_name.values():
             for name, share in SHARES.items():
                 used = state.fairness.used_by_trainer.get(name, 0.0)
                 made[name] += used * share
--- a/pomelopass/duties/batches.py
+++ b/pomelopass/duties/batches.py
@@ -31,7 +31,7 @@
     state = batchstate.BatchesState(
         name, pool_name, fairness.FairnessState({})
     )
-    context.batches_by_duty[name] = state
+    context.duties.batches_by_name[name] = state
     looking = contexts.spawn(context, _keep_looking(context, state))
     try:
         while True:
@@ -39,7 +39,7 @@
             await _pause(state)
     finally:
         looking.cancel()
-        context.batches_by_duty.pop(name, None)
+        context.duties.batches_by_name.pop(name, None)
         for task in list(state.attempt_tasks.values()):
             task.cancel()
 
@@ -51,7 +51,7 @@
         state.fairness.share_by_trainer = _get_shares(context, state.pool)
         await askreader.look(context, state)
         state.wake.set()
-        await context.wake_batches.wait(LOOK_EVERY_MS)
+        await context.duties.wake_batches.wait(LOOK_EVERY_MS)
 
 
 async def _pause(state: batchstate.BatchesState) -> None:
@@ -67,7 +67,7 @@
     context: contexts.Context, state: batchstate.BatchesState
 ) -> None:
     now_ms = context.ports.clock.now_ms()
-    if not lease.may_act(context.lease_by_duty[state.duty], now_ms):
+    if not lease.may_act(context.duties.lease_by_name[state.duty], now_ms):
         return
     _fill(context, state)
     _race(context, state)
@@ -239,5 +239,5 @@
 
 
 def _get_version(context: contexts.Context, key: str, model: str) -> int:
-    loaded = context.loaded_by_endpoint.get(key, {})
+    loaded = context.duties.loaded_by_endpoint.get(key, {})
     return loaded.get(model, generation.UNKNOWN_VERSION)
--- a/pomelopass/duties/weights.py
+++ b/pomelopass/duties/weights.py
@@ -73,7 +73,7 @@
     if value is not None:
         versions = value.get('versions', {})
         rollout.note_report(state, one.key, versions)
-        context.loaded_by_endpoint[one.key] = versions
+        context.duties.loaded_by_endpoint[one.key] = versions
 
 
 async def _send(
@@ -82,7 +82,7 @@
     state: rollout.RolloutState,
     order: rollout.Order,
 ) -> None:
-    lease_state = context.lease_by_duty[name]
+    lease_state = context.duties.lease_by_name[name]
     now_ms = context.ports.clock.now_ms()
     if not lease.may_act(lease_state, now_ms):
         return
--- a/pomelopass/duty.py
+++ b/pomelopass/duty.py
@@ -77,18 +77,18 @@
     for name in names:
         row = row_by_key.get(f'{LEASE_PREFIX}{name}')
         await _keep_one(context, name, row)
-    for name in set(context.lease_by_duty) - set(names):
+    for name in set(context.duties.lease_by_name) - set(names):
         _stop(context, name)
 
 
 async def release_leases(context: contexts.Context) -> None:
     """Give up every lease so that another instance takes over at once."""
-    for name, state in list(context.lease_by_duty.items()):
+    for name, state in list(context.duties.lease_by_name.items()):
         held = state.valid_until_ms is not None
         _stop(context, name)
         if not held:
             continue
-        row = context.lease_row_by_duty.get(name)
+        row = context.duties.row_by_name.get(name)
         released = lease.get_released_row(state)
         version = row.version if row else tablerow.ABSENT
         await _write(context, name, released, version, False)
@@ -97,7 +97,7 @@
 async def _keep_one(
     context: contexts.Context, name: str, row: tablerow.Row | None
 ) -> None:
-    state = context.lease_by_duty.setdefault(
+    state = context.duties.lease_by_name.setdefault(
         name, lease.LeaseState(context.incarnation)
     )
     now_ms = context.ports.clock.now_ms()
@@ -113,10 +113,10 @@
     if not await _write(context, name, next_row, version, acquiring):
         return
     lease.note_renewed(state, next_row, now_ms)
-    context.lease_row_by_duty[name] = tablerow.Row(
+    context.duties.row_by_name[name] = tablerow.Row(
         f'{LEASE_PREFIX}{name}', '', version + 1
     )
-    if name not in context.duty_tasks:
+    if name not in context.duties.task_by_name:
         await _begin(context, name, next_row)
 
 
@@ -127,12 +127,12 @@
     fence = found.value_or(None)
     if fence is None or fence.value != str(row.fence):
         return
-    context.fence_version_by_duty[name] = fence.version
+    context.duties.fence_version_by_name[name] = fence.version
     contexts.note(context, 'duty-taken', name, f'fence {row.fence}')
     pool = name.partition('/')[2]
     run = get_duty_by_name(name)
     task = contexts.spawn(context, run(context, name, pool))
-    context.duty_tasks[name] = task
+    context.duties.task_by_name[name] = task
     task.add_done_callback(functools.partial(_note_ended, context, name))
 
 
@@ -178,20 +178,20 @@
 def _note_ended(
     context: contexts.Context, name: str, task: asyncio.Task
 ) -> None:
-    if context.duty_tasks.get(name) is not task:
+    if context.duties.task_by_name.get(name) is not task:
         return
-    del context.duty_tasks[name]
+    del context.duties.task_by_name[name]
     if not task.cancelled():
         contexts.note(context, 'duty-failed', name, repr(task.exception()))
 
 
 def _stop(context: contexts.Context, name: str) -> None:
-    lease.note_lost(context.lease_by_duty[name])
+    lease.note_lost(context.duties.lease_by_name[name])
     _stop_task(context, name)
 
 
 def _stop_task(context: contexts.Context, name: str) -> None:
-    task = context.duty_tasks.pop(name, None)
+    task = context.duties.task_by_name.pop(name, None)
     if task is not None:
         contexts.note(context, 'duty-lost', name, '')
         task.cancel()
--- a/pomelopass/routes/batches.py
+++ b/pomelopass/routes/batches.py
@@ -116,7 +116,7 @@
             reply = problemdetails.make_json_reply({'status': 'open'}, 202)
             headers = (*reply.headers, ('retry-after', '1'))
             return message.Reply(202, headers, reply.body)
-        await context.wake_batches.wait(POLL_MS)
+        await context.duties.wake_batches.wait(POLL_MS)
 
 
 async def _read_batch(
--- a/pomelopass/routes/operatorstatus.py
+++ b/pomelopass/routes/operatorstatus.py
@@ -32,7 +32,7 @@
         'requests_in_flight': context.work_in_flight,
         'duties': [
             name
-            for name, state in sorted(context.lease_by_duty.items())
+            for name, state in sorted(context.duties.lease_by_name.items())
             if lease.may_act(state, now_ms)
         ],
         'peers': [_make_peer(one) for one in live],
@@ -89,7 +89,7 @@
         'leaving': membership.is_leaving(context.membership, key),
         'ejected': state.ejected_until_ms > now_ms,
         'in_flight': state.in_flight,
-        'versions': context.loaded_by_endpoint.get(key, {}),
+        'versions': context.duties.loaded_by_endpoint.get(key, {}),
     }
 
 
--- a/pomelopass/running/context.py
+++ b/pomelopass/running/context.py
@@ -14,17 +14,14 @@
 from ..core import adoption
 from ..core import claimbook
 from ..core import decisions
-from ..core import lease
 from ..core import membership
 from ..core import news
 from ..core import peers
 from ..core import quarantine
 from ..core import stopping
-from ..core import tablerow
+from . import dutystate
 from ..reporting import metrics
 from . import settings
-from . import signals
-from ..training import batchstate
 
 __all__ = ['Context', 'get_pool_state', 'note', 'share_news']
 
@@ -59,26 +56,8 @@
     pool_by_name: dict[str, poolstate.PoolState] = dataclasses.field(
         default_factory=dict
     )
-    lease_by_duty: dict[str, lease.LeaseState] = dataclasses.field(
-        default_factory=dict
-    )
-    fence_version_by_duty: dict[str, int] = dataclasses.field(
-        default_factory=dict
-    )
-    loaded_by_endpoint: dict[str, dict[str, int]] = dataclasses.field(
-        default_factory=dict
-    )
-    lease_row_by_duty: dict[str, tablerow.Row] = dataclasses.field(
-        default_factory=dict
-    )
-    duty_tasks: dict[str, asyncio.Task] = dataclasses.field(
-        default_factory=dict
-    )
-    batches_by_duty: dict[str, batchstate.BatchesState] = dataclasses.field(
-        default_factory=dict
-    )
-    wake_batches: signals.Signal = dataclasses.field(
-        default_factory=signals.Signal
+    duties: dutystate.DutyState = dataclasses.field(
+        default_factory=dutystate.DutyState
     )
     claim_queue: list = dataclasses.field(default_factory=list)
     work_in_flight: int = 0
--- a/pomelopass/running/gossip.py
+++ b/pomelopass/running/gossip.py
@@ -152,7 +152,7 @@
 async def announce(context: contexts.Context, kind: str, subject: str) -> None:
     """Wake instances that wait for a step, here and at partners."""
     contexts.share_news(context, kind, subject, '1', ANNOUNCE_TTL_MS)
-    context.wake_batches.send()
+    context.duties.wake_batches.send()
     await tell_peers(context)
 
 
@@ -177,7 +177,7 @@
         if membership.note_leaving(context.membership, one.key, now_ms):
             contexts.note(context, 'endpoint-leaving', one.key, 'by a peer')
     elif one.kind in (ASK_KIND, BATCH_KIND):
-        context.wake_batches.send()
+        context.duties.wake_batches.send()
     elif one.kind == CRASH_KIND and one.value.isdecimal():
         quarantine.learn(
             context.quarantine,
--- a/pomelopass/running/loops.py
+++ b/pomelopass/running/loops.py
@@ -93,7 +93,7 @@
     own = state.health_by_key.setdefault(one.key, health.EndpointHealth())
     age_ms = float(value.get('load_age_ms', 0))
     health.note_report(own, float(value.get('load', 0)), now_ms - age_ms)
-    context.loaded_by_endpoint[one.key] = value.get('versions', {})
+    context.duties.loaded_by_endpoint[one.key] = value.get('versions', {})
     if not value.get('leaving'):
         return
     if membership.note_leaving(context.membership, one.key, now_ms):
@@ -152,6 +152,6 @@
         for key in list(state.health_by_key):
             if key not in listed and not state.health_by_key[key].in_flight:
                 del state.health_by_key[key]
-    for key in list(context.loaded_by_endpoint):
+    for key in list(context.duties.loaded_by_endpoint):
         if key not in listed:
-            del context.loaded_by_endpoint[key]
+            del context.duties.loaded_by_endpoint[key]
--- a/pomelopass/training/delivery.py
+++ b/pomelopass/training/delivery.py
@@ -81,7 +81,7 @@
         return False
     rows = handover.Rows(
         fence_key=f'fence/{state.duty}',
-        fence_version=context.fence_version_by_duty[state.duty],
+        fence_version=context.duties.fence_version_by_name[state.duty],
         ask_version=opened.ask_version,
         carry_version=opened.carry_version,
         published_version=known.row_version,
@@ -93,7 +93,7 @@
         built, rows, value, _make_carry(chosen)
     )
     now_ms = context.ports.clock.now_ms()
-    if not lease.may_act(context.lease_by_duty[state.duty], now_ms):
+    if not lease.may_act(context.duties.lease_by_name[state.duty], now_ms):
         return False
     answer = await context.ports.table.transact(transaction)
     if isinstance(answer, result.Success) and answer.unwrap() is None:
--- a/tests/scenarios/faults.py
+++ b/tests/scenarios/faults.py
@@ -69,7 +69,7 @@
 
 def _freeze_holder(built: cluster.Cluster, fault: Fault):
     for member in built.member_by_name.values():
-        if member.context.duty_tasks:
+        if member.context.duties.task_by_name:
             member.freeze()
             return member.thaw
     return _do_nothing
@@ -78,7 +78,7 @@
 def _kill_holder(built: cluster.Cluster, fault: Fault):
     live = [one for one in built.member_by_name.values() if not one.gate.dead]
     for member in live:
-        if member.context.duty_tasks and len(live) > 1:
+        if member.context.duties.task_by_name and len(live) > 1:
             member.kill()
             return _do_nothing
     return _do_nothing
--- a/tests/scenarios/test_stopping.py
+++ b/tests/scenarios/test_stopping.py
@@ -95,7 +95,7 @@
         others = [
             one
             for one in built.member_by_name.values()
-            if one is not holder and one.context.duty_tasks
+            if one is not holder and one.context.duties.task_by_name
         ]
         assert others
         await stop
@@ -106,6 +106,6 @@
 def find_holder(built):
     """Return an instance that holds a duty, or None."""
     for member in built.member_by_name.values():
-        if member.context.duty_tasks:
+        if member.context.duties.task_by_name:
             return member
     return None
