Count a crash though the ending process takes a connection

Cause: an entry instance judged an endpoint alive as soon as a new connection was taken. A process that ends may still take one and reset it, so a crash went uncounted and a request that crashes endpoints went on. Silence counted as a crash, though a cut path is silent too. Ruled out: counting every reset as a crash; a full endpoint resets what is beyond its limit and lives. Change: HttpClient.is_refused waits a moment for the reset and asks again; only a refusal counts. The own interface's probe uses it, its loop and its second reading of /state go; BREAK_KINDS stands once. Measured: test_address_whose_ending_process_resets_is_refused fails on the code before and passes now; edges, requests, poison tests pass.

--- a/pomelopass/callers/crash.py
+++ b/pomelopass/callers/crash.py
@@ -1,12 +1,11 @@
 """Find out whether an endpoint crashed while it ran a request."""
 
-import json
-
 from .. import message
 from ..core import ejection
 from ..core import quarantine
 from ..core import refusal
 from ..core import verdict
+from . import endpointstate
 from ..running import context as contexts
 from ..running import gossip
 from . import work
@@ -14,10 +13,6 @@
 __all__ = ['check_quarantine', 'judge_failure', 'note_success']
 
 PROBE_TIMEOUT_MS = 400
-# A process that ends may still take a connection and reset it.
-PROBE_RETRY_MS = 20
-MAX_PROBES = 10
-CRASH_KINDS = ('reset', 'truncated')
 
 
 def check_quarantine(context: contexts.Context, item: work.Work) -> None:
@@ -35,7 +30,7 @@
     error: message.ExchangeError,
 ) -> None:
     """Count a crash and raise Refused when the request must not go on."""
-    if error.kind not in CRASH_KINDS or error.bytes_written == 0:
+    if error.kind not in message.BREAK_KINDS or error.bytes_written == 0:
         return
     if not await _has_crashed(context, slot):
         return
@@ -75,25 +70,11 @@
 
 
 async def _has_crashed(context: contexts.Context, slot: work.Slot) -> bool:
-    for _ in range(MAX_PROBES):
-        try:
-            return await _has_another_start(context, slot)
-        except message.ExchangeError as error:
-            if error.kind != 'reset':
-                return error.kind == 'connect-failed'
-        except ValueError:
-            return False
-        await context.ports.clock.sleep(PROBE_RETRY_MS)
-    return False
-
-
-async def _has_another_start(
-    context: contexts.Context, slot: work.Slot
-) -> bool:
     endpoint = slot.candidate.endpoint
-    request = message.Request('GET', '/state')
-    reply = await context.ports.http.open(
-        endpoint.address, request, PROBE_TIMEOUT_MS, fresh=True
-    )
-    state = json.loads(await reply.read(65_536))
+    http = context.ports.http
+    if await http.is_refused(endpoint.address, PROBE_TIMEOUT_MS):
+        return True
+    state = await endpointstate.fetch_any(context, endpoint)
+    if state is None:
+        return False
     return state.get('incarnation') != endpoint.incarnation
--- a/pomelopass/edges/httpclient.py
+++ b/pomelopass/edges/httpclient.py
@@ -15,6 +15,10 @@
 TOLD_IDLE_LIMIT_MS = 60_000
 MAX_IDLE_PER_ADDRESS = 32
 READ_BYTES = 65_536
+# Longer than the way to another region and back.
+SETTLE_MS = 30
+PROBE_RETRY_MS = 20
+MAX_PROBES = 5
 # Time between the decision to reuse a connection and the arrival of bytes.
 KEEP_ALIVE_MARGIN_MS = 300
 
@@ -142,15 +146,24 @@
             event.status_code, headers, chunks, written, connection.close
         )
 
-    async def can_connect(self, address: str, timeout_ms: float) -> bool:
-        """Say whether a new connection is taken."""
-        deadline = asyncio.get_running_loop().time() + timeout_ms / 1000
-        try:
-            connection = await self._connect(address, deadline, fresh=True)
-        except message.ExchangeError:
-            return False
-        connection.close()
-        return True
+    async def is_refused(self, address: str, timeout_ms: float) -> bool:
+        """Say whether nothing listens at an address; silence is no answer.
+
+        A reset alone tells nothing: an ending process may still take a
+        connection, and a full one resets what it can't serve.
+        """
+        for _ in range(MAX_PROBES):
+            deadline = asyncio.get_running_loop().time() + timeout_ms / 1000
+            try:
+                connection = await self._connect(address, deadline, fresh=True)
+            except message.ExchangeError as error:
+                return error.kind == 'connect-failed'
+            held = await _is_held(connection)
+            connection.close()
+            if held:
+                return False
+            await asyncio.sleep(PROBE_RETRY_MS / 1000)
+        return False
 
     async def close(self) -> None:
         """Close the idle connections."""
@@ -238,6 +251,16 @@
     return _Connection(reader, writer)
 
 
+async def _is_held(connection: _Connection) -> bool:
+    try:
+        async with asyncio.timeout(SETTLE_MS / 1000):
+            return bool(await connection.reader.read(1))
+    except TimeoutError:
+        return True
+    except OSError:
+        return False
+
+
 def _get_idle_limit_ms(headers: message.Headers) -> float:
     # RFC 9112 leaves the parameters of Keep-Alive to its senders.
     value = message.find_header(headers, 'keep-alive') or ''
--- a/pomelopass/jobs/itemrun.py
+++ b/pomelopass/jobs/itemrun.py
@@ -121,7 +121,7 @@
     if reason == 'moved':
         return
     run.breaks = 0 if progressed else run.breaks + 1
-    if reason in calls.BREAK_KINDS and not progressed:
+    if reason in message.BREAK_KINDS and not progressed:
         await _judge_break(context, run, state)
     if reason == 'endpoint-refused':
         await asyncio.sleep(PAUSE_MS / 1000 * (0.5 + context.rng.random()))
@@ -138,7 +138,7 @@
     run: itemcontext.ItemRun,
     state: endpoints.EndpointState,
 ) -> None:
-    if await context.port.is_listening(state.endpoint):
+    if not await context.port.is_refused(state.endpoint):
         return
     run.crashes += 1
     if run.crashes >= suspicions.CRASHES_TO_STOP:
--- a/pomelopass/message.py
+++ b/pomelopass/message.py
@@ -3,7 +3,17 @@
 from collections import abc
 import dataclasses
 
-__all__ = ['ExchangeError', 'OpenReply', 'Reply', 'Request', 'find_header']
+__all__ = [
+    'BREAK_KINDS',
+    'ExchangeError',
+    'OpenReply',
+    'Reply',
+    'Request',
+    'find_header',
+]
+
+# How an exchange ends when the far side breaks it off.
+BREAK_KINDS = ('reset', 'truncated')
 
 Headers = tuple[tuple[str, str], ...]
 
--- a/pomelopass/platform/endpointclient.py
+++ b/pomelopass/platform/endpointclient.py
@@ -74,9 +74,9 @@
         except message.ExchangeError as error:
             raise calls.CallFailedError(error.kind, True) from None
 
-    async def is_listening(self, target: endpoint.Endpoint) -> bool:
-        """Say whether an endpoint takes a new connection."""
-        return await self.http.can_connect(target.address, CONNECT_TIMEOUT_MS)
+    async def is_refused(self, target: endpoint.Endpoint) -> bool:
+        """Say whether nothing listens at an endpoint's address."""
+        return await self.http.is_refused(target.address, CONNECT_TIMEOUT_MS)
 
     async def fetch_report(
         self, target: endpoint.Endpoint
--- a/pomelopass/ports.py
+++ b/pomelopass/ports.py
@@ -40,6 +40,9 @@
     ) -> message.OpenReply:
         """Return the head of the reply; raise ExchangeError."""
 
+    async def is_refused(self, address: str, timeout_ms: float) -> bool:
+        """Say whether nothing listens at an address."""
+
 
 class TablePort(Protocol):
     """Use the transactional table service."""
--- a/pomelopass/requests/attempt.py
+++ b/pomelopass/requests/attempt.py
@@ -95,8 +95,8 @@
     state: endpoints.EndpointState,
     fingerprint: str,
 ) -> None:
-    """Count a crash if the endpoint takes no connection any more."""
-    if await context.port.is_listening(state.endpoint):
+    """Count a crash if nothing listens at the endpoint any more."""
+    if not await context.port.is_refused(state.endpoint):
         return
     now = asyncio.get_running_loop().time()
     context.suspects.note_crash(fingerprint, now)
--- a/pomelopass/requests/call.py
+++ b/pomelopass/requests/call.py
@@ -6,10 +6,7 @@
 from .. import message
 from ..registry import endpoint
 
-__all__ = ['BREAK_KINDS', 'Answer', 'Call', 'CallFailedError', 'EndpointPort']
-
-# How an exchange ends when the endpoint breaks it off.
-BREAK_KINDS = ('reset', 'truncated')
+__all__ = ['Answer', 'Call', 'CallFailedError', 'EndpointPort']
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -51,7 +48,7 @@
     def __init__(self, kind: str, may_have_run: bool):
         super().__init__(kind)
         # An endpoint that ends within a request resets its connection.
-        self.broke_off = may_have_run and kind in BREAK_KINDS
+        self.broke_off = may_have_run and kind in message.BREAK_KINDS
         self.kind = kind
         self.may_have_run = may_have_run
 
@@ -69,8 +66,8 @@
     ) -> Answer:
         """Return the head of the answer; raise CallFailedError."""
 
-    async def is_listening(self, target: endpoint.Endpoint) -> bool:
-        """Say whether an endpoint takes a new connection."""
+    async def is_refused(self, target: endpoint.Endpoint) -> bool:
+        """Say whether nothing listens at an endpoint's address."""
 
     async def read(self, answer: Answer, limit: int) -> bytes:
         """Return the whole body; raise CallFailedError."""
--- a/pomelopass/requests/stream.py
+++ b/pomelopass/requests/stream.py
@@ -169,7 +169,7 @@
                     self.forwarder.suspects.note_answered(stream.fingerprint)
                     return
                 except message.ExchangeError as error:
-                    broke_off = error.kind in calls.BREAK_KINDS
+                    broke_off = error.kind in message.BREAK_KINDS
                     await self._note_break(
                         stream, state, error.kind, broke_off
                     )
--- a/standins/memory.py
+++ b/standins/memory.py
@@ -94,6 +94,22 @@
         chunks = self._pass(reply, deadline, written)
         return message.OpenReply(reply.status, reply.headers, chunks, written)
 
+    async def is_refused(self, address: str, timeout_ms: float) -> bool:
+        """Say whether nothing listens at an address."""
+        network = self.network
+        await self.gate.wait()
+        if network.is_cut(self.source, address):
+            await asyncio.sleep(timeout_ms / 1000)
+            return False
+        while True:
+            await asyncio.sleep(network.get_delay_s(self.zone, address) * 2)
+            known = address in network.handler_by_address
+            if known and address not in network.refused:
+                return False
+            if network.resets_at_end == 0:
+                return True
+            network.resets_at_end -= 1
+
     async def _send(
         self, address: str, request: message.Request, written: int
     ) -> message.Reply:
--- a/standins/modelengines.py
+++ b/standins/modelengines.py
@@ -135,10 +135,10 @@
         except message.ExchangeError as error:
             raise calls.CallFailedError(error.kind, True) from None
 
-    async def is_listening(self, target: endpoints.Endpoint) -> bool:
-        """Say whether an endpoint takes a new connection."""
+    async def is_refused(self, target: endpoints.Endpoint) -> bool:
+        """Say whether nothing listens at an endpoint's address."""
         await asyncio.sleep(0.002)
-        return self.endpoint_by_id[target.id].alive
+        return not self.endpoint_by_id[target.id].alive
 
     async def fetch_report(
         self, target: endpoints.Endpoint
--- a/tests/edges/test_httpclient.py
+++ b/tests/edges/test_httpclient.py
@@ -117,3 +117,31 @@
         client = httpclient.HttpClient()
         assert await fetch(client, address) == b'hello world'
         assert not client.idle_by_address.get(address)
+
+
+async def test_address_whose_ending_process_resets_is_refused():
+    listeners = []
+
+    def reset_and_end(reader, writer):
+        listeners[0].close()
+        writer.transport.abort()
+
+    listener = await asyncio.start_server(reset_and_end, '127.0.0.1', 0)
+    listeners.append(listener)
+    port = listener.sockets[0].getsockname()[1]
+    client = httpclient.HttpClient()
+    assert await client.is_refused(f'127.0.0.1:{port}', 1000)
+
+
+async def test_address_that_resets_all_but_still_listens_is_not_refused():
+    async with serve(lambda r, w: w.transport.abort()) as address:
+        assert not await httpclient.HttpClient().is_refused(address, 1000)
+
+
+async def test_address_that_holds_a_connection_is_not_refused():
+    async def hold(reader, writer):
+        await reader.read()
+        writer.close()
+
+    async with serve(hold) as address:
+        assert not await httpclient.HttpClient().is_refused(address, 1000)
--- a/tests/requests/test_forward.py
+++ b/tests/requests/test_forward.py
@@ -29,8 +29,8 @@
         step = self.script[target.id]
         return await step(call, timeout_ms)
 
-    async def is_listening(self, target):
-        return True
+    async def is_refused(self, target):
+        return False
 
     async def read(self, answer, limit):
         return await answer.reply.read(limit)
