End with status 3 when an address of an entry instance is in use

Cause: a taken address ended the process with a traceback on standard error and status 1; nothing in the structured log told why. Ruled out: waiting for the address; on a planned restart the platform starts a process anew, and a wrong setting must be seen at once. Change: event listen-failed and status 3, as pomelopassd has it; both programs take their statuses from one module. Measured: test_address_in_use_ends_the_instance_with_a_status fails before with status 1, passes after; lint clean.

--- a/pomelopass/daemon.py
+++ b/pomelopass/daemon.py
@@ -13,6 +13,7 @@
 import cappa
 from returns import result
 
+from . import exitstatus
 from . import message
 from . import ports
 from . import route
@@ -33,8 +34,6 @@
 
 __all__ = ['main', 'run']
 
-BAD_SETTINGS_STATUS = 2
-PORT_IN_USE_STATUS = 3
 OPERATOR_CONNECTIONS = 64
 CLOSE_WAIT_MS = 200
 
@@ -59,13 +58,13 @@
     if isinstance(loaded, result.Failure):
         for one in loaded.failure():
             print(problem.format_problem(one), file=sys.stderr)
-        sys.exit(BAD_SETTINGS_STATUS)
+        sys.exit(exitstatus.BAD_SETTINGS)
     given = loaded.unwrap()
     try:
         token = pathlib.Path(given.operator_token_file).read_text().strip()
     except OSError as error:
         print(f'The token file cannot be read: {error}', file=sys.stderr)
-        sys.exit(BAD_SETTINGS_STATUS)
+        sys.exit(exitstatus.BAD_SETTINGS)
     if arguments.check:
         print('The settings are valid.')
         return
@@ -85,7 +84,7 @@
         logging.getLogger(__name__).error(
             'listen-failed', extra={'detail': str(error)}
         )
-        return PORT_IN_USE_STATUS
+        return exitstatus.ADDRESS_IN_USE
     instance.start(context)
     await _wait_for_signal()
     stop = asyncio.ensure_future(instance.stop(context))
--- a/pomelopass/entry/__main__.py
+++ b/pomelopass/entry/__main__.py
@@ -15,6 +15,7 @@
 from ..edges import httpclient
 from ..edges import httpserver
 from ..edges import requestreader
+from .. import exitstatus
 from . import eventlog
 from . import node as nodes
 from ..platform import endpointclient
@@ -27,7 +28,6 @@
 __all__ = ['main']
 
 USAGE = 'usage: python3 -m pomelopass.entry --settings PATH [--check]'
-BAD_SETTINGS_STATUS = 2
 MAX_BODY_BYTES = 33_554_432
 MAX_CONNECTIONS = 6000
 POLL_MS = 100.0
@@ -46,12 +46,12 @@
     words = sys.argv[1:]
     if len(words) < 2 or words[0] != '--settings':
         print(USAGE, file=sys.stderr)
-        return BAD_SETTINGS_STATUS
+        return exitstatus.BAD_SETTINGS
     loaded = entrysettings.load_entry_settings(words[1])
     if isinstance(loaded, result.Failure):
         for one in loaded.failure():
             print(problem.format_problem(one), file=sys.stderr)
-        return BAD_SETTINGS_STATUS
+        return exitstatus.BAD_SETTINGS
     if '--check' in words:
         print('The settings are valid.')
         return 0
@@ -84,7 +84,12 @@
         loop.add_signal_handler(number, stopped.set)
     watch = reload.SettingsWatch(path, node.take_settings, write_event)
     loop.add_signal_handler(signal.SIGHUP, watch.reload)
-    servers = await _listen(node, counted)
+    try:
+        servers = await _listen(node, counted)
+    except OSError as error:
+        write_event('listen-failed', detail=str(error))
+        log.write_some()
+        return exitstatus.ADDRESS_IN_USE
     node.start()
     watching = asyncio.ensure_future(watch.run())
     write_event('started', start=ports.incarnation, process=os.getpid())
--- /dev/null
+++ b/pomelopass/exitstatus.py
@@ -0,0 +1,6 @@
+"""Name the exit statuses of the programs that serve."""
+
+__all__ = ['ADDRESS_IN_USE', 'BAD_SETTINGS']
+
+BAD_SETTINGS = 2
+ADDRESS_IN_USE = 3
--- a/tests/processes/test_entry.py
+++ b/tests/processes/test_entry.py
@@ -1,5 +1,6 @@
 """Test entry instances as processes against the platform stand-in."""
 
+import json
 import signal
 import socket
 import subprocess
@@ -111,6 +112,20 @@
         assert entrycalls.find_faults(submission, results, seen) == []
 
 
+def test_address_in_use_ends_the_instance_with_a_status(tmp_path):
+    with entryfleet.EntryFleet(tmp_path, entrycalls.ZONES) as fleet:
+        fleet.start_platform()
+        fleet.start_entry('entry-0')
+        ready = fleet.get_address('entry-0', 'readiness_address')
+        probe.wait_for(lambda: probe.call(ready, 'GET', '/-/readiness')[0])
+        taken = fleet.get_address('entry-0')
+        fleet.start_entry('entry-1', caller_address=taken)
+        assert fleet.popen_by_name['entry-1'].wait(20) == 3
+        log = (tmp_path / 'entry-1.log').read_text()
+        assert json.loads(log.splitlines()[-1])['event'] == 'listen-failed'
+        assert 'Traceback' not in log
+
+
 def exchange(fleet, data):
     host, _, port = fleet.get_address('entry-0').rpartition(':')
     with socket.create_connection((host, int(port)), 10) as one:
