--- a/pomelopass/entry/__main__.py
+++ b/pomelopass/entry/__main__.py
@@ -11,11 +11,11 @@
 
 from returns import result
 
+from .. import exitstatus
 from ..configuring import problem
 from ..edges import httpclient
 from ..edges import httpserver
 from ..edges import requestreader
-from .. import exitstatus
 from . import eventlog
 from . import node as nodes
 from ..platform import endpointclient
