Give each event of an entry instance a type

Cause: events were free names with free fields at 45 places; the same field name meant a count here and ids there (items), one line lacked its status, and the table in OPERATIONS was kept by hand and left fields out. Ruled out: one class with optional fields; it would tell nothing about which event has which. Change: pomelopass/reporting/logevents.py holds 40 data classes; the kind comes from the class's name, one table says what each field means, and docs/EVENTS.md is written from both. Streams tell their status. Measured: tests of entry, requests, table, jobs, versions, platform and the process tests of the entry program pass; a test checks that fields and meanings match.

--- a/pomelopass/entry/__main__.py
+++ b/pomelopass/entry/__main__.py
@@ -22,6 +22,7 @@
 from ..platform import ingress
 from ..platform import rowclient
 from . import reload
+from ..reporting import logevents
 from . import settings as entrysettings
 from . import telemetry
 
@@ -63,9 +64,7 @@
     log = eventlog.set_up_event_log(given.log_level)
     logger = logging.getLogger('pomelopass')
     counted = telemetry.Telemetry(given.name)
-    write_event = counted.wrap(
-        eventlog.make_write_event(logger, instance=given.name)
-    )
+    write_event = counted.wrap(eventlog.make_write_event(logger, given.name))
     log_task = asyncio.ensure_future(log.run())
     rng = random.SystemRandom()
     http = httpclient.HttpClient()
@@ -87,12 +86,14 @@
     try:
         servers = await _listen(node, counted)
     except OSError as error:
-        write_event('listen-failed', detail=str(error))
+        write_event(logevents.ListenFailed(detail=str(error)))
         log.write_some()
         return exitstatus.ADDRESS_IN_USE
     node.start()
     watching = asyncio.ensure_future(watch.run())
-    write_event('started', start=ports.incarnation, process=os.getpid())
+    write_event(
+        logevents.Started(start=ports.incarnation, process=os.getpid())
+    )
     await stopped.wait()
     await _stop(node, servers, write_event)
     await http.close()
@@ -148,7 +149,9 @@
     )
 
 
-def _make_guarded(handler: httpserver.Handler, write_event):
+def _make_guarded(
+    handler: httpserver.Handler, write_event: logevents.WriteEvent
+) -> httpserver.Handler:
     async def handle(request):
         try:
             return await handler(request)
@@ -157,7 +160,7 @@
         except Exception as error:
             # One request must not end the process; its cause is logged.
             logging.getLogger('pomelopass').exception('request-failed')
-            write_event('request-failed', detail=repr(error))
+            write_event(logevents.RequestFailed(detail=repr(error)))
             return ingress.make_refusal(500, 'The instance failed.')
 
     return handle
@@ -171,12 +174,12 @@
 async def _stop(
     node: nodes.Node,
     servers: list[httpserver.HttpServer],
-    write_event,
+    write_event: logevents.WriteEvent,
 ) -> None:
     loop = asyncio.get_running_loop()
     began = loop.time()
     limit = began + node.settings.stop_limit_s - STOP_MARGIN_MS / 1000
-    write_event('stopping', owned=len(node.keeper.task_by_id))
+    write_event(logevents.Stopping(owned=len(node.keeper.task_by_id)))
     node.begin_stop()
     servers[0].stop_keeping()
     while loop.time() < min(began + LINGER_MS / 1000, limit):
@@ -187,7 +190,7 @@
     for server in servers:
         await server.close()
     await node.end_stop()
-    write_event('stopped', in_flight=servers[0].in_flight)
+    write_event(logevents.Stopped(in_flight=servers[0].in_flight))
 
 
 if __name__ == '__main__':
--- a/pomelopass/entry/eventlog.py
+++ b/pomelopass/entry/eventlog.py
@@ -10,6 +10,7 @@
 import orjson
 
 from ..reporting import isotime
+from ..reporting import logevents
 
 __all__ = ['EventLog', 'make_write_event']
 
@@ -69,7 +70,8 @@
 
     def _take_lines(self) -> bytes:
         if self.dropped:
-            counted = {'event': 'lines-dropped', 'count': self.dropped}
+            told = logevents.LinesDropped(count=self.dropped)
+            counted = {'event': told.kind, **logevents.get_fields(told)}
             self.lines.append(orjson.dumps(counted) + b'\n')
             self.dropped = 0
         parts = []
@@ -91,11 +93,14 @@
     return log
 
 
-def make_write_event(logger: logging.Logger, **common):
+def make_write_event(
+    logger: logging.Logger, instance: str
+) -> logevents.WriteEvent:
     """Return a function that logs an event with its fields."""
 
-    def write_event(kind: str, **fields) -> None:
+    def write_event(event: logevents.Event) -> None:
         if logger.isEnabledFor(logging.INFO):
-            logger.info(kind, extra={'fields': {**common, **fields}})
+            fields = {'instance': instance, **logevents.get_fields(event)}
+            logger.info(event.kind, extra={'fields': fields})
 
     return write_event
--- a/pomelopass/entry/node.py
+++ b/pomelopass/entry/node.py
@@ -17,6 +17,7 @@
 from ..platform import ingress as ingresses
 from ..platform import names
 from ..registry import registry as registries
+from ..reporting import logevents
 from ..requests import call as calls
 from ..requests import forward
 from ..requests import stream as streams
@@ -48,7 +49,7 @@
     table: rows.RowTable
     endpoints: EnginePort
     rng: random.Random
-    write_event: abc.Callable[..., None]
+    write_event: logevents.WriteEvent
     get_lease_now: abc.Callable[[], float]
     incarnation: str
 
@@ -250,7 +251,9 @@
             except Exception as error:
                 # A duty that stops for good would go unnoticed.
                 self.write_event(
-                    'task-failed', task=run.__qualname__, detail=repr(error)
+                    logevents.TaskFailed(
+                        task=run.__qualname__, detail=repr(error)
+                    )
                 )
                 await asyncio.sleep(RESTART_PAUSE_MS / 1000)
 
--- a/pomelopass/entry/reload.py
+++ b/pomelopass/entry/reload.py
@@ -7,6 +7,7 @@
 from returns import result
 
 from ..configuring import problem
+from ..reporting import logevents
 from . import settings as entrysettings
 
 __all__ = ['SettingsWatch']
@@ -24,7 +25,7 @@
         self,
         path: str,
         take: abc.Callable[[entrysettings.EntrySettings], None],
-        write_event: abc.Callable[..., None],
+        write_event: logevents.WriteEvent,
     ):
         self.path = path
         self.take = take
@@ -37,10 +38,10 @@
         loaded = entrysettings.load_entry_settings(self.path)
         if isinstance(loaded, result.Failure):
             told = [problem.format_problem(one) for one in loaded.failure()]
-            self.write_event('settings-refused', problems=told)
+            self.write_event(logevents.SettingsRefused(problems=told))
             return
         self.take(loaded.unwrap())
-        self.write_event('settings-reloaded')
+        self.write_event(logevents.SettingsReloaded())
 
     async def run(self) -> None:
         """Read the file again whenever it changes without a signal."""
--- a/pomelopass/entry/tablewatch.py
+++ b/pomelopass/entry/tablewatch.py
@@ -1,7 +1,6 @@
 """Follow the tables and tell the parts of an instance what changed."""
 
 import asyncio
-from collections import abc
 import dataclasses
 import random
 
@@ -13,6 +12,7 @@
 from ..platform import feeds
 from ..registry import endpoint as endpoints
 from ..registry import registry as registries
+from ..reporting import logevents
 from ..requests import suspects as suspicions
 from ..table import follower as followers
 from ..table import rows
@@ -42,7 +42,7 @@
     keeper: keepers.Keeper
     versions: versionkeepers.VersionKeeper
     suspects: suspicions.Suspects
-    write_event: abc.Callable[..., None]
+    write_event: logevents.WriteEvent
 
 
 class TableWatch:
@@ -132,7 +132,7 @@
             return
         found = member.decode_member(row.value)
         if found is None:
-            listeners.write_event('member-unreadable', key=key)
+            listeners.write_event(logevents.MemberUnreadable(key=key))
             return
         listeners.view.put_member(found)
         if found.name != listeners.name:
--- a/pomelopass/entry/telemetry.py
+++ b/pomelopass/entry/telemetry.py
@@ -1,12 +1,12 @@
 """Count what an entry instance does, in Prometheus' format."""
 
 import asyncio
-from collections import abc
 
 import aioprometheus
 from aioprometheus import renderer
 
 from .. import message
+from ..reporting import logevents
 
 __all__ = ['Telemetry']
 
@@ -59,33 +59,29 @@
             'pomelopass_open', 'Things at work now, by kind.', **common
         )
 
-    def note(self, kind: str, fields: dict[str, object]) -> None:
+    def note(self, event: logevents.Event) -> None:
         """Count an event."""
-        labels = {'kind': kind}
+        labels = {'kind': event.kind}
         for name in OUTCOME_FIELDS:
-            value = fields.get(name)
+            value = getattr(event, name, None)
             if isinstance(value, str):
                 labels['outcome'] = value[:MAX_LABEL_LENGTH]
                 break
         self.events.inc(labels)
-        took_ms = fields.get('took_ms')
-        if not isinstance(took_ms, int | float):
-            return
-        outcome = {'outcome': labels.get('outcome', '')}
-        if kind == 'request-ended':
-            self.request_seconds.observe(outcome, took_ms / 1000)
-        elif kind == 'item-run':
-            self.run_seconds.observe(outcome, took_ms / 1000)
-            self.wait_seconds.observe({}, fields['waited_ms'] / 1000)
+        if isinstance(event, logevents.RequestEnded):
+            outcome = {'outcome': event.outcome}
+            self.request_seconds.observe(outcome, event.took_ms / 1000)
+        elif isinstance(event, logevents.ItemRun):
+            outcome = {'outcome': event.outcome}
+            self.run_seconds.observe(outcome, event.took_ms / 1000)
+            self.wait_seconds.observe({}, event.waited_ms / 1000)
 
-    def wrap(
-        self, write_event: abc.Callable[..., None]
-    ) -> abc.Callable[..., None]:
+    def wrap(self, write_event: logevents.WriteEvent) -> logevents.WriteEvent:
         """Return a function that counts and logs."""
 
-        def write(kind: str, **fields: object) -> None:
-            self.note(kind, fields)
-            write_event(kind, **fields)
+        def write(event: logevents.Event) -> None:
+            self.note(event)
+            write_event(event)
 
         return write
 
--- a/pomelopass/entry/view.py
+++ b/pomelopass/entry/view.py
@@ -5,6 +5,7 @@
 
 from ..fleet import member
 from ..registry import registry as registries
+from ..reporting import logevents
 from ..requests import routes
 
 __all__ = ['View']
@@ -17,7 +18,7 @@
         self,
         membership: member.Membership,
         registry: registries.Registry,
-        write_event: abc.Callable[..., None],
+        write_event: logevents.WriteEvent,
     ):
         self.membership = membership
         self.registry = registry
@@ -34,7 +35,7 @@
             return False
         self.configuration = found
         self.on_limits(found.limits)
-        self.write_event('configuration-in-force', version=found.version)
+        self.write_event(logevents.ConfigurationInForce(version=found.version))
         return True
 
     def put_member(self, found: member.Member) -> None:
@@ -43,7 +44,9 @@
         known = self.membership.member_by_name.get(found.name)
         if known is None or known.incarnation != found.incarnation:
             self.write_event(
-                'instance-found', instance=found.name, start=found.incarnation
+                logevents.InstanceFound(
+                    instance=found.name, start=found.incarnation
+                )
             )
         self.membership.put(found, now)
 
--- a/pomelopass/jobs/cleanup.py
+++ b/pomelopass/jobs/cleanup.py
@@ -6,6 +6,7 @@
 from ..core import rendezvous
 from ..fleet import member
 from . import job as jobs
+from ..reporting import logevents
 from . import rowcodec
 from ..table import rows
 
@@ -38,7 +39,7 @@
         get_records: abc.Callable[[], list[tuple[jobs.JobRecord, int]]],
         kept_ms: float,
         get_table_ms: abc.Callable[[], float],
-        write_event: abc.Callable[..., None],
+        write_event: logevents.WriteEvent,
     ):
         self.name = name
         self.table = table
@@ -62,7 +63,9 @@
                     await self._remove(record, version)
                 except rows.TableError as error:
                     self.write_event(
-                        'job-not-removed', job=record.id, detail=error.detail
+                        logevents.JobNotRemoved(
+                            job=record.id, detail=error.detail
+                        )
                     )
 
     def _is_mine(self, job_id: str) -> bool:
@@ -93,4 +96,6 @@
             )
             if isinstance(outcome, rows.Conflict):
                 return
-        self.write_event('job-removed', job=record.id, rows=len(names) + 1)
+        self.write_event(
+            logevents.JobRemoved(job=record.id, rows=len(names) + 1)
+        )
--- a/pomelopass/jobs/desk.py
+++ b/pomelopass/jobs/desk.py
@@ -8,6 +8,7 @@
 from . import job as jobs
 from . import jobtable
 from . import keeper as keepers
+from ..reporting import logevents
 from . import rowcodec
 from ..table import rows
 
@@ -44,7 +45,7 @@
         table: jobtable.JobTable,
         get_table_ms: abc.Callable[[], int],
         get_named_version: abc.Callable[[str], int],
-        write_event: abc.Callable[..., None],
+        write_event: logevents.WriteEvent,
     ):
         self.keeper = keeper
         self.table = table
@@ -77,13 +78,14 @@
             if settled.may_be_applied:
                 outcome = Acceptance.UNKNOWN
         self.write_event(
-            'job-submitted',
-            job=submission.id,
-            step=submission.step,
-            items=len(submission.items),
-            min_version=submission.min_version,
-            outcome=outcome.value,
-            owner=record.owner_name,
+            logevents.JobSubmitted(
+                job=submission.id,
+                step=submission.step,
+                total=len(submission.items),
+                min_version=submission.min_version,
+                outcome=outcome.value,
+                owner=record.owner_name,
+            )
         )
         return outcome
 
@@ -136,7 +138,7 @@
             if not settled.is_settled:
                 raise rows.TableError('the end is not settled', True)
             stored = settled.current
-            self.write_event('job-ended', job=job_id)
+            self.write_event(logevents.JobEnded(job=job_id))
         if stored.record is None:
             return False
         self.keeper.note(stored)
--- a/pomelopass/jobs/itemcontext.py
+++ b/pomelopass/jobs/itemcontext.py
@@ -6,6 +6,7 @@
 
 from . import job as jobs
 from . import progress as progresses
+from ..reporting import logevents
 from ..requests import call as calls
 from ..requests import forward
 from ..requests import routes
@@ -31,7 +32,7 @@
     get_configuration: abc.Callable[[], routes.Configuration | None]
     version_field: str
     rng: random.Random
-    write_event: abc.Callable[..., None]
+    write_event: logevents.WriteEvent
     left_by_group: dict[str, int]
 
 
--- a/pomelopass/jobs/itemrun.py
+++ b/pomelopass/jobs/itemrun.py
@@ -8,6 +8,7 @@
 from . import job as jobs
 from . import progress as progresses
 from ..registry import endpoint as endpoints
+from ..reporting import logevents
 from ..requests import call as calls
 from ..requests import routes
 from ..requests import suspects as suspicions
@@ -41,11 +42,12 @@
     except TimeoutError:
         run.terminated = True
     context.write_event(
-        'item-terminated',
-        job=context.submission.id,
-        id=item.id,
-        errors=run.errors,
-        breaks=run.breaks,
+        logevents.ItemTerminated(
+            job=context.submission.id,
+            id=item.id,
+            errors=run.errors,
+            breaks=run.breaks,
+        )
     )
     return jobs.Result(item.id, completed=False)
 
@@ -75,15 +77,16 @@
     finally:
         context.scheduler.release(state)
     context.write_event(
-        'item-run',
-        job=context.submission.id,
-        id=run.item.id,
-        endpoint=state.endpoint.id,
-        outcome=reason,
-        events=len(run.progress.texts),
-        versions=run.progress.versions,
-        waited_ms=round((began - wait_began) * 1000, 1),
-        took_ms=round((loop.time() - began) * 1000, 1),
+        logevents.ItemRun(
+            job=context.submission.id,
+            id=run.item.id,
+            endpoint=state.endpoint.id,
+            outcome=reason,
+            events=len(run.progress.texts),
+            versions=run.progress.versions,
+            waited_ms=round((began - wait_began) * 1000, 1),
+            took_ms=round((loop.time() - began) * 1000, 1),
+        )
     )
     if run.progress.whole or run.terminated:
         return
--- a/pomelopass/jobs/jobrun.py
+++ b/pomelopass/jobs/jobrun.py
@@ -9,6 +9,7 @@
 from . import job as jobs
 from . import jobtable
 from . import progress as progresses
+from ..reporting import logevents
 from . import rowcodec
 from ..table import rows
 
@@ -89,7 +90,13 @@
         settled = await self.table.write(
             record, self.stored.version, puts, loop.time() + 1.0
         )
-        self._tell('job-handed-over', applied=settled.applied, texts=len(puts))
+        self.context.write_event(
+            logevents.JobHandedOver(
+                job=self.context.submission.id,
+                applied=settled.applied,
+                texts=len(puts),
+            )
+        )
         if settled.is_settled:
             self.on_change(settled.current)
 
@@ -128,7 +135,11 @@
                 )
             except rows.TableError as error:
                 # The texts only spare work: the next time will do.
-                self._tell('texts-not-saved', detail=error.detail)
+                self.context.write_event(
+                    logevents.TextsNotSaved(
+                        job=self.context.submission.id, detail=error.detail
+                    )
+                )
 
     def _take_unsaved(self, min_events: int) -> list[tuple[rows.Key, bytes]]:
         puts = []
@@ -200,10 +211,12 @@
         self.finished = [
             one for one in self.finished if one.item_id not in self.listed
         ]
-        self._tell(
-            'results-listed',
-            first=current.record.listed - len(some),
-            items=[one.item_id for one in some],
+        self.context.write_event(
+            logevents.ResultsListed(
+                job=current.record.id,
+                first=current.record.listed - len(some),
+                items=[one.item_id for one in some],
+            )
         )
         self.on_change(current)
 
@@ -216,16 +229,15 @@
             and record.listed == own.listed
         )
         self.stored = current
-        self._tell('job-changed', still_ours=still_ours)
+        self.context.write_event(
+            logevents.JobChanged(
+                job=self.context.submission.id, still_ours=still_ours
+            )
+        )
         if record is not None:
             self.on_change(current)
         return still_ours and record.is_open
 
-    def _tell(self, event: str, **fields) -> None:
-        self.context.write_event(
-            event, job=self.context.submission.id, **fields
-        )
-
 
 def make_adopted(
     record: jobs.JobRecord, owner: str, owner_name: str
--- a/pomelopass/jobs/keeper.py
+++ b/pomelopass/jobs/keeper.py
@@ -12,6 +12,7 @@
 from . import jobrun
 from . import jobtable
 from . import progress as progresses
+from ..reporting import logevents
 from . import rowcodec
 from ..table import rows
 from . import textmemory
@@ -44,7 +45,7 @@
         table: jobtable.JobTable,
         membership: member.Membership,
         make_context: MakeContext,
-        write_event: abc.Callable[..., None],
+        write_event: logevents.WriteEvent,
     ):
         self.name = name
         self.incarnation = incarnation
@@ -70,7 +71,9 @@
         try:
             record = rowcodec.decode_record(row.value)
         except ValueError as error:
-            self.write_event('job-unreadable', job=job_id, detail=str(error))
+            self.write_event(
+                logevents.JobUnreadable(job=job_id, detail=str(error))
+            )
             return
         self.note(jobtable.StoredJob(record, row.version))
 
@@ -204,10 +207,11 @@
                     record, stored.version, [], loop.time() + 1.0
                 )
                 self.write_event(
-                    'job-adopted',
-                    job=job_id,
-                    applied=settled.applied,
-                    former=stored.record.owner,
+                    logevents.JobAdopted(
+                        job=job_id,
+                        applied=settled.applied,
+                        former=stored.record.owner,
+                    )
                 )
                 if not settled.is_settled:
                     return
@@ -222,7 +226,9 @@
             texts = await self.table.fetch_progress(job_id)
             self._start_run(stored, submission, listed, texts)
         except rows.TableError as error:
-            self.write_event('job-not-loaded', job=job_id, detail=error.detail)
+            self.write_event(
+                logevents.JobNotLoaded(job=job_id, detail=error.detail)
+            )
         finally:
             known.busy = False
 
@@ -257,12 +263,13 @@
         self.run_by_id[job_id] = run
         self.task_by_id[job_id] = task
         self.write_event(
-            'job-started',
-            job=job_id,
-            listed=len(listed),
-            texts=len(texts),
-            carried=len(carried),
-            total=stored.record.total,
+            logevents.JobStarted(
+                job=job_id,
+                listed=len(listed),
+                texts=len(texts),
+                carried=len(carried),
+                total=stored.record.total,
+            )
         )
 
         def forget(done: asyncio.Task) -> None:
@@ -275,4 +282,6 @@
 
     def _note_failure(self, done: asyncio.Task) -> None:
         if not done.cancelled() and done.exception() is not None:
-            self.write_event('task-failed', detail=repr(done.exception()))
+            self.write_event(
+                logevents.TaskFailed(task='job', detail=repr(done.exception()))
+            )
--- a/pomelopass/platform/feeds.py
+++ b/pomelopass/platform/feeds.py
@@ -8,6 +8,7 @@
 from . import endpointdecode
 from . import names
 from ..registry import endpoint
+from ..reporting import logevents
 from ..requests import routes
 from ..table import rows
 
@@ -20,7 +21,7 @@
 def make_operator_reader(
     put_configuration: abc.Callable[[routes.Configuration], object],
     name_version: abc.Callable[[str, int], None],
-    write_event: abc.Callable[..., None],
+    write_event: logevents.WriteEvent,
 ) -> abc.Callable[[rows.Row], None]:
     """Return a function that takes in rows of the operator."""
 
@@ -32,7 +33,9 @@
             found = configdecode.decode_configuration(row.value)
             configuration = found.value_or(None)
             if configuration is None:
-                write_event('configuration-unreadable', why=found.failure())
+                write_event(
+                    logevents.ConfigurationUnreadable(why=found.failure())
+                )
                 return
             put_configuration(configuration)
         elif key.startswith(names.VERSION_KEY_START):
@@ -40,7 +43,9 @@
                 named = orjson.loads(row.value)
                 name_version(str(named['model']), int(named['version']))
             except (KeyError, TypeError, ValueError) as error:
-                write_event('version-unreadable', key=key, why=str(error))
+                write_event(
+                    logevents.VersionUnreadable(key=key, why=str(error))
+                )
 
     return read
 
@@ -48,7 +53,7 @@
 def make_endpoint_reader(
     put: abc.Callable[[endpoint.Endpoint], None],
     remove: abc.Callable[[str], None],
-    write_event: abc.Callable[..., None],
+    write_event: logevents.WriteEvent,
 ) -> abc.Callable[[rows.Row], None]:
     """Return a function that takes in entries of endpoints."""
 
@@ -61,7 +66,9 @@
         if decoded is None:
             # A malformed entry names no endpoint to use.
             write_event(
-                'endpoint-unreadable', key=row.name.key, why=found.failure()
+                logevents.EndpointUnreadable(
+                    key=row.name.key, why=found.failure()
+                )
             )
             remove(row.name.key)
             return
--- a/pomelopass/platform/ingress.py
+++ b/pomelopass/platform/ingress.py
@@ -13,6 +13,7 @@
 from . import jobdecode
 from ..jobs import desk as desks
 from . import names
+from ..reporting import logevents
 from ..requests import call as calls
 from ..requests import forward
 from ..requests import outcome as outcomes
@@ -70,7 +71,7 @@
     get_members: abc.Callable[[], list[member.Member]]
     is_ready: abc.Callable[[], bool]
     directory_ttl_s: float
-    write_event: abc.Callable[..., None]
+    write_event: logevents.WriteEvent
 
     async def handle_readiness(
         self, request: message.Request
@@ -150,7 +151,9 @@
         found = jobdecode.decode_submission(job_id, host, request)
         submission = found.value_or(None)
         if submission is None:
-            self.write_event('job-refused', job=job_id, why=found.failure())
+            self.write_event(
+                logevents.JobRefused(job=job_id, why=found.failure())
+            )
             return make_refusal(400, found.failure())
         # The job is settled even if its trainer stops waiting.
         outcome = await asyncio.shield(
--- a/pomelopass/registry/registry.py
+++ b/pomelopass/registry/registry.py
@@ -1,8 +1,7 @@
 """Keep the endpoints that may get work, by id."""
 
-from collections import abc
-
 from . import endpoint as endpoints
+from ..reporting import logevents
 
 __all__ = ['Registry']
 
@@ -13,7 +12,7 @@
 class Registry:
     """Hold the state of each known endpoint."""
 
-    def __init__(self, write_event: abc.Callable[..., None]):
+    def __init__(self, write_event: logevents.WriteEvent):
         self.write_event = write_event
         self.state_by_id: dict[str, endpoints.EndpointState] = {}
         # Endpoints whose entries went away in or just after an outage.
@@ -90,10 +89,11 @@
 
     def _tell(self, found: endpoints.Endpoint, change: str) -> None:
         self.write_event(
-            'endpoint-changed',
-            endpoint=found.id,
-            service=found.service,
-            address=found.address,
-            change=change,
-            versions=found.version_by_model,
+            logevents.EndpointChanged(
+                endpoint=found.id,
+                service=found.service,
+                address=found.address,
+                change=change,
+                versions=found.version_by_model,
+            )
         )
--- a/pomelopass/requests/attempt.py
+++ b/pomelopass/requests/attempt.py
@@ -1,12 +1,12 @@
 """Send a request to one endpoint and judge its answer."""
 
 import asyncio
-from collections import abc
 import dataclasses
 
 from . import call as calls
 from . import outcome as outcomes
 from ..registry import endpoint as endpoints
+from ..reporting import logevents
 from . import suspects as suspicions
 
 __all__ = ['AttemptContext', 'judge_break', 'run_attempt']
@@ -20,7 +20,7 @@
 
     port: calls.EndpointPort
     suspects: suspicions.Suspects
-    write_event: abc.Callable[..., None]
+    write_event: logevents.WriteEvent
 
 
 async def run_attempt(
@@ -101,7 +101,8 @@
     now = asyncio.get_running_loop().time()
     context.suspects.note_crash(fingerprint, now)
     context.write_event(
-        'endpoint-crashed',
-        endpoint=state.endpoint.id,
-        fingerprint=fingerprint,
+        logevents.EndpointCrashed(
+            endpoint=state.endpoint.id,
+            fingerprint=fingerprint,
+        )
     )
--- a/pomelopass/requests/forward.py
+++ b/pomelopass/requests/forward.py
@@ -11,6 +11,7 @@
 from ..registry import choice
 from ..registry import endpoint as endpoints
 from ..registry import registry as registries
+from ..reporting import logevents
 from . import routes
 from . import suspects as suspicions
 
@@ -54,7 +55,7 @@
         port: calls.EndpointPort,
         availability_zone: str,
         rng: random.Random,
-        write_event: abc.Callable[..., None],
+        write_event: logevents.WriteEvent,
         suspects: suspicions.Suspects,
     ):
         self.suspects = suspects
@@ -227,14 +228,15 @@
     ) -> None:
         took_ms = (asyncio.get_running_loop().time() - began) * 1000
         self.write_event(
-            'request-ended',
-            id=progress.call.id,
-            route=progress.route.name,
-            outcome=outcome.kind.value,
-            status=outcome.status,
-            reason=outcome.reason,
-            endpoints=sorted(progress.tried),
-            refused_by=sorted(progress.refused_by),
-            may_have_run=progress.may_have_run,
-            took_ms=round(took_ms, 1),
+            logevents.RequestEnded(
+                id=progress.call.id,
+                route=progress.route.name,
+                outcome=outcome.kind.value,
+                status=outcome.status,
+                reason=outcome.reason,
+                endpoints=sorted(progress.tried),
+                refused_by=sorted(progress.refused_by),
+                may_have_run=progress.may_have_run,
+                took_ms=round(took_ms, 1),
+            )
         )
--- a/pomelopass/requests/stream.py
+++ b/pomelopass/requests/stream.py
@@ -13,6 +13,7 @@
 from . import outcome as outcomes
 from ..registry import choice
 from ..registry import endpoint as endpoints
+from ..reporting import logevents
 from . import routes
 from . import suspects as suspicions
 
@@ -30,6 +31,7 @@
     give_up_at: float
     fingerprint: str
     began_at: float
+    status: int = 0
     may_have_run: int = 0
     avoid: set[str] = dataclasses.field(default_factory=set)
     refused: set[str] = dataclasses.field(default_factory=set)
@@ -124,6 +126,7 @@
         if not answer.not_run:
             stream.may_have_run += 1
             stream.tried.add(state.endpoint.id)
+            stream.status = answer.status
             return answer
         await answer.reply.close()
         stream.reason = 'endpoint-refused'
@@ -218,16 +221,18 @@
     def _tell(self, stream: _Stream, outcome: str) -> None:
         now = asyncio.get_running_loop().time()
         self.forwarder.write_event(
-            'request-ended',
-            id=stream.call.id,
-            route=stream.route.name,
-            outcome=outcome,
-            reason=stream.reason,
-            endpoints=sorted(stream.tried),
-            refused_by=sorted(stream.refused_by),
-            may_have_run=stream.may_have_run,
-            last_event_id=stream.last_event_id,
-            took_ms=round((now - stream.began_at) * 1000, 1),
+            logevents.RequestEnded(
+                id=stream.call.id,
+                route=stream.route.name,
+                outcome=outcome,
+                status=stream.status,
+                reason=stream.reason,
+                endpoints=sorted(stream.tried),
+                refused_by=sorted(stream.refused_by),
+                may_have_run=stream.may_have_run,
+                last_event_id=stream.last_event_id,
+                took_ms=round((now - stream.began_at) * 1000, 1),
+            )
         )
 
 
--- a/pomelopass/table/fallback.py
+++ b/pomelopass/table/fallback.py
@@ -4,6 +4,7 @@
 from collections import abc
 from typing import Any
 
+from ..reporting import logevents
 from . import rows
 
 __all__ = ['FallbackTable']
@@ -23,7 +24,7 @@
         self,
         direct: rows.RowTable,
         relayed: rows.RowTable,
-        write_event: abc.Callable[..., None],
+        write_event: logevents.WriteEvent,
     ):
         self.direct = direct
         self.relayed = relayed
@@ -98,10 +99,10 @@
 
     def _note_success(self) -> None:
         if not self.is_direct():
-            self.write_event('table-regained')
+            self.write_event(logevents.TableRegained())
         self.failures_in_row = 0
 
     def _note_failure(self, error: rows.TableError) -> None:
         self.failures_in_row += 1
         if self.failures_in_row == FAILURES_TO_FALL_BACK:
-            self.write_event('table-lost', detail=error.detail)
+            self.write_event(logevents.TableLost(detail=error.detail))
--- a/pomelopass/versions/keeper.py
+++ b/pomelopass/versions/keeper.py
@@ -12,6 +12,7 @@
 from . import orders
 from ..registry import endpoint as endpoints
 from ..registry import registry as registries
+from ..reporting import logevents
 from ..table import rows
 
 __all__ = ['OrderPort', 'VersionKeeper']
@@ -63,7 +64,7 @@
         takeover_wait_ms: float,
         needs_single_version: abc.Callable[[str], bool],
         get_demand: abc.Callable[[], dict[str, assignment.Demand]],
-        write_event: abc.Callable[..., None],
+        write_event: logevents.WriteEvent,
         get_lease_now: abc.Callable[[], float],
     ):
         self.name = name
@@ -89,7 +90,9 @@
         """Take in the version that a trainer named."""
         if version > self.version_by_model.get(model, 0):
             self.version_by_model[model] = version
-            self.write_event('version-named', model=model, version=version)
+            self.write_event(
+                logevents.VersionNamed(model=model, version=version)
+            )
 
     def note_leader(self, row: rows.Row) -> None:
         """Take in a change of who orders."""
@@ -109,9 +112,10 @@
                     await self._check(service)
                 except rows.TableError as error:
                     self.write_event(
-                        'duty-unconfirmed',
-                        service=service,
-                        detail=error.detail,
+                        logevents.DutyUnconfirmed(
+                            service=service,
+                            detail=error.detail,
+                        )
                     )
 
     def _get_leadership(self, service: str) -> leader.Leadership:
@@ -174,7 +178,7 @@
             self.table, leadership, self.incarnation, self.name, asked_at
         )
         if not held:
-            self.write_event('duty-lost', service=service)
+            self.write_event(logevents.DutyLost(service=service))
             return False
         self.confirmed_at = asked_at
         waited_ms = (asked_at - leadership.held_since) * 1000
@@ -200,12 +204,13 @@
         order = self._make_order(service, move, report)
         outcome = await self.port.order_version(target, order)
         self.write_event(
-            'engine-ordered',
-            endpoint=target.id,
-            model=model,
-            version=version,
-            fence=order.fence,
-            outcome=outcome.value,
+            logevents.EngineOrdered(
+                endpoint=target.id,
+                model=model,
+                version=version,
+                fence=order.fence,
+                outcome=outcome.value,
+            )
         )
         if outcome in (
             orders.OrderOutcome.ACCEPTED,
--- a/scripts/write_reference.py
+++ b/scripts/write_reference.py
@@ -10,9 +10,15 @@
 from pomelopass.core import refusal
 from pomelopass.entry import settings as entrysettings
 from pomelopass import kind
+from pomelopass.reporting import logevents
 from pomelopass.running import settings
 
-__all__ = ['main', 'make_api_part', 'make_configuration_part']
+__all__ = [
+    'main',
+    'make_api_part',
+    'make_configuration_part',
+    'make_events_part',
+]
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 BEGIN = '<!-- generated: begin -->'
@@ -20,9 +26,10 @@
 
 
 def main() -> int:
-    """Write both parts between their marks."""
+    """Write all parts between their marks."""
     write(ROOT / 'docs' / 'CONFIGURATION.md', make_configuration_part())
     write(ROOT / 'docs' / 'API.md', make_api_part())
+    write(ROOT / 'docs' / 'EVENTS.md', make_events_part())
     return 0
 
 
@@ -55,6 +62,19 @@
     return '\n'.join(lines) + '\n'
 
 
+def make_events_part() -> str:
+    """Return the table of events and that of their fields."""
+    lines = ['| event | tells | fields |', '| --- | --- | --- |']
+    for event in logevents.get_all_events():
+        told = ' '.join((event.__doc__ or '').split())
+        fields = ', '.join(f'`{name}`' for name in event.__slots__)
+        lines.append(f'| `{event.kind}` | {told} | {fields or "-"} |')
+    lines += ['', '| field | meaning |', '| --- | --- |']
+    for name, meaning in logevents.FIELD_MEANINGS.items():
+        lines.append(f'| `{name}` | {meaning} |')
+    return '\n'.join(lines) + '\n'
+
+
 def _make_table(title: str, model: type[pydantic.BaseModel]) -> str:
     lines = [
         f'### {title}',
--- a/standins/entries.py
+++ b/standins/entries.py
@@ -10,6 +10,7 @@
 from pomelopass.entry import settings as entrysettings
 from pomelopass.jobs import desk as desks
 from pomelopass.jobs import job as jobs
+from pomelopass.reporting import logevents
 from pomelopass.table import rows
 from standins import modelengines
 from standins import rowtable
@@ -58,8 +59,12 @@
             table=client,
             endpoints=self.pool,
             rng=self.rng,
-            write_event=lambda kind, **fields: events.append(
-                {'event': kind, 'at': loop.time(), **fields}
+            write_event=lambda event: events.append(
+                {
+                    'event': event.kind,
+                    'at': loop.time(),
+                    **logevents.get_fields(event),
+                }
             ),
             get_lease_now=loop.time,
             incarnation=f'{name}-{self.starts}',
--- a/tests/entry/test_eventlog.py
+++ b/tests/entry/test_eventlog.py
@@ -5,6 +5,7 @@
 import os
 
 from pomelopass.entry import eventlog
+from pomelopass.reporting import logevents
 
 
 def test_a_reader_that_never_reads_costs_lines_and_no_time():
@@ -13,9 +14,9 @@
     log = eventlog.EventLog(writing)
     logger = logging.Logger('test')
     logger.addHandler(log)
-    write_event = eventlog.make_write_event(logger, instance='a')
+    write_event = eventlog.make_write_event(logger, 'a')
     for number in range(3 * eventlog.MAX_LINES):
-        write_event('request-ended', id=str(number))
+        write_event(logevents.JobEnded(job=str(number)))
         if number % 100 == 0:
             log.write_some()
     assert len(log.lines) <= eventlog.MAX_LINES
@@ -30,7 +31,7 @@
     os.close(reading)
     lines = [json.loads(line) for line in text.splitlines()]
     told = [one for one in lines if one['event'] == 'lines-dropped']
-    ids = [one['id'] for one in lines if one['event'] == 'request-ended']
+    ids = [one['job'] for one in lines if one['event'] == 'job-ended']
     assert len(ids) + sum(one['count'] for one in told) == (
         3 * eventlog.MAX_LINES
     )
@@ -41,7 +42,8 @@
     log = eventlog.EventLog(1)
     logger = logging.Logger('test')
     logger.addHandler(log)
-    eventlog.make_write_event(logger, instance='a')('started', start='a-1')
+    write_event = eventlog.make_write_event(logger, 'a')
+    write_event(logevents.Started(start='a-1', process=7))
     line = json.loads(log.lines[0])
     assert line['event'] == 'started'
     assert line['instance'] == 'a'
--- a/tests/jobs/test_schedule.py
+++ b/tests/jobs/test_schedule.py
@@ -12,7 +12,7 @@
 
 
 def make_registry(engines: int, slots: int) -> registries.Registry:
-    registry = registries.Registry(lambda *kind, **fields: None)
+    registry = registries.Registry(lambda event: None)
     for number in range(engines):
         registry.put(
             endpoint.Endpoint(
--- a/tests/requests/test_forward.py
+++ b/tests/requests/test_forward.py
@@ -77,7 +77,7 @@
     """Return outcome, endpoints asked and seconds taken."""
 
     async def scenario():
-        registry = registries.Registry(lambda *kind, **fields: None)
+        registry = registries.Registry(lambda event: None)
         for number, name in enumerate(script):
             registry.put(
                 endpoints.Endpoint(
@@ -97,7 +97,7 @@
             port,
             'north',
             random.Random(1),
-            lambda *k, **f: None,
+            lambda event: None,
             suspects.Suspects(),
         )
         loop = asyncio.get_running_loop()
--- a/tests/requests/test_stream.py
+++ b/tests/requests/test_stream.py
@@ -22,7 +22,7 @@
 def make_streams(seed, break_share, engines=3):
     rng = random.Random(seed)
     pool = modelengines.EndpointPool(rowtable.RowService(), rng)
-    registry = registries.Registry(lambda *kind, **fields: None)
+    registry = registries.Registry(lambda event: None)
     for number in range(engines):
         one = modelengines.FakeEndpoint(
             f'e{number}',
@@ -48,7 +48,7 @@
         pool,
         'north',
         rng,
-        lambda *k, **f: None,
+        lambda event: None,
         suspects.Suspects(),
     )
     return pool, streams.StreamForwarder(forwarder, 'weight-versions')
@@ -132,9 +132,7 @@
 
 def tell_events(forwarder):
     told = []
-    forwarder.forwarder.write_event = lambda kind, **fields: told.append(
-        (kind, fields)
-    )
+    forwarder.forwarder.write_event = told.append
     return told
 
 
@@ -155,10 +153,11 @@
         for one in pool.endpoint_by_id.values():
             one.running = one.slots
         await forwarder.open_stream(make_call(), make_route(False))
-        outcomes_told = [fields['outcome'] for _, fields in told]
+        outcomes_told = [event.outcome for event in told]
         assert outcomes_told == ['answered', 'caller-left', 'not-run']
-        assert told[-1][1]['refused_by'] == ['e0', 'e1', 'e2']
-        assert told[0][1]['last_event_id'] is not None
+        assert told[-1].refused_by == ['e0', 'e1', 'e2']
+        assert told[0].last_event_id is not None
+        assert [event.status for event in told] == [200, 200, 0]
 
     virtualloop.run(scenario())
 
@@ -187,6 +186,6 @@
             )
         ran = sum(len(one.ran) for one in pool.endpoint_by_id.values())
         assert ran == suspects.CRASHES_TO_STOP
-        assert told[-1][1]['reason'] == 'crashes-endpoints'
+        assert told[-1].reason == 'crashes-endpoints'
 
     virtualloop.run(scenario())
--- a/tests/table/test_fallback.py
+++ b/tests/table/test_fallback.py
@@ -21,7 +21,7 @@
     relayed = rowtable.RowClient(service, rng)
     events = []
     table = fallback.FallbackTable(
-        direct, relayed, lambda kind, **fields: events.append(kind)
+        direct, relayed, lambda event: events.append(event.kind)
     )
     return table, direct, relayed, events
 
--- a/tests/test_reference.py
+++ b/tests/test_reference.py
@@ -1,5 +1,6 @@
 """Check that the reference in the documentation is up to date."""
 
+from pomelopass.reporting import logevents
 from scripts import write_reference
 
 
@@ -16,3 +17,22 @@
 
 def test_refusal_codes_are_up_to_date():
     assert write_reference.make_api_part() in read('API.md')
+
+
+def test_events_are_up_to_date():
+    assert write_reference.make_events_part() in read('EVENTS.md')
+
+
+def test_each_field_of_an_event_has_a_meaning_and_none_is_left_over():
+    used = {
+        name
+        for event in logevents.get_all_events()
+        for name in event.__slots__
+    }
+    assert used == set(logevents.FIELD_MEANINGS)
+
+
+def test_events_have_different_kinds():
+    kinds = [event.kind for event in logevents.get_all_events()]
+    assert 'request-ended' in kinds
+    assert len(kinds) == len(set(kinds))
