Let streams and plain requests share one state

Cause: waiting for full endpoints, refusals, giving up and the closing line stood in forward.py and in stream.py, and had drifted: a stream that may be resumed passed an engine's 500 on at once, kept a silent engine for 2.5 s though its caller leaves after 2 s, held a stream's opening past its route's timeout, and would have joined another engine's error with the events already sent. Ruled out: one loop for both; a stream has one attempt at a time and goes on after its head. Change: requests/callstate.py holds the state and its decisions, both loops use it; the stand-in ends a read after the wait its caller set. Measured: four new tests failed before and pass now (error of an engine, error passed on when no more may run, silent engine, joined error); three new mutants caught.

--- a/pomelopass/requests/forward.py
+++ b/pomelopass/requests/forward.py
@@ -7,8 +7,8 @@
 
 from . import attempt as attempts
 from . import call as calls
+from . import callstate
 from . import outcome as outcomes
-from ..registry import choice
 from ..registry import endpoint as endpoints
 from ..registry import registry as registries
 from ..reporting import logevents
@@ -20,32 +20,10 @@
 # Part of the aim after which a second endpoint is asked as well.
 HEDGE_SHARE = 0.45
 MIN_HEDGE_MS = 60.0
-# Pause after all endpoints refused, so that their queues can move.
-FULL_PAUSE_MS = 25.0
-# Part of the time left that a request waits while all endpoints refuse.
-FULL_WAIT_SHARE = 0.6
-NO_ENDPOINT_RETRY_MS = 500.0
 # Time kept back for the answer to reach the caller before it gives up.
 ANSWER_MARGIN_MS = 25.0
 
 
-@dataclasses.dataclass(slots=True)
-class _Progress:
-    call: calls.Call
-    route: routes.Route
-    service: str
-    give_up_at: float
-    fingerprint: str
-    may_have_run: int = 0
-    errors: int = 0
-    tried: set[str] = dataclasses.field(default_factory=set)
-    refused: set[str] = dataclasses.field(default_factory=set)
-    # All that refused it, also before the last pause.
-    refused_by: set[str] = dataclasses.field(default_factory=set)
-    last: outcomes.Outcome | None = None
-    reason: str = ''
-
-
 class Forwarder:
     """Send requests to the endpoints of their route's service."""
 
@@ -70,173 +48,112 @@
         self, call: calls.Call, route: routes.Route
     ) -> outcomes.Outcome:
         """Return the answer to a request that is not streamed."""
-        now = asyncio.get_running_loop().time()
-        limit = now + route.timeout_ms / 1000
-        if call.deadline_at is not None:
-            limit = min(limit, call.deadline_at)
-        call = dataclasses.replace(call, deadline_at=limit)
-        service = routes.choose_service(route, self.rng)
-        give_up_at = limit - ANSWER_MARGIN_MS / 1000
-        fingerprint = suspicions.get_fingerprint(call)
-        progress = _Progress(call, route, service, give_up_at, fingerprint)
-        outcome = await self._run(progress)
-        self._tell(progress, outcome, now)
+        limit = routes.get_time_limit(route, call.deadline_at)
+        state = callstate.begin(
+            call, route, limit, ANSWER_MARGIN_MS / 1000, self.rng
+        )
+        outcome = await self._run(state)
+        self.write_event(
+            callstate.make_event(state, outcome.kind.value, outcome.status)
+        )
         return outcome
 
-    async def _run(self, progress: _Progress) -> outcomes.Outcome:
-        now = asyncio.get_running_loop().time()
-        full_until = now + (progress.give_up_at - now) * FULL_WAIT_SHARE
-        idempotent = progress.route.repeat is routes.Repeat.IDEMPOTENT
+    async def _run(self, state: callstate.CallState) -> outcomes.Outcome:
+        full_until = callstate.get_full_until(state)
         tasks: set[asyncio.Task] = set()
         try:
             while True:
                 now = asyncio.get_running_loop().time()
-                if now >= progress.give_up_at:
-                    return self._give_up(progress, bool(tasks))
-                if self.suspects.is_stopped(progress.fingerprint, now):
-                    progress.reason = 'crashes-endpoints'
-                    return self._give_up(progress, False)
+                if now >= state.give_up_at:
+                    return callstate.give_up(state, bool(tasks))
+                if self.suspects.is_stopped(state.fingerprint, now):
+                    state.reason = 'crashes-endpoints'
+                    return callstate.give_up(state)
                 if not tasks:
-                    state = self._choose(progress)
-                    if state is None and progress.refused:
-                        if now >= full_until:
-                            return self._give_up(progress, False)
-                        progress.refused.clear()
-                        await asyncio.sleep(FULL_PAUSE_MS / 1000)
+                    chosen = self._choose(state)
+                    if chosen is not None:
+                        tasks.add(self._start(state, chosen))
+                    elif await callstate.wait_for_room(state, full_until):
                         continue
-                    if state is None:
-                        return self._give_up(progress, False)
-                    tasks.add(self._start(progress, state))
-                wait_s = self._get_wait_s(progress, tasks, idempotent, now)
-                done, _ = await asyncio.wait(
-                    tasks,
-                    timeout=wait_s,
-                    return_when=asyncio.FIRST_COMPLETED,
-                )
+                    else:
+                        return callstate.give_up(state)
+                done = await self._wait(state, tasks, now)
                 tasks -= done
-                outcome = self._take(progress, done)
+                outcome = self._take(state, done)
                 if outcome is not None:
                     return outcome
-                if not done and len(tasks) == 1 and idempotent:
-                    self._hedge(progress, tasks)
-                if not tasks and not self._may_go_on(progress, idempotent):
-                    return self._give_up(progress, False)
+                if not done:
+                    self._hedge(state, tasks)
+                if not tasks and not callstate.may_try(state):
+                    return callstate.give_up(state)
         finally:
             for task in tasks:
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
 
-    def _get_wait_s(
-        self,
-        progress: _Progress,
-        tasks: set[asyncio.Task],
-        idempotent: bool,
-        now: float,
-    ) -> float:
-        left = progress.give_up_at - now
-        if not idempotent or len(tasks) > 1:
-            return left
-        hedge_ms = max(progress.route.aim_ms * HEDGE_SHARE, MIN_HEDGE_MS)
-        return min(left, hedge_ms / 1000)
+    async def _wait(
+        self, state: callstate.CallState, tasks: set[asyncio.Task], now: float
+    ) -> set[asyncio.Task]:
+        wait_s = state.give_up_at - now
+        if routes.may_repeat(state.route) and len(tasks) == 1:
+            hedge_ms = max(state.route.aim_ms * HEDGE_SHARE, MIN_HEDGE_MS)
+            wait_s = min(wait_s, hedge_ms / 1000)
+        done, _ = await asyncio.wait(
+            tasks, timeout=wait_s, return_when=asyncio.FIRST_COMPLETED
+        )
+        return done
 
-    def _hedge(self, progress: _Progress, tasks: set[asyncio.Task]) -> None:
-        sent = progress.may_have_run + len(tasks)
-        if sent >= progress.route.max_attempts:
+    def _hedge(
+        self, state: callstate.CallState, tasks: set[asyncio.Task]
+    ) -> None:
+        if len(tasks) > 1 or not routes.may_repeat(state.route):
             return
-        state = self._choose(progress)
-        if state is not None and state.endpoint.id not in progress.tried:
-            tasks.add(self._start(progress, state))
+        if state.may_have_run + len(tasks) >= state.route.max_attempts:
+            return
+        chosen = self._choose(state)
+        if chosen is not None and chosen.endpoint.id not in state.tried:
+            tasks.add(self._start(state, chosen))
 
-    def _may_go_on(self, progress: _Progress, idempotent: bool) -> bool:
-        if not idempotent:
-            return progress.may_have_run == 0
-        return progress.may_have_run < progress.route.max_attempts
-
-    def _choose(self, progress: _Progress) -> endpoints.EndpointState | None:
-        now = asyncio.get_running_loop().time()
-        states = self.registry.get_by_service(progress.service)
-        fresh = progress.tried | progress.refused
-        found = choice.choose_for_call(
-            states, fresh, self.availability_zone, now
-        )
-        if found is None and not progress.refused:
-            # Each endpoint failed once; another try is still allowed.
-            found = choice.choose_for_call(
-                states, (), self.availability_zone, now
-            )
-        return found
+    def _choose(
+        self, state: callstate.CallState
+    ) -> endpoints.EndpointState | None:
+        return callstate.choose(state, self.registry, self.availability_zone)
 
     def _start(
-        self, progress: _Progress, state: endpoints.EndpointState
+        self, state: callstate.CallState, chosen: endpoints.EndpointState
     ) -> asyncio.Task:
-        progress.tried.add(state.endpoint.id)
+        state.tried.add(chosen.endpoint.id)
         # A kept connection may just be closing; what must not run twice
         # does not take that chance.
-        fresh = progress.route.repeat is not routes.Repeat.IDEMPOTENT
+        fresh = not routes.may_repeat(state.route)
         return asyncio.ensure_future(
             attempts.run_attempt(
                 self.attempts,
-                state,
-                progress.call,
-                progress.give_up_at,
+                chosen,
+                state.call,
+                state.give_up_at,
                 fresh,
-                progress.fingerprint,
+                state.fingerprint,
             )
         )
 
     def _take(
-        self, progress: _Progress, done: abc.Iterable[asyncio.Task]
+        self, state: callstate.CallState, done: abc.Iterable[asyncio.Task]
     ) -> outcomes.Outcome | None:
         for task in done:
             attempt = task.result()
-            progress.reason = attempt.reason or progress.reason
+            state.reason = attempt.reason or state.reason
             if attempt.not_run:
-                progress.tried.discard(attempt.endpoint_id)
-                progress.refused.add(attempt.endpoint_id)
-                progress.refused_by.add(attempt.endpoint_id)
+                callstate.note_refusal(state, attempt.endpoint_id)
                 continue
-            progress.may_have_run += 1
+            state.may_have_run += 1
             if attempt.outcome is None:
                 continue
             if attempt.outcome.status < 500:
-                self.suspects.note_answered(progress.fingerprint)
+                self.suspects.note_answered(state.fingerprint)
                 return dataclasses.replace(
-                    attempt.outcome, errors=progress.errors
+                    attempt.outcome, errors=state.errors
                 )
-            progress.errors += 1
-            progress.last = attempt.outcome
+            state.errors += 1
+            state.last = attempt.outcome
         return None
-
-    def _give_up(self, progress: _Progress, pending: bool) -> outcomes.Outcome:
-        if progress.last is not None:
-            return dataclasses.replace(progress.last, errors=progress.errors)
-        timed_out = progress.reason == 'timeout' and progress.may_have_run
-        if pending or timed_out:
-            return outcomes.Outcome(outcomes.OutcomeKind.TIMED_OUT, 'timeout')
-        if progress.may_have_run:
-            return outcomes.Outcome(
-                outcomes.OutcomeKind.MAY_HAVE_RUN, progress.reason
-            )
-        return outcomes.Outcome(
-            outcomes.OutcomeKind.NOT_RUN,
-            progress.reason or 'no-endpoint',
-            retry_after_ms=NO_ENDPOINT_RETRY_MS,
-        )
-
-    def _tell(
-        self, progress: _Progress, outcome: outcomes.Outcome, began: float
-    ) -> None:
-        took_ms = (asyncio.get_running_loop().time() - began) * 1000
-        self.write_event(
-            logevents.RequestEnded(
-                id=progress.call.id,
-                route=progress.route.name,
-                outcome=outcome.kind.value,
-                status=outcome.status,
-                reason=outcome.reason,
-                endpoints=sorted(progress.tried),
-                refused_by=sorted(progress.refused_by),
-                may_have_run=progress.may_have_run,
-                took_ms=round(took_ms, 1),
-            )
-        )
--- a/pomelopass/requests/routes.py
+++ b/pomelopass/requests/routes.py
@@ -1,10 +1,20 @@
 """Describe the configuration in force and find the route of a request."""
 
+import asyncio
 import dataclasses
 import enum
 import random
 
-__all__ = ['Configuration', 'Repeat', 'Route', 'ServiceTarget', 'find_route']
+__all__ = [
+    'Configuration',
+    'Repeat',
+    'Route',
+    'ServiceTarget',
+    'choose_service',
+    'find_route',
+    'get_time_limit',
+    'may_repeat',
+]
 
 
 class Repeat(enum.Enum):
@@ -80,6 +90,20 @@
     return None
 
 
+def may_repeat(route: Route) -> bool:
+    """Say whether a request of the route may run more than once."""
+    return route.repeat is Repeat.IDEMPOTENT or route.resumable
+
+
+def get_time_limit(route: Route, deadline_at: float | None) -> float:
+    """Return until when a request may wait for its answer.
+
+    Both times are on the clock of the event loop, in seconds.
+    """
+    limit = asyncio.get_running_loop().time() + route.timeout_ms / 1000
+    return limit if deadline_at is None else min(limit, deadline_at)
+
+
 def choose_service(route: Route, rng: random.Random) -> str:
     """Return a service of the route by weight."""
     if len(route.shares) == 1:
--- a/pomelopass/requests/stream.py
+++ b/pomelopass/requests/stream.py
@@ -8,37 +8,37 @@
 from .. import message
 from . import attempt as attempts
 from . import call as calls
+from . import callstate
 from . import forward
 from ..jobs import events
 from . import outcome as outcomes
-from ..registry import choice
 from ..registry import endpoint as endpoints
-from ..reporting import logevents
 from . import routes
-from . import suspects as suspicions
 
 __all__ = ['StreamForwarder']
 
-STALL_MS = 2500.0
+# Callers leave after a pause of this length, or of so many aims.
+CALLER_PAUSE_MS = 2000.0
+CALLER_PAUSE_AIMS = 4
+# A stream that may go on elsewhere leaves a silent endpoint before that.
+RESUME_SHARE = 0.8
+# Any other is broken off only after its caller must have left.
+BREAK_SHARE = 1.25
 EVENT_END = b'\n\n'
 
 
 @dataclasses.dataclass(slots=True)
 class _Stream:
-    call: calls.Call
-    route: routes.Route
-    service: str
-    give_up_at: float
-    fingerprint: str
-    began_at: float
+    state: callstate.CallState
+    stall_ms: float
     status: int = 0
-    may_have_run: int = 0
-    avoid: set[str] = dataclasses.field(default_factory=set)
-    refused: set[str] = dataclasses.field(default_factory=set)
-    refused_by: set[str] = dataclasses.field(default_factory=set)
-    tried: set[str] = dataclasses.field(default_factory=set)
     last_event_id: str | None = None
-    reason: str = ''
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Opened:
+    answer: calls.Answer
+    chosen: endpoints.EndpointState
 
 
 class StreamForwarder:
@@ -52,155 +52,167 @@
         self, call: calls.Call, route: routes.Route
     ) -> outcomes.Outcome | message.Reply:
         """Return the reply whose events are still to come, or a failure."""
-        now = asyncio.get_running_loop().time()
-        limit = call.deadline_at or now + route.timeout_ms / 1000
+        open_until = routes.get_time_limit(route, call.deadline_at)
         stream = _Stream(
-            dataclasses.replace(call, deadline_at=limit),
-            route,
-            routes.choose_service(route, self.forwarder.rng),
-            limit,
-            suspicions.get_fingerprint(call),
-            now,
+            callstate.begin(
+                call,
+                route,
+                call.deadline_at or open_until,
+                0.0,
+                self.forwarder.rng,
+            ),
+            _get_stall_ms(route),
+            last_event_id=call.last_event_id,
         )
-        opened = await self._open(stream)
+        opened = await self._open(stream, open_until)
         if isinstance(opened, outcomes.Outcome):
-            self._tell(stream, opened.kind.value)
+            self._tell(stream, opened.kind.value, opened.status)
             return opened
-        answer, state = opened
-        chunks = self._pass_on(stream, answer, state)
-        return message.Reply(answer.status, answer.headers, chunks=chunks)
+        stream.status = opened.answer.status
+        chunks = self._pass_on(stream, opened)
+        return message.Reply(
+            opened.answer.status, opened.answer.headers, chunks=chunks
+        )
 
     async def _open(
-        self, stream: _Stream
-    ) -> outcomes.Outcome | tuple[calls.Answer, endpoints.EndpointState]:
+        self, stream: _Stream, open_until: float
+    ) -> outcomes.Outcome | _Opened:
+        state = stream.state
         loop = asyncio.get_running_loop()
-        left = stream.give_up_at - loop.time()
-        full_until = loop.time() + left * forward.FULL_WAIT_SHARE
-        while loop.time() < stream.give_up_at:
-            suspects = self.forwarder.suspects
-            if suspects.is_stopped(stream.fingerprint, loop.time()):
-                stream.reason = 'crashes-endpoints'
+        full_until = callstate.get_full_until(state)
+        while loop.time() < open_until and callstate.may_try(state):
+            if self.forwarder.suspects.is_stopped(
+                state.fingerprint, loop.time()
+            ):
+                state.reason = 'crashes-endpoints'
                 break
-            state = self._choose(stream)
-            if state is None:
-                if not stream.refused or loop.time() >= full_until:
-                    break
-                stream.refused.clear()
-                await asyncio.sleep(forward.FULL_PAUSE_MS / 1000)
-                continue
-            answer = await self._try_endpoint(stream, state)
-            if answer is not None:
-                return answer, state
-            if stream.may_have_run and not self._may_repeat(stream):
+            chosen = callstate.choose(
+                state,
+                self.forwarder.registry,
+                self.forwarder.availability_zone,
+            )
+            if chosen is None:
+                if await callstate.wait_for_room(state, full_until):
+                    continue
                 break
-        return _make_failure(stream)
-
-    def _choose(self, stream: _Stream) -> endpoints.EndpointState | None:
-        return choice.choose_for_call(
-            self.forwarder.registry.get_by_service(stream.service),
-            stream.avoid | stream.refused,
-            self.forwarder.availability_zone,
-            asyncio.get_running_loop().time(),
-        )
+            answer = await self._try_endpoint(stream, chosen)
+            if answer is not None:
+                return _Opened(answer, chosen)
+        return callstate.give_up(state)
 
     async def _try_endpoint(
-        self, stream: _Stream, state: endpoints.EndpointState
+        self, stream: _Stream, chosen: endpoints.EndpointState
     ) -> calls.Answer | None:
-        left = stream.give_up_at - asyncio.get_running_loop().time()
+        state = stream.state
+        left_s = state.give_up_at - asyncio.get_running_loop().time()
         call = dataclasses.replace(
-            stream.call,
-            last_event_id=stream.last_event_id or stream.call.last_event_id,
+            state.call, last_event_id=stream.last_event_id
         )
         try:
             answer = await self.forwarder.port.open(
-                state.endpoint,
+                chosen.endpoint,
                 call,
-                left * 1000,
-                STALL_MS,
-                fresh=not stream.route.resumable,
+                left_s * 1000,
+                stream.stall_ms,
+                fresh=not routes.may_repeat(state.route),
             )
         except calls.CallFailedError as error:
-            stream.may_have_run += error.may_have_run
-            await self._note_break(stream, state, error.kind, error.broke_off)
+            state.may_have_run += error.may_have_run
+            await self._note_break(stream, chosen, error.kind, error.broke_off)
             return None
-        if not answer.not_run:
-            stream.may_have_run += 1
-            stream.tried.add(state.endpoint.id)
-            stream.status = answer.status
+        if answer.not_run:
+            await answer.reply.close()
+            state.reason = 'endpoint-refused'
+            callstate.note_refusal(state, chosen.endpoint.id)
+            return None
+        state.may_have_run += 1
+        state.tried.add(chosen.endpoint.id)
+        if stream.status and answer.status != stream.status:
+            # What the caller has already begun to read can't turn into this.
+            await answer.reply.close()
+            state.reason = 'other-status'
+            return None
+        if answer.status < 500 or not routes.may_repeat(state.route):
             return answer
-        await answer.reply.close()
-        stream.reason = 'endpoint-refused'
-        stream.refused.add(state.endpoint.id)
-        stream.refused_by.add(state.endpoint.id)
+        await self._keep_error(stream, answer)
         return None
 
+    async def _keep_error(self, stream: _Stream, answer: calls.Answer) -> None:
+        try:
+            body = await self.forwarder.port.read(
+                answer, attempts.MAX_ANSWER_BYTES
+            )
+        except calls.CallFailedError as error:
+            stream.state.reason = error.kind
+            return
+        stream.state.errors += 1
+        stream.state.last = outcomes.Outcome(
+            outcomes.OutcomeKind.ANSWERED,
+            '',
+            answer.status,
+            answer.headers,
+            body,
+            answer.signature,
+        )
+
     async def _note_break(
         self,
         stream: _Stream,
-        state: endpoints.EndpointState,
+        chosen: endpoints.EndpointState,
         reason: str,
         broke_off: bool,
     ) -> None:
-        stream.reason = reason
-        stream.avoid.add(state.endpoint.id)
-        stream.tried.add(state.endpoint.id)
-        endpoints.note_failure(state, asyncio.get_running_loop().time())
+        stream.state.reason = reason
+        stream.state.tried.add(chosen.endpoint.id)
+        endpoints.note_failure(chosen, asyncio.get_running_loop().time())
         if broke_off:
             await attempts.judge_break(
-                self.forwarder.attempts, state, stream.fingerprint
+                self.forwarder.attempts, chosen, stream.state.fingerprint
             )
 
-    def _may_repeat(self, stream: _Stream) -> bool:
-        route = stream.route
-        return route.resumable and len(stream.avoid) < route.max_attempts
-
     async def _pass_on(
-        self,
-        stream: _Stream,
-        answer: calls.Answer,
-        state: endpoints.EndpointState,
+        self, stream: _Stream, opened: _Opened
     ) -> abc.AsyncGenerator[bytes, None]:
         outcome = 'broken-off'
         try:
             while True:
-                run = self._pass_run(stream, answer, state)
+                run = self._pass_run(stream, opened)
                 try:
                     async with contextlib.aclosing(run):
                         async for chunk in run:
                             yield chunk
                     outcome = outcomes.OutcomeKind.ANSWERED.value
-                    self.forwarder.suspects.note_answered(stream.fingerprint)
+                    self.forwarder.suspects.note_answered(
+                        stream.state.fingerprint
+                    )
                     return
                 except message.ExchangeError as error:
-                    broke_off = error.kind in message.BREAK_KINDS
                     await self._note_break(
-                        stream, state, error.kind, broke_off
+                        stream,
+                        opened.chosen,
+                        error.kind,
+                        error.kind in message.BREAK_KINDS,
                     )
-                if not self._may_repeat(stream):
-                    raise ConnectionResetError
-                opened = await self._open(stream)
-                if isinstance(opened, outcomes.Outcome):
+                again = await self._open(stream, stream.state.give_up_at)
+                if isinstance(again, outcomes.Outcome):
                     raise ConnectionResetError
-                answer, state = opened
+                opened = again
         except (GeneratorExit, asyncio.CancelledError):
             outcome = 'caller-left'
             raise
         finally:
-            self._tell(stream, outcome)
+            self._tell(stream, outcome, stream.status)
 
     async def _pass_run(
-        self,
-        stream: _Stream,
-        answer: calls.Answer,
-        state: endpoints.EndpointState,
+        self, stream: _Stream, opened: _Opened
     ) -> abc.AsyncGenerator[bytes, None]:
         parser = events.EventParser(self.version_field)
         pending = b''
         whole_stream = False
-        state.in_flight += 1
+        opened.chosen.in_flight += 1
         try:
-            async for chunk in answer.reply.chunks:
-                if not stream.route.resumable:
+            async for chunk in opened.answer.reply.chunks:
+                if not stream.state.route.resumable:
                     yield chunk
                     continue
                 # Only whole events, so that another run can go on.
@@ -214,34 +226,19 @@
                 raise message.ExchangeError('truncated', 1)
             whole_stream = True
         finally:
-            state.in_flight -= 1
+            opened.chosen.in_flight -= 1
             if not whole_stream:
-                await answer.reply.close()
+                await opened.answer.reply.close()
 
-    def _tell(self, stream: _Stream, outcome: str) -> None:
-        now = asyncio.get_running_loop().time()
+    def _tell(self, stream: _Stream, outcome: str, status: int) -> None:
         self.forwarder.write_event(
-            logevents.RequestEnded(
-                id=stream.call.id,
-                route=stream.route.name,
-                outcome=outcome,
-                status=stream.status,
-                reason=stream.reason,
-                endpoints=sorted(stream.tried),
-                refused_by=sorted(stream.refused_by),
-                may_have_run=stream.may_have_run,
-                last_event_id=stream.last_event_id,
-                took_ms=round((now - stream.began_at) * 1000, 1),
+            callstate.make_event(
+                stream.state, outcome, status, stream.last_event_id
             )
         )
 
 
-def _make_failure(stream: _Stream) -> outcomes.Outcome:
-    kind = outcomes.OutcomeKind.NOT_RUN
-    if stream.may_have_run:
-        kind = outcomes.OutcomeKind.MAY_HAVE_RUN
-    return outcomes.Outcome(
-        kind,
-        stream.reason or 'no-endpoint',
-        retry_after_ms=forward.NO_ENDPOINT_RETRY_MS,
-    )
+def _get_stall_ms(route: routes.Route) -> float:
+    pause_ms = max(CALLER_PAUSE_MS, route.aim_ms * CALLER_PAUSE_AIMS)
+    share = RESUME_SHARE if route.resumable else BREAK_SHARE
+    return pause_ms * share
--- a/scripts/jobmutants.py
+++ b/scripts/jobmutants.py
@@ -82,17 +82,17 @@
     ),
     mutant.Mutant(
         'non-idempotent-request-is-sent-again',
-        'pomelopass/requests/forward.py',
-        'return progress.may_have_run == 0',
+        'pomelopass/requests/callstate.py',
+        'return state.may_have_run == 0',
         'return True',
         (FORWARD,),
     ),
     mutant.Mutant(
         'refusal-costs-an-attempt',
         'pomelopass/requests/forward.py',
-        'progress.refused_by.add(attempt.endpoint_id)\n'
+        'callstate.note_refusal(state, attempt.endpoint_id)\n'
         '                continue',
-        'progress.refused_by.add(attempt.endpoint_id)',
+        'callstate.note_refusal(state, attempt.endpoint_id)',
         (FORWARD,),
     ),
     mutant.Mutant(
@@ -154,10 +154,33 @@
     mutant.Mutant(
         'streams-never-suspected',
         'pomelopass/requests/stream.py',
-        'if suspects.is_stopped(stream.fingerprint, loop.time()):',
+        'if self.forwarder.suspects.is_stopped(\n'
+        '                state.fingerprint, loop.time()\n'
+        '            ):',
+        'if False:',
+        (STREAM,),
+    ),
+    mutant.Mutant(
+        'streams-joined-with-errors',
+        'pomelopass/requests/stream.py',
+        'if stream.status and answer.status != stream.status:',
         'if False:',
         (STREAM,),
     ),
+    mutant.Mutant(
+        'resumable-streams-take-errors',
+        'pomelopass/requests/stream.py',
+        'if answer.status < 500 or not routes.may_repeat(state.route):',
+        'if True:',
+        (STREAM,),
+    ),
+    mutant.Mutant(
+        'streams-wait-for-silent-engines',
+        'pomelopass/requests/stream.py',
+        'RESUME_SHARE if route.resumable else BREAK_SHARE',
+        'BREAK_SHARE',
+        (STREAM,),
+    ),
     mutant.Mutant(
         'relay-forgets-who-answered',
         'pomelopass/table/relay.py',
--- a/standins/modelengines.py
+++ b/standins/modelengines.py
@@ -42,6 +42,7 @@
     order_count: int = 0
     fence: int = 0
     error_share: float = 0.0
+    error_status: int = 500
     break_share: float = 0.0
     # A broken stream ends as a whole one does, but inside an event.
     breaks_cleanly: bool = False
@@ -116,9 +117,11 @@
             return _make_answer(503, b'', not_run=True)
         one.ran.append(call.id)
         if self.rng.random() < one.error_share:
-            return _make_answer(500, b'', signature=f's-{call.id}')
+            return _make_answer(
+                one.error_status, b'{}\n\n', signature=f's-{call.id}'
+            )
         if one.version_by_model:
-            return self._start_run(one, call)
+            return self._start_run(one, call, stall_ms)
         one.running += 1
         try:
             await asyncio.sleep(WORK_S * one.slowness)
@@ -185,16 +188,22 @@
             one.version_by_model[order.model] = order.version
             self.register(one)
 
-    def _start_run(self, one: FakeEndpoint, call: calls.Call) -> calls.Answer:
+    def _start_run(
+        self, one: FakeEndpoint, call: calls.Call, stall_ms: float | None
+    ) -> calls.Answer:
         first = int(call.last_event_id or 0) + 1
         answer = _make_answer(200, b'', signature=f's-{call.id}')
         model = _get_model(call, one)
         answer.weight_version = one.version_by_model[model]
-        answer.reply.chunks = self._make_events(one, call, first)
+        answer.reply.chunks = self._make_events(one, call, first, stall_ms)
         return answer
 
     async def _make_events(
-        self, one: FakeEndpoint, call: calls.Call, first: int
+        self,
+        one: FakeEndpoint,
+        call: calls.Call,
+        first: int,
+        stall_ms: float | None,
     ) -> abc.AsyncGenerator[bytes, None]:
         one.running += 1
         try:
@@ -204,7 +213,11 @@
             breaks = self.rng.random() < one.break_share
             version = None
             for number in range(first, total + 1):
-                await asyncio.sleep(EVENT_S * one.slowness)
+                pause_s = EVENT_S * one.slowness
+                if stall_ms is not None and pause_s > stall_ms / 1000:
+                    await asyncio.sleep(stall_ms / 1000)
+                    raise message.ExchangeError('timeout', 1)
+                await asyncio.sleep(pause_s)
                 if not one.alive or (breaks and number > total // 2):
                     yield f'id: {number}\nda'.encode()
                     if one.breaks_cleanly:
--- a/tests/requests/test_stream.py
+++ b/tests/requests/test_stream.py
@@ -1,6 +1,7 @@
 """Test streams of callers, broken and resumed."""
 
 import asyncio
+import dataclasses
 import random
 
 import pytest
@@ -19,6 +20,10 @@
 from standins import virtualloop
 
 
+# After this pause a caller leaves.
+PATIENCE_S = 2.0
+
+
 def make_streams(seed, break_share, engines=3):
     rng = random.Random(seed)
     pool = modelengines.EndpointPool(rowtable.RowService(), rng)
@@ -176,6 +181,71 @@
     virtualloop.run(scenario())
 
 
+def test_resumable_stream_goes_elsewhere_after_an_error_of_an_engine():
+    async def scenario():
+        pool, forwarder = make_streams(1, 0.0)
+        told = tell_events(forwarder)
+        for name in ('e0', 'e1'):
+            pool.endpoint_by_id[name].error_share = 1.0
+        for number in range(6):
+            call = dataclasses.replace(make_call(), id=f's{number}')
+            reply = await forwarder.open_stream(call, make_route(True))
+            assert reply.status == 200
+            await collect(reply)
+        assert max(event.may_have_run for event in told) == 3
+
+    virtualloop.run(scenario())
+
+
+@pytest.mark.parametrize('resumable', [False, True])
+def test_stream_passes_an_error_on_when_no_more_may_run(resumable):
+    async def scenario():
+        pool, forwarder = make_streams(1, 0.0)
+        for one in pool.endpoint_by_id.values():
+            one.error_share = 1.0
+        route = dataclasses.replace(make_route(resumable), max_attempts=2)
+        reply = await forwarder.open_stream(make_call(), route)
+        assert reply.status == 500
+        ran = sum(len(one.ran) for one in pool.endpoint_by_id.values())
+        assert ran == (2 if resumable else 1)
+
+    virtualloop.run(scenario())
+
+
+def test_stream_is_never_joined_with_an_error_of_another_engine():
+    async def scenario():
+        pool, forwarder = make_streams(1, 1.0)
+        pool.events_by_item['s'] = 20
+        reply = await forwarder.open_stream(make_call(), make_route(True))
+        for one in pool.endpoint_by_id.values():
+            one.error_share = 1.0
+            one.error_status = 404
+        stream, whole = await collect(reply)
+        assert not whole
+        assert b'{}' not in stream
+
+    virtualloop.run(scenario())
+
+
+def test_resumable_stream_moves_before_its_caller_leaves_a_silent_engine():
+    async def scenario():
+        pool, forwarder = make_streams(1, 0.0)
+        pool.events_by_item['s'] = 20
+        loop = asyncio.get_running_loop()
+        reply = await forwarder.open_stream(make_call(), make_route(True))
+        await anext(reply.chunks)
+        busy = next(one for one in pool.endpoint_by_id.values() if one.running)
+        busy.slowness = 1000.0
+        last_at = loop.time()
+        longest = 0.0
+        async for _ in reply.chunks:
+            longest = max(longest, loop.time() - last_at)
+            last_at = loop.time()
+        assert longest < PATIENCE_S
+
+    virtualloop.run(scenario())
+
+
 def test_stream_that_crashes_engines_is_stopped():
     async def scenario():
         pool, forwarder = make_streams(1, 0.0, engines=6)
