--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -6,6 +6,7 @@
 from bench import latency
 from bench import outages
 from bench import processes
+from bench import recovery
 from bench import report
 from bench import sharing
 from bench import steps
@@ -18,6 +19,7 @@
     training.measure_idle_time,
     training.measure_staleness,
     steps.measure_steps,
+    recovery.measure_recovery,
     sharing.measure_shares,
     outages.measure_overload,
     outages.measure_retries,
--- a/standins/rowtable.py
+++ b/standins/rowtable.py
@@ -24,6 +24,8 @@
         self.history_start = 0
         self.changed = asyncio.Event()
         self.calls = 0
+        # Away for all instances at once.
+        self.down = False
 
     def apply(
         self, transaction: rows.Transaction
@@ -177,5 +179,5 @@
         if self.faults.silent:
             await asyncio.sleep(1.2)
             raise rows.TableError('timeout', True)
-        if self.faults.down:
+        if self.faults.down or self.service.down:
             raise rows.TableError('status 503', False)
