Measure what log lines cost in the bench

Cause: the cost of logging was not known; the issue on explaining a failure asks for processor time and bytes with and without. Ruled out: two whole processes; their spread hides some percent.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -4,6 +4,7 @@
 import time
 
 from bench import latency
+from bench import logcost
 from bench import outages
 from bench import processes
 from bench import recovery
@@ -20,6 +21,7 @@
     training.measure_staleness,
     steps.measure_steps,
     recovery.measure_recovery,
+    logcost.measure_log_cost,
     sharing.measure_shares,
     outages.measure_overload,
     outages.measure_retries,
--- a/standins/entries.py
+++ b/standins/entries.py
@@ -1,6 +1,7 @@
 """Run whole entry instances in memory against the in-memory platform."""
 
 import asyncio
+from collections import abc
 import dataclasses
 import random
 
@@ -33,7 +34,13 @@
 class EntryCluster:
     """Hold entry instances by name, the table and the endpoints."""
 
-    def __init__(self, seed: int):
+    def __init__(
+        self,
+        seed: int,
+        make_write_event: abc.Callable[[list[dict]], logevents.WriteEvent]
+        | None = None,
+    ):
+        self.make_write_event = make_write_event or _make_recorder
         self.rng = random.Random(seed)
         self.service = rowtable.RowService()
         self.pool = modelengines.EndpointPool(self.service, self.rng)
@@ -54,19 +61,12 @@
         self.starts += 1
         client = rowtable.RowClient(self.service, self.rng)
         events: list[dict] = []
-        loop = asyncio.get_running_loop()
         ports = nodes.NodePorts(
             table=client,
             endpoints=self.pool,
             rng=self.rng,
-            write_event=lambda event: events.append(
-                {
-                    'event': event.kind,
-                    'at': loop.time(),
-                    **logevents.get_fields(event),
-                }
-            ),
-            get_lease_now=loop.time,
+            write_event=self.make_write_event(events),
+            get_lease_now=asyncio.get_running_loop().time,
             incarnation=f'{name}-{self.starts}',
         )
         node = nodes.build_node(_make_settings(name), ports)
@@ -123,6 +123,16 @@
         return found
 
 
+def _make_recorder(events: list[dict]) -> logevents.WriteEvent:
+    loop = asyncio.get_running_loop()
+
+    def write_event(event: logevents.Event) -> None:
+        fields = logevents.get_fields(event)
+        events.append({'event': event.kind, 'at': loop.time(), **fields})
+
+    return write_event
+
+
 class _DeadTable:
     def __getattr__(self, name: str):
         async def never(*arguments):
--- a/tests/entrybuilders.py
+++ b/tests/entrybuilders.py
@@ -1,8 +1,10 @@
 """Build test data for entry instances."""
 
 import base64
+from collections import abc
 
 from pomelopass.jobs import job as jobs
+from pomelopass.reporting import logevents
 from standins import entries
 from standins import modelengines
 
@@ -98,10 +100,15 @@
 
 
 def make_cluster(
-    seed: int = 1, instances: int = 3, engines: int = 3, **job_changes: object
+    seed: int = 1,
+    instances: int = 3,
+    engines: int = 3,
+    make_write_event: abc.Callable[[list[dict]], logevents.WriteEvent]
+    | None = None,
+    **job_changes: object,
 ) -> entries.EntryCluster:
     """Return a cluster with engines, plain endpoints and a configuration."""
-    cluster = entries.EntryCluster(seed)
+    cluster = entries.EntryCluster(seed, make_write_event)
     cluster.put_configuration(make_configuration(**job_changes))
     for number in range(engines):
         cluster.pool.add(
