Hold the known jobs apart from the runs of the owned ones

Ruled out: a split by adoption; it needs both states. Change: jobs/jobview.py holds the known jobs, the keeper runs and adopts; job-ended is told by who wrote it; only recent records are sorted.

--- a/pomelopass/entry/node.py
+++ b/pomelopass/entry/node.py
@@ -11,6 +11,7 @@
 from ..jobs import cleanup
 from ..jobs import desk as desks
 from ..jobs import jobtable
+from ..jobs import jobview
 from ..jobs import keeper as keepers
 from ..jobs import rewardgate
 from ..jobs import schedule
@@ -72,6 +73,7 @@
         )
         self.table = tableclock.TableClock(self.fallback)
         self.relay_server = relayserver.RelayServer(ports.table)
+        self.jobs = jobview.JobView()
         self.job_table = jobtable.JobTable(self.table)
         self.scheduler = schedule.Scheduler(self.registry)
         self.suspects = suspicions.Suspects()
@@ -116,12 +118,14 @@
         self.keeper = keepers.Keeper(
             self.settings.name,
             self.ports.incarnation,
+            self.jobs,
             self.job_table,
             self.membership,
             contexts.make,
             self.ports.write_event,
         )
         self.desk = desks.Desk(
+            self.jobs,
             self.keeper,
             self.job_table,
             self.table.get_now_ms,
@@ -132,7 +136,7 @@
             self.settings.name,
             self.table,
             self.membership,
-            self.keeper.get_records,
+            self.jobs.get_records,
             self.settings.job_kept_s * 1000,
             self.table.get_now_ms,
             self.ports.write_event,
@@ -230,7 +234,7 @@
         return self.suspects.get_shared(asyncio.get_running_loop().time())
 
     def _get_demand(self) -> dict[str, assignment.Demand]:
-        return self.keeper.get_demand(self.table.get_now_ms())
+        return self.jobs.get_demand(self.table.get_now_ms())
 
     def _get_callable(self) -> list[member.Member]:
         now = asyncio.get_running_loop().time()
--- a/pomelopass/jobs/demand.py
+++ b/pomelopass/jobs/demand.py
@@ -16,9 +16,8 @@
 ) -> dict[str, assignment.Demand]:
     """Return the demand by model; the newest job tells the allowed lag."""
     demand: dict[str, assignment.Demand] = {}
-    for record in sorted(records, key=lambda one: one.accepted_ms):
-        if now_ms - record.accepted_ms >= WINDOW_MS:
-            continue
+    recent = [one for one in records if now_ms - one.accepted_ms < WINDOW_MS]
+    for record in sorted(recent, key=lambda one: one.accepted_ms):
         before = demand.get(record.model, assignment.Demand(0.0))
         demand[record.model] = assignment.Demand(
             before.tokens + record.tokens, record.allowed_lag
--- a/pomelopass/jobs/desk.py
+++ b/pomelopass/jobs/desk.py
@@ -7,6 +7,7 @@
 
 from . import job as jobs
 from . import jobtable
+from . import jobview
 from . import keeper as keepers
 from ..reporting import logevents
 from . import rowcodec
@@ -41,12 +42,14 @@
 
     def __init__(
         self,
+        view: jobview.JobView,
         keeper: keepers.Keeper,
         table: jobtable.JobTable,
         get_table_ms: abc.Callable[[], int],
         get_named_version: abc.Callable[[str], int],
         write_event: logevents.WriteEvent,
     ):
+        self.view = view
         self.keeper = keeper
         self.table = table
         self.get_table_ms = get_table_ms
@@ -56,7 +59,7 @@
 
     async def accept(self, submission: jobs.Submission) -> Acceptance:
         """Keep a job for good, once however often it comes."""
-        if self.keeper.get(submission.id) is not None:
+        if self.view.get(submission.id) is not None:
             return Acceptance.ACCEPTED
         puts = rowcodec.encode_submission(submission)
         record = self._make_record(submission, len(puts))
@@ -103,8 +106,8 @@
             left = limit - loop.time()
             if left <= 0 or not record.is_open:
                 break
-            await self.keeper.wait_for_change(job_id, left)
-            known = self.keeper.get(job_id)
+            await self.view.wait_for_change(job_id, left)
+            known = self.view.get(job_id)
             if known is None or known.record.listed <= first:
                 record = await self._fetch_record(job_id)
             else:
@@ -116,7 +119,7 @@
 
     async def read_item(self, job_id: str, item_id: str) -> bytes | None:
         """Return the body of an item, or None; raise TableError."""
-        known = self.keeper.get(job_id)
+        known = self.view.get(job_id)
         if known is None and await self._fetch_record(job_id) is None:
             return None
         submission = await self.keeper.get_submission(job_id)
@@ -129,7 +132,7 @@
         """End a job; return False if there is none; raise TableError."""
         loop = asyncio.get_running_loop()
         limit = loop.time() + SETTLE_MS / 1000
-        stored = self.keeper.get(job_id) or await self.table.fetch(job_id)
+        stored = self.view.get(job_id) or await self.table.fetch(job_id)
         while stored.record is not None and not stored.record.ended:
             changed = rowcodec.next_record(stored.record, ended=True)
             settled = await self.table.write(
@@ -138,7 +141,8 @@
             if not settled.is_settled:
                 raise rows.TableError('the end is not settled', True)
             stored = settled.current
-            self.write_event(logevents.JobEnded(job=job_id))
+            if settled.applied:
+                self.write_event(logevents.JobEnded(job=job_id))
         if stored.record is None:
             return False
         self.keeper.note(stored)
--- a/pomelopass/jobs/keeper.py
+++ b/pomelopass/jobs/keeper.py
@@ -1,22 +1,20 @@
-"""Know all jobs, run the owned ones and adopt those without an owner."""
+"""Run the owned jobs and adopt those without an owner."""
 
 import asyncio
 from collections import abc
-import dataclasses
 
 from . import adoption
-from . import demand as demands
 from ..fleet import member
 from . import itemcontext
 from . import job as jobs
 from . import jobrun
 from . import jobtable
+from . import jobview
 from . import progress as progresses
 from ..reporting import logevents
 from . import rowcodec
 from ..table import rows
 from . import textmemory
-from ..versions import assignment
 
 __all__ = ['Keeper', 'MakeContext']
 
@@ -27,21 +25,14 @@
 ]
 
 
-@dataclasses.dataclass(slots=True)
-class _Known:
-    stored: jobtable.StoredJob
-    changed: asyncio.Event
-    ownerless_since: float | None = None
-    busy: bool = False
-
-
 class Keeper:
-    """Hold the known jobs by id and the runs of those that are owned."""
+    """Hold the runs of the owned jobs."""
 
     def __init__(
         self,
         name: str,
         incarnation: str,
+        view: jobview.JobView,
         table: jobtable.JobTable,
         membership: member.Membership,
         make_context: MakeContext,
@@ -49,11 +40,11 @@
     ):
         self.name = name
         self.incarnation = incarnation
+        self.view = view
         self.table = table
         self.membership = membership
         self.make_context = make_context
         self.write_event = write_event
-        self.known_by_id: dict[str, _Known] = {}
         self.run_by_id: dict[str, jobrun.JobRun] = {}
         self.task_by_id: dict[str, asyncio.Task] = {}
         self.submission_by_id: dict[str, jobs.Submission] = {}
@@ -65,7 +56,7 @@
         """Take in a change of a job's row."""
         job_id = row.name.key
         if row.value is None:
-            self.known_by_id.pop(job_id, None)
+            self.view.remove(job_id)
             self.submission_by_id.pop(job_id, None)
             return
         try:
@@ -80,32 +71,13 @@
     def note(self, stored: jobtable.StoredJob) -> None:
         """Take in a job's state unless a newer one is known."""
         job_id = stored.record.id
-        known = self.known_by_id.get(job_id)
-        if known is None:
-            known = _Known(stored, asyncio.Event())
-            self.known_by_id[job_id] = known
-        elif known.stored.record.writes <= stored.record.writes:
-            known.stored = stored
-        known.changed.set()
-        known.changed = asyncio.Event()
+        known = self.view.put(stored)
         ours = self._is_ours(known)
         if job_id in self.task_by_id and not ours:
             self.task_by_id[job_id].cancel()
         elif ours and not self.stopping and not known.busy:
             self._check(job_id, known, asyncio.get_running_loop().time())
 
-    def get_records(self) -> list[tuple[jobs.JobRecord, int]]:
-        """Return the known records with the versions of their rows."""
-        return [
-            (known.stored.record, known.stored.version)
-            for known in self.known_by_id.values()
-        ]
-
-    def get(self, job_id: str) -> jobtable.StoredJob | None:
-        """Return the last known state of a job."""
-        known = self.known_by_id.get(job_id)
-        return known.stored if known is not None else None
-
     def choose_owner(self, submission: jobs.Submission) -> tuple[str, str]:
         """Return the incarnation and the name that a new job goes to."""
         now = asyncio.get_running_loop().time()
@@ -117,22 +89,6 @@
             return self.incarnation, self.name
         return self.membership.member_by_name[name].incarnation, name
 
-    def get_demand(self, now_ms: int) -> dict[str, assignment.Demand]:
-        """Return what recent jobs ask of each model."""
-        records = (one.stored.record for one in self.known_by_id.values())
-        return demands.get_demand(records, now_ms)
-
-    async def wait_for_change(self, job_id: str, timeout_s: float) -> None:
-        """Return when a job may have changed or the time is over."""
-        known = self.known_by_id.get(job_id)
-        if known is None:
-            return
-        try:
-            async with asyncio.timeout(timeout_s):
-                await known.changed.wait()
-        except TimeoutError:
-            return
-
     def start(
         self, stored: jobtable.StoredJob, submission: jobs.Submission
     ) -> None:
@@ -147,7 +103,7 @@
         while True:
             await asyncio.sleep(CHECK_EVERY_MS / 1000)
             now = asyncio.get_running_loop().time()
-            for job_id, known in list(self.known_by_id.items()):
+            for job_id, known in list(self.view.known_by_id.items()):
                 if self.stopping or known.busy or job_id in self.task_by_id:
                     continue
                 if known.stored.record.is_open:
@@ -163,11 +119,11 @@
             *(run.hand_over() for run in owned), return_exceptions=True
         )
 
-    def _is_ours(self, known: _Known) -> bool:
+    def _is_ours(self, known: jobview.KnownJob) -> bool:
         record = known.stored.record
         return record.owner == self.incarnation and record.is_open
 
-    def _check(self, job_id: str, known: _Known, now: float) -> None:
+    def _check(self, job_id: str, known: jobview.KnownJob, now: float) -> None:
         record = known.stored.record
         if record.owner == self.incarnation:
             if job_id in self.task_by_id:
@@ -195,7 +151,9 @@
         task.add_done_callback(self.background.discard)
         task.add_done_callback(self._note_failure)
 
-    async def _adopt(self, job_id: str, known: _Known, take: bool) -> None:
+    async def _adopt(
+        self, job_id: str, known: jobview.KnownJob, take: bool
+    ) -> None:
         loop = asyncio.get_running_loop()
         try:
             stored = known.stored
--- a/tests/entry/test_explanations.py
+++ b/tests/entry/test_explanations.py
@@ -84,7 +84,7 @@
             cluster.pool.events_by_item[item.id] = 60
         await cluster.submit('entry-0', submission)
         await asyncio.sleep(0.5)
-        stored = cluster.entry_by_name['entry-0'].node.keeper.get('job-1')
+        stored = cluster.entry_by_name['entry-0'].node.jobs.get('job-1')
         owner = stored.record.owner_name
         cluster.kill(owner)
         await cluster.read_all('job-1', 20)
--- a/tests/entry/test_jobs.py
+++ b/tests/entry/test_jobs.py
@@ -51,7 +51,7 @@
         submission = entrybuilders.make_submission(groups=8)
         await cluster.submit('entry-0', submission)
         await asyncio.sleep(0.3 + seed * 0.1)
-        stored = cluster.entry_by_name['entry-0'].node.keeper.get('job-1')
+        stored = cluster.entry_by_name['entry-0'].node.jobs.get('job-1')
         owner = stored.record.owner_name
         cluster.kill(owner)
         results = await cluster.read_all('job-1', 12)
@@ -228,7 +228,7 @@
         cluster.pool.events_by_item[item_id] = 140
         await cluster.submit('entry-0', submission)
         await asyncio.sleep(3)
-        stored = cluster.entry_by_name['entry-0'].node.keeper.get('job-1')
+        stored = cluster.entry_by_name['entry-0'].node.jobs.get('job-1')
         owner = stored.record.owner_name
         if how == 'kill':
             cluster.kill(owner)
--- a/tests/entry/test_owners.py
+++ b/tests/entry/test_owners.py
@@ -17,7 +17,7 @@
         submission = entrybuilders.make_submission(groups=12)
         await cluster.submit('entry-0', submission)
         await asyncio.sleep(0.4)
-        stored = cluster.entry_by_name['entry-0'].node.keeper.get('job-1')
+        stored = cluster.entry_by_name['entry-0'].node.jobs.get('job-1')
         owner = cluster.entry_by_name[stored.record.owner_name]
         owner.client.faults.down = True
         await asyncio.sleep(3 + 0.1 * seed)
