--- a/standins/modelengines.py
+++ b/standins/modelengines.py
@@ -92,6 +92,14 @@
         self.endpoint_by_id[endpoint_id].alive = False
         self.service.remove(ENDPOINT_TABLE, endpoint_id)
 
+    def crash_for_a_while(self, endpoint_id: str) -> None:
+        """End an endpoint that starts again by itself."""
+        one = self.endpoint_by_id[endpoint_id]
+        if one.alive:
+            self.crash(endpoint_id)
+            loop = asyncio.get_running_loop()
+            loop.call_later(RESTART_S, self._restart, one)
+
     async def open(
         self,
         target: endpoints.Endpoint,
