Join what stood twice around answers, split two long functions

Cause: 22 tests of entry instances repeated their opening; the outcome of an answer was built in two places; HttpClient.open and run_attempt had 46 and 42 lines. Ruled out: a fixture for the opening; scenarios run on the virtual clock. Change: run_cluster in tests/entrybuilders.py, make_answered in requests/outcome.py, _read_head and _judge_answer. A new test holds that a head that can't be written has not run.

--- a/pomelopass/edges/httpclient.py
+++ b/pomelopass/edges/httpclient.py
@@ -49,35 +49,29 @@
         deadline = loop.time() + timeout_ms / 1000
         connection = await self._connect(address, deadline, fresh)
         connection.stall_ms = stall_ms
-        written = 0
+        data = b''
         try:
             data = _encode(connection.state, request, address)
-            written = len(data)
             # No wait for the write: a reply may come before the whole body.
             connection.writer.write(data)
-            event = await connection.next_event(deadline)
-            while isinstance(event, h11.InformationalResponse):
-                event = await connection.next_event(deadline)
+            head = await _read_head(connection, deadline)
         except TimeoutError:
             connection.close()
-            raise message.ExchangeError('timeout', written) from None
+            raise message.ExchangeError('timeout', len(data)) from None
         except (OSError, h11.ProtocolError):
             connection.close()
-            raise message.ExchangeError('reset', written) from None
+            raise message.ExchangeError('reset', len(data)) from None
         except asyncio.CancelledError:
             connection.close()
             raise
-        if not isinstance(event, h11.Response):
-            connection.close()
-            raise message.ExchangeError('reset', written)
         headers = tuple(
             (name.decode(), value.decode('latin-1'))
-            for name, value in event.headers
+            for name, value in head.headers
         )
         connection.idle_limit_ms = _get_idle_limit_ms(headers)
-        chunks = self._read_chunks(address, connection, deadline, written)
+        chunks = self._read_chunks(address, connection, deadline, len(data))
         return message.OpenReply(
-            event.status_code, headers, chunks, written, connection.close
+            head.status_code, headers, chunks, len(data), connection.close
         )
 
     async def is_refused(self, address: str, timeout_ms: float) -> bool:
@@ -180,6 +174,17 @@
         connections.append(connection)
 
 
+async def _read_head(
+    connection: clientconnection.Connection, deadline: float
+) -> h11.Response:
+    event = await connection.next_event(deadline)
+    while isinstance(event, h11.InformationalResponse):
+        event = await connection.next_event(deadline)
+    if not isinstance(event, h11.Response):
+        raise h11.RemoteProtocolError('closed before a head')
+    return event
+
+
 async def _is_held(connection: clientconnection.Connection) -> bool:
     try:
         async with asyncio.timeout(SETTLE_MS / 1000):
--- a/pomelopass/requests/attempt.py
+++ b/pomelopass/requests/attempt.py
@@ -34,7 +34,6 @@
     """Return how the endpoint answered."""
     loop = asyncio.get_running_loop()
     began = loop.time()
-    endpoint_id = state.endpoint.id
     try:
         answer, body = await _exchange(
             context, state, call, (give_up_at - began) * 1000, fresh
@@ -44,8 +43,19 @@
         if error.broke_off:
             await judge_break(context, state, fingerprint)
         return outcomes.Attempt(
-            endpoint_id, not error.may_have_run, reason=error.kind
+            state.endpoint.id, not error.may_have_run, reason=error.kind
         )
+    return _judge_answer(state, answer, body, began)
+
+
+def _judge_answer(
+    state: endpoints.EndpointState,
+    answer: calls.Answer,
+    body: bytes,
+    began: float,
+) -> outcomes.Attempt:
+    loop = asyncio.get_running_loop()
+    endpoint_id = state.endpoint.id
     if answer.load is not None:
         endpoints.note_load(state, answer.load, loop.time())
     if answer.not_run:
@@ -56,14 +66,7 @@
     if answer.status < 500:
         took_ms = (loop.time() - began) * 1000
         endpoints.note_success(state, took_ms, loop.time())
-    outcome = outcomes.Outcome(
-        outcomes.OutcomeKind.ANSWERED,
-        '',
-        answer.status,
-        answer.headers,
-        body,
-        answer.signature,
-    )
+    outcome = outcomes.make_answered(answer, body)
     return outcomes.Attempt(endpoint_id, False, outcome)
 
 
--- a/pomelopass/requests/outcome.py
+++ b/pomelopass/requests/outcome.py
@@ -4,8 +4,9 @@
 import enum
 
 from .. import message
+from . import call as calls
 
-__all__ = ['Attempt', 'Outcome', 'OutcomeKind']
+__all__ = ['Attempt', 'Outcome', 'OutcomeKind', 'make_answered']
 
 
 class OutcomeKind(enum.Enum):
@@ -39,3 +40,15 @@
     not_run: bool
     outcome: Outcome | None = None
     reason: str = ''
+
+
+def make_answered(answer: calls.Answer, body: bytes) -> Outcome:
+    """Return the outcome that passes an endpoint's answer on."""
+    return Outcome(
+        OutcomeKind.ANSWERED,
+        '',
+        answer.status,
+        answer.headers,
+        body,
+        answer.signature,
+    )
--- a/pomelopass/requests/stream.py
+++ b/pomelopass/requests/stream.py
@@ -146,14 +146,7 @@
             stream.state.reason = error.kind
             return
         stream.state.errors += 1
-        stream.state.last = outcomes.Outcome(
-            outcomes.OutcomeKind.ANSWERED,
-            '',
-            answer.status,
-            answer.headers,
-            body,
-            answer.signature,
-        )
+        stream.state.last = outcomes.make_answered(answer, body)
 
     async def _note_break(
         self,
--- a/tests/edges/test_httpclient.py
+++ b/tests/edges/test_httpclient.py
@@ -202,3 +202,12 @@
         with pytest.raises(message.ExchangeError) as caught:
             await fetch(client, address, 100)
         assert caught.value.kind == 'timeout'
+
+
+async def test_a_head_that_cannot_be_written_has_not_run():
+    async with serve(lambda r, w: None) as address:
+        client = httpclient.HttpClient()
+        request = message.Request('GET', '/', (('x', 'a\nb'),))
+        with pytest.raises(message.ExchangeError) as caught:
+            await client.open(address, request, 3000)
+        assert caught.value.bytes_written == 0
--- a/tests/entry/test_explanations.py
+++ b/tests/entry/test_explanations.py
@@ -10,7 +10,6 @@
 from pomelopass.requests import call as calls
 from pomelopass.requests import outcome as outcomes
 from pomelopass.requests import routes
-from standins import virtualloop
 from tests import entrybuilders
 
 START_HOUR = '2026-01-01T00:'
@@ -49,9 +48,7 @@
 
 
 def test_request_refused_though_endpoints_were_free():
-    async def scenario():
-        cluster = entrybuilders.make_cluster()
-        await asyncio.sleep(2)
+    async def scenario(cluster):
         # Other users of the platform fill the desks; ours run nothing there.
         for number in range(2):
             cluster.pool.endpoint_by_id[f'desk-{number}'].running = 8
@@ -70,15 +67,12 @@
             one.event == 'endpoint-changed' and one.fields['change'] == 'found'
             for one in found
         )
-        await cluster.stop()
 
-    virtualloop.run(scenario())
+    entrybuilders.run_cluster(scenario)
 
 
 def test_batch_job_whose_groups_were_late():
-    async def scenario():
-        cluster = entrybuilders.make_cluster()
-        await asyncio.sleep(2)
+    async def scenario(cluster):
         submission = entrybuilders.make_submission(groups=2, size=2)
         for item in submission.items:
             cluster.pool.events_by_item[item.id] = 60
@@ -104,15 +98,12 @@
         assert runs[0].instance == adopted.instance
         assert runs[0].time > adopted.time
         assert events[-1] == 'results-listed'
-        await cluster.stop()
 
-    virtualloop.run(scenario())
+    entrybuilders.run_cluster(scenario)
 
 
 def test_request_that_ran_and_whose_answer_was_lost():
-    async def scenario():
-        cluster = entrybuilders.make_cluster()
-        await asyncio.sleep(2)
+    async def scenario(cluster):
         for number in range(2):
             cluster.pool.endpoint_by_id[f'desk-{number}'].lose_share = 1.0
         outcome = await send(cluster, 'entry-2', '/orders/2', 'r-2')
@@ -123,6 +114,5 @@
         assert ended.fields['may_have_run'] == 1
         (endpoint_id,) = ended.fields['endpoints']
         assert cluster.pool.endpoint_by_id[endpoint_id].ran == ['r-2']
-        await cluster.stop()
 
-    virtualloop.run(scenario())
+    entrybuilders.run_cluster(scenario)
--- a/tests/entry/test_jobs.py
+++ b/tests/entry/test_jobs.py
@@ -29,25 +29,20 @@
 
 
 def test_job_is_served_on_a_calm_day():
-    async def scenario():
-        cluster = entrybuilders.make_cluster()
-        await asyncio.sleep(2)
+    async def scenario(cluster):
         submission = entrybuilders.make_submission()
         outcome = await cluster.submit('entry-0', submission)
         assert outcome is desks.Acceptance.ACCEPTED
         again = await cluster.submit('entry-1', submission)
         assert again is desks.Acceptance.ACCEPTED
         check_results(cluster, submission, await cluster.read_all('job-1', 10))
-        await cluster.stop()
 
-    virtualloop.run(scenario())
+    entrybuilders.run_cluster(scenario)
 
 
 @pytest.mark.parametrize('seed', SEEDS)
 def test_job_survives_the_death_of_its_owner(seed):
-    async def scenario():
-        cluster = entrybuilders.make_cluster(seed)
-        await asyncio.sleep(2)
+    async def scenario(cluster):
         submission = entrybuilders.make_submission(groups=8)
         await cluster.submit('entry-0', submission)
         await asyncio.sleep(0.3 + seed * 0.1)
@@ -63,16 +58,13 @@
             if event['event'] == 'job-adopted' and event['applied']
         ]
         assert len(adopted) <= 1
-        await cluster.stop()
 
-    virtualloop.run(scenario())
+    entrybuilders.run_cluster(scenario, seed)
 
 
 @pytest.mark.parametrize('seed', SEEDS)
 def test_accepted_job_survives_the_loss_of_every_instance(seed):
-    async def scenario():
-        cluster = entrybuilders.make_cluster(seed)
-        await asyncio.sleep(2)
+    async def scenario(cluster):
         submission = entrybuilders.make_submission()
         outcome = await cluster.submit('entry-1', submission)
         assert outcome is desks.Acceptance.ACCEPTED
@@ -83,16 +75,13 @@
             cluster.start(f'entry-{number}')
         await asyncio.sleep(1)
         check_results(cluster, submission, await cluster.read_all('job-1', 12))
-        await cluster.stop()
 
-    virtualloop.run(scenario())
+    entrybuilders.run_cluster(scenario, seed)
 
 
 @pytest.mark.parametrize('seed', SEEDS)
 def test_results_keep_their_positions_under_lost_and_late_writes(seed):
-    async def scenario():
-        cluster = entrybuilders.make_cluster(seed)
-        await asyncio.sleep(2)
+    async def scenario(cluster):
         for entry in cluster.entry_by_name.values():
             entry.client.faults.lose_answers = 0.3
             entry.client.faults.late_writes = 0.1
@@ -108,15 +97,12 @@
         await asyncio.sleep(8)
         check_results(cluster, submission, results)
         assert await cluster.read_all('job-1', 5) == results
-        await cluster.stop()
 
-    virtualloop.run(scenario())
+    entrybuilders.run_cluster(scenario, seed)
 
 
 def test_results_wait_out_an_outage_of_the_table():
-    async def scenario():
-        cluster = entrybuilders.make_cluster()
-        await asyncio.sleep(2)
+    async def scenario(cluster):
         submission = entrybuilders.make_submission(groups=6)
         await cluster.submit('entry-0', submission)
         for entry in cluster.entry_by_name.values():
@@ -127,9 +113,8 @@
         # The engines worked on meanwhile: little is left to be done.
         results = await cluster.read_all('job-1', 2.5)
         check_results(cluster, submission, results)
-        await cluster.stop()
 
-    virtualloop.run(scenario())
+    entrybuilders.run_cluster(scenario)
 
 
 @pytest.mark.parametrize('seed', SEEDS)
@@ -169,9 +154,7 @@
 
 
 def test_ended_job_reaches_no_engine_any_more():
-    async def scenario():
-        cluster = entrybuilders.make_cluster(engines=1)
-        await asyncio.sleep(2)
+    async def scenario(cluster):
         submission = entrybuilders.make_submission(groups=20)
         await cluster.submit('entry-0', submission)
         await asyncio.sleep(0.5)
@@ -184,45 +167,36 @@
         await asyncio.sleep(5)
         assert len(engine.ran) == count
         assert engine.running == 0
-        await cluster.stop()
 
-    virtualloop.run(scenario())
+    entrybuilders.run_cluster(scenario, engines=1)
 
 
 def test_unknown_job_and_unsure_answer_differ():
-    async def scenario():
-        cluster = entrybuilders.make_cluster()
-        await asyncio.sleep(2)
+    async def scenario(cluster):
         desk = cluster.entry_by_name['entry-0'].node.desk
         assert await desk.read('nobody', 0, 0) is None
         cluster.entry_by_name['entry-0'].client.faults.down = True
         with pytest.raises(Exception, match='status 503|no peer'):
             await desk.read('nobody', 0, 0)
-        await cluster.stop()
 
-    virtualloop.run(scenario())
+    entrybuilders.run_cluster(scenario)
 
 
 def test_bodies_are_read_back_whole():
-    async def scenario():
-        cluster = entrybuilders.make_cluster()
-        await asyncio.sleep(2)
+    async def scenario(cluster):
         submission = entrybuilders.make_submission()
         await cluster.submit('entry-0', submission)
         desk = cluster.entry_by_name['entry-2'].node.desk
         for item in submission.items:
             assert await desk.read_item('job-1', item.id) == item.body
         assert await desk.read_item('job-1', 'nobody') is None
-        await cluster.stop()
 
-    virtualloop.run(scenario())
+    entrybuilders.run_cluster(scenario)
 
 
 @pytest.mark.parametrize('how', ['kill', 'hand-over'])
 def test_long_text_goes_on_under_a_new_owner(how):
-    async def scenario():
-        cluster = entrybuilders.make_cluster()
-        await asyncio.sleep(2)
+    async def scenario(cluster):
         submission = entrybuilders.make_submission(groups=1, size=1)
         item_id = submission.items[0].id
         cluster.pool.events_by_item[item_id] = 140
@@ -243,18 +217,15 @@
             if event['event'] == 'job-started' and event['job'] == 'job-1'
         ]
         assert [event['texts'] for event in events] == [0, 1]
-        await cluster.stop()
 
-    virtualloop.run(scenario())
+    entrybuilders.run_cluster(scenario)
 
 
 @pytest.mark.parametrize(('min_version', 'runs'), [(1, 0), (2, 1)])
 def test_text_of_a_group_that_comes_again_is_used_if_it_fits(
     min_version, runs
 ):
-    async def scenario():
-        cluster = entrybuilders.make_cluster()
-        await asyncio.sleep(2)
+    async def scenario(cluster):
         first = entrybuilders.make_submission(groups=1, size=1)
         await cluster.submit('entry-0', first)
         assert len(await cluster.read_all('job-1', 10)) == 1
@@ -268,9 +239,8 @@
         check_results(cluster, again, results)
         assert min(results[0].versions) >= min_version
         assert count_runs(cluster, item_id) - before == runs
-        await cluster.stop()
 
-    virtualloop.run(scenario())
+    entrybuilders.run_cluster(scenario)
 
 
 def count_runs(cluster, item_id):
--- a/tests/entry/test_owners.py
+++ b/tests/entry/test_owners.py
@@ -11,9 +11,7 @@
 
 @pytest.mark.parametrize('seed', range(8))
 def test_former_owner_that_comes_back_changes_no_position(seed):
-    async def scenario():
-        cluster = entrybuilders.make_cluster(seed, engines=2)
-        await asyncio.sleep(2)
+    async def scenario(cluster):
         submission = entrybuilders.make_submission(groups=12)
         await cluster.submit('entry-0', submission)
         await asyncio.sleep(0.4)
@@ -37,15 +35,12 @@
         await asyncio.sleep(1)
         page = await fresh.node.desk.read('job-1', 0, 0)
         assert list(page.results) == results[: len(page.results)]
-        await cluster.stop()
 
-    virtualloop.run(scenario())
+    entrybuilders.run_cluster(scenario, seed, engines=2)
 
 
 def test_end_stops_runs_that_would_last():
-    async def scenario():
-        cluster = entrybuilders.make_cluster()
-        await asyncio.sleep(2)
+    async def scenario(cluster):
         submission = entrybuilders.make_submission(groups=2, size=4)
         for item in submission.items:
             cluster.pool.events_by_item[item.id] = 400
@@ -55,9 +50,8 @@
         await asyncio.sleep(0.5)
         engines = cluster.pool.endpoint_by_id.values()
         assert sum(one.running for one in engines) == 0
-        await cluster.stop()
 
-    virtualloop.run(scenario())
+    entrybuilders.run_cluster(scenario)
 
 
 @pytest.mark.parametrize('seed', range(4))
@@ -78,9 +72,7 @@
 
 
 def test_item_that_the_only_engine_refused_once_is_sent_to_it_again():
-    async def scenario():
-        cluster = entrybuilders.make_cluster(engines=1)
-        await asyncio.sleep(2)
+    async def scenario(cluster):
         engine = cluster.pool.endpoint_by_id['engine-0']
         engine.loading = entrybuilders.MODEL
         submission = entrybuilders.make_submission(groups=2)
@@ -89,6 +81,5 @@
         engine.loading = None
         results = await cluster.read_all('job-1', 10)
         test_jobs.check_results(cluster, submission, results)
-        await cluster.stop()
 
-    virtualloop.run(scenario())
+    entrybuilders.run_cluster(scenario, engines=1)
--- a/tests/entry/test_poison.py
+++ b/tests/entry/test_poison.py
@@ -5,7 +5,6 @@
 
 from pomelopass import message
 from standins import modelengines
-from standins import virtualloop
 from tests import entrybuilders
 
 
@@ -20,9 +19,7 @@
 
 
 def test_a_request_that_crashes_endpoints_is_stopped_everywhere():
-    async def scenario():
-        cluster = entrybuilders.make_cluster()
-        await asyncio.sleep(2)
+    async def scenario(cluster):
         for number in range(12):
             name = f'entry-{number % 3}'
             await ask(cluster, name, f'bad-{number}', modelengines.POISON)
@@ -38,15 +35,12 @@
         assert message.find_header(reply.headers, 'retry-after')
         reply = await ask(cluster, 'entry-0', 'good', b'harmless')
         assert reply.status == 200
-        await cluster.stop()
 
-    virtualloop.run(scenario())
+    entrybuilders.run_cluster(scenario)
 
 
 def test_an_item_that_crashes_engines_stops_after_three():
-    async def scenario():
-        cluster = entrybuilders.make_cluster()
-        await asyncio.sleep(2)
+    async def scenario(cluster):
         good = entrybuilders.make_submission(groups=1, size=2)
         bad = dataclasses.replace(good.items[0], body=modelengines.POISON)
         submission = dataclasses.replace(good, items=(bad, good.items[1]))
@@ -62,6 +56,5 @@
             bad.id: False,
             good.items[1].id: True,
         }
-        await cluster.stop()
 
-    virtualloop.run(scenario())
+    entrybuilders.run_cluster(scenario)
--- a/tests/entry/test_versions.py
+++ b/tests/entry/test_versions.py
@@ -27,25 +27,20 @@
 
 
 def test_each_engine_loads_a_named_version_once():
-    async def scenario():
-        cluster = entrybuilders.make_cluster(engines=4)
-        await asyncio.sleep(2)
+    async def scenario(cluster):
         for version in range(2, 6):
             cluster.name_version(MODEL, version)
             await asyncio.sleep(4)
             assert get_versions(cluster) == {version}
         for some in get_orders(cluster).values():
             assert [one.version for one in some] == [2, 3, 4, 5]
-        await cluster.stop()
 
-    virtualloop.run(scenario())
+    entrybuilders.run_cluster(scenario, engines=4)
 
 
 @pytest.mark.parametrize('seed', range(6))
 def test_fences_never_go_back_when_the_leader_dies(seed):
-    async def scenario():
-        cluster = entrybuilders.make_cluster(seed, instances=4, engines=5)
-        await asyncio.sleep(2)
+    async def scenario(cluster):
         cluster.name_version(MODEL, 2)
         await asyncio.sleep(0.3 + 0.2 * seed)
         leaders = {
@@ -65,9 +60,8 @@
             for one in some:
                 holder = holder_by_fence.setdefault(one.fence, one.holder)
                 assert holder == one.holder
-        await cluster.stop()
 
-    virtualloop.run(scenario())
+    entrybuilders.run_cluster(scenario, seed, instances=4, engines=5)
 
 
 def test_two_models_on_one_engine_have_one_holder():
@@ -94,9 +88,7 @@
 
 
 def test_job_waits_for_the_oldest_version_that_it_allows():
-    async def scenario():
-        cluster = entrybuilders.make_cluster()
-        await asyncio.sleep(2)
+    async def scenario(cluster):
         submission = entrybuilders.make_submission(min_version=2)
         await cluster.submit('entry-0', submission)
         await asyncio.sleep(1)
@@ -104,15 +96,12 @@
         results = await cluster.read_all('job-1', 10)
         assert len(results) == len(submission.items)
         assert {version for one in results for version in one.versions} == {2}
-        await cluster.stop()
 
-    virtualloop.run(scenario())
+    entrybuilders.run_cluster(scenario)
 
 
 def test_engines_keep_weights_that_the_next_step_may_use_while_busy():
-    async def scenario():
-        cluster = entrybuilders.make_cluster(engines=4)
-        await asyncio.sleep(2)
+    async def scenario(cluster):
         # Long texts keep every engine busy while a version is named.
         submission = entrybuilders.make_submission(groups=4, step=2)
         for item in submission.items:
@@ -127,6 +116,5 @@
             if one.version_by_model
         ]
         assert sorted(held) == [1, 1, 2, 2]
-        await cluster.stop()
 
-    virtualloop.run(scenario())
+    entrybuilders.run_cluster(scenario, engines=4)
--- a/tests/entrybuilders.py
+++ b/tests/entrybuilders.py
@@ -1,5 +1,6 @@
 """Build test data for entry instances."""
 
+import asyncio
 import base64
 from collections import abc
 
@@ -7,9 +8,12 @@
 from pomelopass.reporting import logevents
 from standins import entries
 from standins import modelengines
+from standins import virtualloop
 
 HOST = 'trainer.test'
 MODEL = 'matcher'
+# Instances have read the table by then.
+START_S = 2
 
 
 def make_configuration(version: int = 1, **job_changes: object) -> dict:
@@ -123,6 +127,24 @@
     return cluster
 
 
+def run_cluster(
+    scenario: abc.Callable[[entries.EntryCluster], abc.Awaitable[None]],
+    seed: int = 1,
+    instances: int = 3,
+    engines: int = 3,
+    **job_changes: object,
+) -> None:
+    """Run a scenario on a cluster that knows its endpoints."""
+
+    async def run() -> None:
+        cluster = make_cluster(seed, instances, engines, **job_changes)
+        await asyncio.sleep(START_S)
+        await scenario(cluster)
+        await cluster.stop()
+
+    virtualloop.run(run())
+
+
 def make_job_body(submission: jobs.Submission) -> dict:
     """Return a job as its trainer sends it."""
     return {
