Give addresses and claim writes of an instance types of their own

Cause: the context held three loose addresses and an untyped list whose entries only one module knew. Measured: scenarios of orders, core, package, process tests of orders and operation pass.

--- a/pomelopass/callers/claimwriter.py
+++ b/pomelopass/callers/claimwriter.py
@@ -1,11 +1,11 @@
 """Write claim rows in groups, one transaction for many requests."""
 
 import asyncio
-import dataclasses
 
 from returns import result
 
 from ..core import tablerow
+from ..running import claimwrites
 from ..running import context as contexts
 
 __all__ = ['write']
@@ -15,14 +15,6 @@
 TRIES = 2
 
 
-@dataclasses.dataclass(slots=True)
-class _Entry:
-    key: str
-    old_version: int
-    value: str
-    done: asyncio.Future
-
-
 async def write(
     context: contexts.Context, key: str, old_version: int, value: str
 ) -> result.Result[tablerow.Row, tablerow.StoreFault]:
@@ -31,21 +23,25 @@
     An answer that was lost is settled by reading the row.
     """
     done = asyncio.get_running_loop().create_future()
-    context.claim_queue.append(_Entry(key, old_version, value, done))
-    if len(context.claim_queue) == 1:
+    context.claim_writes.append(
+        claimwrites.ClaimWrite(key, old_version, value, done)
+    )
+    if len(context.claim_writes) == 1:
         contexts.spawn(context, _flush_soon(context))
     return await done
 
 
 async def _flush_soon(context: contexts.Context) -> None:
     await context.ports.clock.sleep(GROUP_WAIT_MS)
-    while context.claim_queue:
-        group = context.claim_queue[:MAX_GROUP]
-        del context.claim_queue[:MAX_GROUP]
+    while context.claim_writes:
+        group = context.claim_writes[:MAX_GROUP]
+        del context.claim_writes[:MAX_GROUP]
         contexts.spawn(context, _write_group(context, group))
 
 
-async def _write_group(context: contexts.Context, group: list[_Entry]) -> None:
+async def _write_group(
+    context: contexts.Context, group: list[claimwrites.ClaimWrite]
+) -> None:
     transaction = tablerow.Transaction(
         tuple(tablerow.Condition(one.key, one.old_version) for one in group),
         tuple(tablerow.Put(one.key, one.value) for one in group),
@@ -63,7 +59,7 @@
 
 
 async def _settle(
-    context: contexts.Context, one: _Entry
+    context: contexts.Context, one: claimwrites.ClaimWrite
 ) -> result.Result[tablerow.Row, tablerow.StoreFault]:
     for _ in range(TRIES):
         found = await context.ports.table.get(one.key)
@@ -81,7 +77,7 @@
 
 
 def _resolve(
-    one: _Entry,
+    one: claimwrites.ClaimWrite,
     outcome: result.Result[tablerow.Row, tablerow.StoreFault],
 ) -> None:
     if not one.done.done():
--- a/pomelopass/daemon.py
+++ b/pomelopass/daemon.py
@@ -149,13 +149,13 @@
         gossip.PeerHandler(context),
         lambda: context.metrics.bad_frames.inc({}),
     )
-    context.caller_address, _ = await httpserver.start_server(
+    context.addresses.callers, _ = await httpserver.start_server(
         callers, given.caller_address
     )
-    context.operator_address, _ = await httpserver.start_server(
+    context.addresses.operators, _ = await httpserver.start_server(
         operators, given.operator_address
     )
-    context.peer_address, _ = await peerserver.start_server(
+    context.addresses.peers, _ = await peerserver.start_server(
         peer, given.peer_address
     )
     return callers, operators, peer
--- a/pomelopass/routes/entries.py
+++ b/pomelopass/routes/entries.py
@@ -43,9 +43,9 @@
     running = context.stopping.phase == stopping.Phase.RUNNING
     return peers.EntryView(
         incarnation=context.incarnation,
-        caller_address=context.caller_address,
-        peer_address=context.peer_address,
-        operator_address=context.operator_address,
+        caller_address=context.addresses.callers,
+        peer_address=context.addresses.peers,
+        operator_address=context.addresses.operators,
         availability_zone=context.settings.availability_zone,
         accepting=running and context.configuration is not None,
         stopping=not running,
--- a/pomelopass/routes/keys.py
+++ b/pomelopass/routes/keys.py
@@ -22,7 +22,7 @@
     )
     body = {
         'key': key,
-        'address': context.caller_address,
+        'address': context.addresses.callers,
         'lifetime_ms': issuedkey.LIFETIME_MS,
     }
     return problemdetails.make_json_reply(body, 201)
--- a/pomelopass/running/context.py
+++ b/pomelopass/running/context.py
@@ -9,6 +9,7 @@
 from .. import policy
 from .. import ports
 from ..callers import poolstate
+from . import claimwrites
 from ..configuring import configuration
 from ..core import admission
 from ..core import adoption
@@ -20,6 +21,7 @@
 from ..core import quarantine
 from ..core import stopping
 from . import dutystate
+from . import ownaddresses
 from ..reporting import metrics
 from . import settings
 
@@ -59,7 +61,9 @@
     duties: dutystate.DutyState = dataclasses.field(
         default_factory=dutystate.DutyState
     )
-    claim_queue: list = dataclasses.field(default_factory=list)
+    claim_writes: list[claimwrites.ClaimWrite] = dataclasses.field(
+        default_factory=list
+    )
     work_in_flight: int = 0
     last_number: int = 0
     next_partner: int = 0
@@ -67,9 +71,9 @@
     wake_config: asyncio.Event = dataclasses.field(
         default_factory=asyncio.Event
     )
-    caller_address: str = ''
-    peer_address: str = ''
-    operator_address: str = ''
+    addresses: ownaddresses.OwnAddresses = dataclasses.field(
+        default_factory=ownaddresses.OwnAddresses
+    )
     operator_token: str = ''
 
 
--- a/pomelopass/running/gossip.py
+++ b/pomelopass/running/gossip.py
@@ -55,7 +55,7 @@
     """Return the addresses of the peers to exchange with."""
     addresses_by_zone: dict[str, list[str]] = {}
     for one in context.entries:
-        if one.peer_address == context.peer_address:
+        if one.peer_address == context.addresses.peers:
             continue
         zone = addresses_by_zone.setdefault(one.availability_zone, [])
         zone.append(one.peer_address)
--- a/pomelopass/running/instance.py
+++ b/pomelopass/running/instance.py
@@ -31,9 +31,9 @@
         metrics=metrics.Metrics(given.id),
         operator_token=token,
     )
-    context.caller_address = given.caller_address
-    context.peer_address = given.peer_address
-    context.operator_address = given.operator_address
+    context.addresses.callers = given.caller_address
+    context.addresses.peers = given.peer_address
+    context.addresses.operators = given.operator_address
 
     return context
 
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -175,8 +175,8 @@
         gate: memory.Gate,
     ) -> None:
         address = f'{name}:2'
-        context.caller_address = f'{name}:1'
-        context.peer_address = address
+        context.addresses.callers = f'{name}:1'
+        context.addresses.peers = address
         self.handlers[address] = gossip.PeerHandler(context)
         self.gates[address] = gate
         self.network.zone_by_address[address] = zone
