Tell which clocks differ, and show all fields on the time line

Ruled out: comparing submissions with starts of jobs; an owner may hear of a job before the instance that took it writes its line. Change: reporting/clockgaps.py compares starts with their finding by others; the page has typed events, all fields and the remarks.

--- a/pomelopass/cmdline.py
+++ b/pomelopass/cmdline.py
@@ -1,6 +1,8 @@
 """Run the command-line tool of operators."""
 
 import dataclasses
+import os
+import sys
 from typing import Annotated
 
 import cappa
@@ -53,6 +55,9 @@
     except cappa.Exit as error:
         cappa.Output().exit(error, '')
         raise SystemExit(error.code) from None
+    except BrokenPipeError:
+        # Who reads the output has seen enough; nothing is left to flush.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
 
 
 def _run(tool: Tool) -> None:
--- a/pomelopass/commands/logs.py
+++ b/pomelopass/commands/logs.py
@@ -9,6 +9,7 @@
 import cappa
 
 from .. import command
+from ..reporting import clockgaps
 from ..reporting import savedlogs
 from ..reporting import timelinepage
 
@@ -29,9 +30,15 @@
 
     def run(self, access: command.Access | None) -> None:
         """Print the events of the id and of its job on all instances."""
-        found = savedlogs.find_related(_read(self.files), self.subject)
+        lines = _read(self.files)
+        found = savedlogs.find_related(lines, self.subject)
         if not found:
             raise command.CommandError(f'No line names {self.subject!r}.')
+        shown = {one.instance for one in found}
+        for remark in _get_remarks(
+            [one for one in lines if one.instance in shown]
+        ):
+            print(f'# {remark}')
         for one in found:
             print(savedlogs.format_line(one))
 
@@ -53,14 +60,18 @@
 
     def run(self, access: command.Access | None) -> None:
         """Print the events or write them as a page."""
-        found = [
-            one for one in _read(self.files) if one.event not in self.without
-        ]
+        lines = _read(self.files)
+        found = [one for one in lines if one.event not in self.without]
+        remarks = _get_remarks(lines)
         if self.html is None:
+            for remark in remarks:
+                print(f'# {remark}')
             for one in found:
                 print(savedlogs.format_line(one))
             return
-        page = timelinepage.make_page([_make_event(one) for one in found])
+        page = timelinepage.make_page(
+            [_make_event(one) for one in found], remarks
+        )
         pathlib.Path(self.html).write_text(page, encoding='utf-8')
         print(f'{len(found)} events in {self.html}')
 
@@ -92,16 +103,15 @@
     return savedlogs.read_lines(sources)
 
 
-def _make_event(one: savedlogs.LogLine) -> dict:
+def _make_event(one: savedlogs.LogLine) -> timelinepage.PageEvent:
     try:
-        utc = datetime.datetime.fromisoformat(one.time)
-        utc_ms = utc.timestamp() * 1000
+        utc_ms = datetime.datetime.fromisoformat(one.time).timestamp() * 1000
     except ValueError:
         utc_ms = 0.0
-    return {
-        'utc_ms': utc_ms,
-        'process': one.instance,
-        'kind': one.event,
-        'subject': ' '.join(sorted(one.ids)),
-        'detail': str(one.fields.get('outcome', '')),
-    }
+    text = f'{one.event} {savedlogs.format_fields(one)}'
+    return timelinepage.PageEvent(utc_ms, one.instance, text)
+
+
+def _get_remarks(lines: list[savedlogs.LogLine]) -> list[str]:
+    gaps = clockgaps.find_gaps(lines)
+    return [clockgaps.format_gap(one) for one in gaps]
--- a/pomelopass/commands/timeline.py
+++ b/pomelopass/commands/timeline.py
@@ -37,7 +37,9 @@
         accesses += [command.Access(one, '') for one in self.also]
         events = collect(accesses, '/timeline')[-self.last :]
         if self.html is not None:
-            page = timelinepage.make_page(events)
+            page = timelinepage.make_page(
+                [_make_page_event(one) for one in events]
+            )
             pathlib.Path(self.html).write_text(page, encoding='utf-8')
             print(f'{len(events)} events in {self.html}')
             return
@@ -62,3 +64,8 @@
         f'{time}  {one["process"]:24s}  {one["kind"]:20s}'
         f'  {one["subject"]}  {one["detail"]}'
     )
+
+
+def _make_page_event(one: dict) -> timelinepage.PageEvent:
+    text = f'{one["kind"]}: {one["subject"]} {one["detail"]}'
+    return timelinepage.PageEvent(one['utc_ms'], one['process'], text)
--- /dev/null
+++ b/pomelopass/reporting/clockgaps.py
@@ -0,0 +1,65 @@
+"""Find clocks of instances that differ, from what must follow what."""
+
+from collections import abc
+import dataclasses
+import datetime
+
+from . import savedlogs
+
+__all__ = ['ClockGap', 'find_gaps', 'format_gap']
+
+# Clocks nearer than this change no reader's mind.
+LEAST_GAP_MS = 5.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClockGap:
+    """Say by how much at least the clock of an instance is behind another."""
+
+    behind: str
+    ahead: str
+    gap_ms: float
+
+
+def find_gaps(lines: abc.Iterable[savedlogs.LogLine]) -> list[ClockGap]:
+    """Return the gaps that effects seem to have before their causes.
+
+    A start is found by others after it was written down; another order
+    tells that two clocks differ.
+    """
+    start_by_name: dict[object, savedlogs.LogLine] = {}
+    found: list[savedlogs.LogLine] = []
+    for line in lines:
+        if line.event == 'started':
+            start_by_name[line.fields.get('start')] = line
+        elif line.event == 'instance-found':
+            found.append(line)
+    gap_by_pair: dict[tuple[str, str], float] = {}
+    for line in found:
+        start = start_by_name.get(line.fields.get('start'))
+        if start is None:
+            continue
+        gap_ms = _get_ms(start) - _get_ms(line)
+        if gap_ms >= LEAST_GAP_MS:
+            pair = (line.instance, start.instance)
+            gap_by_pair[pair] = max(gap_ms, gap_by_pair.get(pair, 0.0))
+    return [
+        ClockGap(behind, ahead, gap_ms)
+        for (behind, ahead), gap_ms in sorted(gap_by_pair.items())
+    ]
+
+
+def format_gap(gap: ClockGap) -> str:
+    """Return a gap as one line of text."""
+    return (
+        f'The clock of {gap.behind} is at least {gap.gap_ms:.0f} ms behind '
+        f'that of {gap.ahead}.'
+    )
+
+
+def _get_ms(line: savedlogs.LogLine) -> float:
+    try:
+        told = datetime.datetime.fromisoformat(line.time)
+    except ValueError:
+        return 0.0
+    return told.timestamp() * 1000
--- a/pomelopass/reporting/savedlogs.py
+++ b/pomelopass/reporting/savedlogs.py
@@ -4,7 +4,13 @@
 import dataclasses
 import json
 
-__all__ = ['LogLine', 'find_related', 'read_lines']
+__all__ = [
+    'LogLine',
+    'find_related',
+    'format_fields',
+    'format_line',
+    'read_lines',
+]
 
 ID_FIELDS = ('id', 'job', 'endpoint', 'model', 'service')
 LIST_FIELDS = ('items', 'endpoints', 'refused_by')
@@ -63,10 +69,15 @@
 
 def format_line(one: LogLine) -> str:
     """Return an event as one line of text."""
-    told = ' '.join(
+    told = format_fields(one)
+    return f'{one.time}  {one.instance:20s}  {one.event:22s}  {told}'
+
+
+def format_fields(one: LogLine) -> str:
+    """Return what an event tells as names and values."""
+    return ' '.join(
         f'{name}={json.dumps(value)}' for name, value in one.fields.items()
     )
-    return f'{one.time}  {one.instance:20s}  {one.event:22s}  {told}'
 
 
 def _tells_of_job(one: LogLine, jobs: set[str]) -> bool:
--- a/tests/test_savedlogs.py
+++ b/tests/test_savedlogs.py
@@ -1,8 +1,11 @@
 """Test what saved logs tell of an id."""
 
 import json
+import subprocess
+import sys
 
 from pomelopass.reporting import savedlogs
+from scripts import fleet
 from tests import test_cmdline
 
 
@@ -62,3 +65,55 @@
     done = test_cmdline.run('logs', 'explain', 'nobody', *names)
     assert done.returncode == 1
     assert 'No line names' in done.stderr
+
+
+def test_a_reader_that_stops_early_costs_no_traceback(tmp_path):
+    path = tmp_path / 'a.log'
+    path.write_text('\n'.join(FIRST * 5000))
+    code = 'from pomelopass import cmdline; cmdline.main()'
+    tool = subprocess.Popen(
+        [sys.executable, '-c', code, 'logs', 'timeline', str(path)],
+        cwd=fleet.ROOT,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        text=True,
+    )
+    tool.stdout.readline()
+    tool.stdout.close()
+    told = tool.stderr.read()
+    tool.stderr.close()
+    assert tool.wait() == 0
+    assert told == ''
+
+
+def test_a_clock_that_is_behind_is_told(tmp_path):
+    path = tmp_path / 'all.log'
+    path.write_text(
+        '\n'.join(
+            [
+                make_line(
+                    '2026-01-01T00:00:02.500Z', 'a', 'started', start='a-1'
+                ),
+                make_line(
+                    '2026-01-01T00:00:01.000Z',
+                    'b',
+                    'instance-found',
+                    start='a-1',
+                ),
+                make_line(
+                    '2026-01-01T00:00:02.600Z',
+                    'c',
+                    'instance-found',
+                    start='a-1',
+                ),
+            ]
+        )
+    )
+    done = test_cmdline.run('logs', 'timeline', str(path))
+    remarks = [one for one in done.stdout.splitlines() if one[0] == '#']
+    assert remarks == [
+        '# The clock of b is at least 1500 ms behind that of a.'
+    ]
+    page = tmp_path / 'page.html'
+    test_cmdline.run('logs', 'timeline', str(path), '--html', str(page))
+    assert 'The clock of b is at least 1500 ms behind' in page.read_text()
--- a/tests/test_timelinepage.py
+++ b/tests/test_timelinepage.py
@@ -5,13 +5,7 @@
 
 def test_page_has_a_row_an_event_and_escapes_text():
     events = [
-        {
-            'utc_ms': 1500.0,
-            'process': name,
-            'kind': 'kind',
-            'subject': '<b>',
-            'detail': '',
-        }
+        timelinepage.PageEvent(1500.0, name, 'kind: <b>')
         for name in ('one', 'two')
     ]
     page = timelinepage.make_page(events)
