Let the soak open streams that may be resumed and that may not

Cause: streams of callers had no test over processes; the two deployments have none either. Ruled out: a test of its own per fault; the soak has all of them. Change: two routes in the builders' configuration; a soak's callers check that events have no gap, that a stream which looks whole is whole, and that one that may not be resumed ran once.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -5,7 +5,7 @@
 from soak import clients
 from standins import modelengines
 
-__all__ = ['check_jobs', 'check_orders', 'check_seen']
+__all__ = ['check_jobs', 'check_orders', 'check_seen', 'check_streams']
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
@@ -61,6 +61,19 @@
             fail(f'{order} ran and was answered {status}')
 
 
+def check_streams(
+    callers: clients.Clients, seen: dict, fail: abc.Callable[[str], None]
+) -> None:
+    """Check that whole streams are whole, and which ones ran once."""
+    ran = _get_ran(seen)
+    for stream_id, count in callers.events_by_stream.items():
+        if count != seen['events'][stream_id]:
+            fail(f'{stream_id} looked whole after {count} events')
+    for stream_id in callers.single_streams:
+        if ran.get(stream_id, 0) > 1:
+            fail(f'{stream_id} ran {ran[stream_id]} times')
+
+
 def check_seen(seen: dict, fail: abc.Callable[[str], None]) -> None:
     """Check the orders that engines took: fences and holders."""
     for name, one in seen.items():
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -17,6 +17,7 @@
 ORDER_EVERY_S = 0.15
 PROBE_EVERY_S = 0.2
 MAX_REPLY_BYTES = 2_000_000
+RESUMABLE_SHARE = 0.7
 
 
 @dataclasses.dataclass(slots=True)
@@ -38,6 +39,7 @@
 
     address_by_name: dict[str, str]
     host: str
+    model: str
     rng: random.Random
     fail: abc.Callable[[str], None]
     make_job: abc.Callable[[str], tuple[jobs.Submission, dict]]
@@ -46,13 +48,23 @@
     )
     job_by_id: dict[str, JobSeen] = dataclasses.field(default_factory=dict)
     status_by_order: dict[str, int] = dataclasses.field(default_factory=dict)
+    # How many events a stream brought that ended as whole.
+    events_by_stream: dict[str, int] = dataclasses.field(default_factory=dict)
+    # Streams that may not go on elsewhere.
+    single_streams: set[str] = dataclasses.field(default_factory=set)
     answered: int = 0
     counter: int = 0
 
     async def run(self, seconds: float) -> None:
         """Send work for a time."""
         async with asyncio.TaskGroup() as group:
-            for work in (self._submit, self._send_order, self._ask, self.read):
+            for work in (
+                self._submit,
+                self._send_order,
+                self._ask,
+                self.read,
+                self._stream,
+            ):
                 group.create_task(self._repeat(work, seconds))
 
     async def call(
@@ -154,3 +166,29 @@
         signature = message.find_header(headers, 'server-stamp')
         if signature != f's-{request_id}' or body != b'done':
             self.fail(f'{request_id}: another answer: {signature} {body!r}')
+
+    async def _stream(self) -> None:
+        self.counter += 1
+        resumable = self.rng.random() < RESUMABLE_SHARE
+        stream_id = f'stream-{self.counter}'
+        if not resumable:
+            self.single_streams.add(stream_id)
+        status, _, body = await self.call(
+            self._choose(),
+            'POST',
+            '/chats/1' if resumable else '/talks/1',
+            b'{}',
+            attempt_id=stream_id,
+            model=self.model,
+        )
+        if status != 200:
+            return
+        told = [
+            line.removeprefix('data: ')
+            for line in body.decode().splitlines()
+            if line.startswith('data: ')
+        ]
+        wanted = [f'{stream_id}.{one}' for one in range(1, len(told) + 1)]
+        if told != wanted:
+            self.fail(f'{stream_id}: events are missing or come twice')
+        self.events_by_stream[stream_id] = len(told)
--- a/soak/run.py
+++ b/soak/run.py
@@ -56,6 +56,7 @@
             callers = clients.Clients(
                 {name: self.fleet.get_address(name) for name in names},
                 entrybuilders.HOST,
+                entrybuilders.MODEL,
                 self.rng,
                 self.fail,
                 _make_job,
@@ -134,6 +135,7 @@
         seen = await asyncio.to_thread(self.fleet.get_seen)
         checks.check_jobs(callers.job_by_id.values(), seen, self.fail)
         checks.check_orders(callers.status_by_order, seen, self.fail)
+        checks.check_streams(callers, seen, self.fail)
         checks.check_seen(seen, self.fail)
         accepted = sum(one.accepted for one in callers.job_by_id.values())
         served = sum(
@@ -142,9 +144,11 @@
         self.note(
             f'{accepted} of {len(callers.job_by_id)} jobs accepted, '
             f'{served} of {len(callers.status_by_order)} orders and '
-            f'{callers.answered} requests answered'
+            f'{callers.answered} requests answered, '
+            f'{len(callers.events_by_stream)} streams whole'
         )
-        if not accepted or not served or not callers.answered:
+        streamed = callers.events_by_stream
+        if not (accepted and served and callers.answered and streamed):
             self.fail('nothing was served')
 
 
--- a/tests/entrybuilders.py
+++ b/tests/entrybuilders.py
@@ -54,6 +54,8 @@
                 'target_latency_ms': 200,
                 'max_attempts': 2,
             },
+            _make_stream_route('chats', resumable=True),
+            _make_stream_route('talks', resumable=False),
         ],
         'services': [
             {'name': 'engines', 'engine': {'models': [{'name': MODEL}]}},
@@ -68,6 +70,20 @@
     }
 
 
+def _make_stream_route(name: str, resumable: bool) -> dict:
+    return {
+        'name': name,
+        'hostname': HOST,
+        'path_prefix': f'/{name}/',
+        'route_type': 'streaming',
+        'resumable': resumable,
+        'service': 'engines',
+        'timeout_ms': 10_000,
+        'target_latency_ms': 400,
+        'max_attempts': 3,
+    }
+
+
 def make_submission(
     job_id: str = 'job-1',
     groups: int = 3,
