--- a/tests/entry/test_histories.py
+++ b/tests/entry/test_histories.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 
 from pomelopass.jobs import desk as desks
+from pomelopass.jobs import job as jobs
 from pomelopass.table import rows
 from standins import entries
 from standins import virtualloop
@@ -41,7 +42,9 @@
     """Hold what callers were promised."""
 
     cluster: entries.EntryCluster
-    accepted: dict = dataclasses.field(default_factory=dict)
+    accepted: dict[str, jobs.Submission] = dataclasses.field(
+        default_factory=dict
+    )
     ended: set[str] = dataclasses.field(default_factory=set)
     version: int = 1
     configured: int = 1
