Read the time of a saved line in one place

Cause: the clock gaps and the page each parsed the time of a line; the twin in the clock gaps took an unreadable time for 1970 and told a gap of decades. An item whose time was over set a flag that nobody reads. Ruled out: leaving such lines out when they are read; they still explain. Change: LogLine.utc_ms, None without a readable time; the dead flag goes. Measured: test_a_line_without_a_readable_time_tells_of_no_clock fails before and passes; tests of saved logs, page, tool, entry, jobs and mutants pass.

--- a/pomelopass/commands/logs.py
+++ b/pomelopass/commands/logs.py
@@ -1,7 +1,6 @@
 """Explain and show what saved logs tell, without a live instance."""
 
 import dataclasses
-import datetime
 import pathlib
 import sys
 from typing import Annotated
@@ -104,12 +103,8 @@
 
 
 def _make_event(one: savedlogs.LogLine) -> timelinepage.PageEvent:
-    try:
-        utc_ms = datetime.datetime.fromisoformat(one.time).timestamp() * 1000
-    except ValueError:
-        utc_ms = 0.0
     text = f'{one.event} {savedlogs.format_fields(one)}'
-    return timelinepage.PageEvent(utc_ms, one.instance, text)
+    return timelinepage.PageEvent(one.utc_ms or 0.0, one.instance, text)
 
 
 def _get_remarks(lines: list[savedlogs.LogLine]) -> list[str]:
--- a/pomelopass/jobs/itemrun.py
+++ b/pomelopass/jobs/itemrun.py
@@ -1,6 +1,7 @@
 """Run one item of a job until its text is whole and scored."""
 
 import asyncio
+import contextlib
 
 from .. import message
 from . import itemcontext
@@ -33,7 +34,8 @@
     run = itemcontext.ItemRun(item, group_index, progress)
     loop = asyncio.get_running_loop()
     left = max(context.expires_at - loop.time(), 0.0)
-    try:
+    # The line below tells of an item whose time is over.
+    with contextlib.suppress(TimeoutError):
         async with asyncio.timeout(left):
             while not run.progress.whole and not run.terminated:
                 await _run_once(context, run)
@@ -43,9 +45,6 @@
                 result = await reward.score_item(context, run)
                 if result is not None:
                     return result
-    except TimeoutError:
-        # The item's time is over; the line below tells it.
-        run.terminated = True
     context.write_event(
         logevents.ItemTerminated(
             job=context.submission.id,
--- a/pomelopass/reporting/clockgaps.py
+++ b/pomelopass/reporting/clockgaps.py
@@ -2,7 +2,6 @@
 
 from collections import abc
 import dataclasses
-import datetime
 
 from . import savedlogs
 
@@ -37,9 +36,9 @@
     gap_by_pair: dict[tuple[str, str], float] = {}
     for line in found:
         start = start_by_name.get(line.fields.get('start'))
-        if start is None:
+        if start is None or start.utc_ms is None or line.utc_ms is None:
             continue
-        gap_ms = _get_ms(start) - _get_ms(line)
+        gap_ms = start.utc_ms - line.utc_ms
         if gap_ms >= LEAST_GAP_MS:
             pair = (line.instance, start.instance)
             gap_by_pair[pair] = max(gap_ms, gap_by_pair.get(pair, 0.0))
@@ -55,11 +54,3 @@
         f'The clock of {gap.behind} is at least {gap.gap_ms:.0f} ms behind '
         f'that of {gap.ahead}.'
     )
-
-
-def _get_ms(line: savedlogs.LogLine) -> float:
-    try:
-        told = datetime.datetime.fromisoformat(line.time)
-    except ValueError:
-        return 0.0
-    return told.timestamp() * 1000
--- a/pomelopass/reporting/savedlogs.py
+++ b/pomelopass/reporting/savedlogs.py
@@ -2,6 +2,7 @@
 
 from collections import abc
 import dataclasses
+import datetime
 import json
 
 __all__ = [
@@ -26,6 +27,15 @@
     event: str
     fields: dict[str, object]
 
+    @property
+    def utc_ms(self) -> float | None:
+        """Return milliseconds since 1970, or None for no readable time."""
+        try:
+            told = datetime.datetime.fromisoformat(self.time)
+        except ValueError:
+            return None
+        return told.timestamp() * 1000
+
     @property
     def ids(self) -> set[str]:
         """Return every id that the event names."""
--- a/tests/test_savedlogs.py
+++ b/tests/test_savedlogs.py
@@ -4,6 +4,7 @@
 import subprocess
 import sys
 
+from pomelopass.reporting import clockgaps
 from pomelopass.reporting import savedlogs
 from scripts import fleet
 from tests import test_cmdline
@@ -117,3 +118,10 @@
     page = tmp_path / 'page.html'
     test_cmdline.run('logs', 'timeline', str(path), '--html', str(page))
     assert 'The clock of b is at least 1500 ms behind' in page.read_text()
+
+
+def test_a_line_without_a_readable_time_tells_of_no_clock():
+    started = make_line('2026-01-01T00:00:02.500Z', 'a', 'started', start='s')
+    found = make_line('?', 'b', 'instance-found', start='s')
+    lines = savedlogs.read_lines([[started, found]])
+    assert clockgaps.find_gaps(lines) == []
