Log answers and named limits, audit them over all instances

What callers see: nothing yet. The logs of an instance held only the ends of runs, so nobody could tell whether an endpoint that names a limit gets more than it allows, nor from whom.

Change: the adapter decodes the limit of an answer; endpoint-limited tells when an endpoint names another one, endpoint-answered (level DEBUG) each answer or failure with limit and duration; 'pomelopass logs audit' finds the worst 4 s of each limited endpoint over all instances. No decision changes.

--- a/pomelopass/commands/logs.py
+++ b/pomelopass/commands/logs.py
@@ -9,6 +9,7 @@
 
 from .. import command
 from ..reporting import clockskew
+from ..reporting import limitaudit
 from ..reporting import savedlogs
 from ..reporting import timelinepage
 
@@ -77,12 +78,38 @@
         print(f'{len(shown_lines)} events in {self.html}')
 
 
+@cappa.command(
+    name='audit', help='Compare what endpoints got with their limits.'
+)
+@dataclasses.dataclass
+class AuditLogs:
+    """Arguments of the comparison."""
+
+    files: Annotated[
+        list[str],
+        cappa.Arg(help='Log files at level DEBUG; - is standard input.'),
+    ]
+
+    def run(self, access: command.Access | None) -> None:
+        """Print the worst window of each limited endpoint."""
+        uses = limitaudit.measure_limit_use(_read_files(self.files))
+        for use in uses:
+            state = 'EXCEEDED' if use.is_exceeded else 'kept'
+            print(
+                f'limit {state}: {use.endpoint} got {use.requests} requests '
+                f'of {use.instances} instances in 4 s, allowed '
+                f'{use.allowed:.1f}, {use.refused} refused'
+            )
+        if any(use.is_exceeded for use in uses):
+            raise command.CommandError('A limit was exceeded.')
+
+
 @cappa.command(name='logs', help='Read saved logs of several instances.')
 @dataclasses.dataclass
 class Logs:
     """Subcommand to run."""
 
-    action: cappa.Subcommands[ExplainLogs | TimelineLogs]
+    action: cappa.Subcommands[ExplainLogs | TimelineLogs | AuditLogs]
 
     def run(self, access: command.Access | None) -> None:
         """Run the subcommand."""
--- a/pomelopass/entry/eventlog.py
+++ b/pomelopass/entry/eventlog.py
@@ -99,8 +99,8 @@
     """Return a function that logs an event with its fields."""
 
     def write_event(event: logevents.Event) -> None:
-        if logger.isEnabledFor(logging.INFO):
+        if logger.isEnabledFor(event.level):
             fields = {'instance': instance, **logevents.get_fields(event)}
-            logger.info(event.kind, extra={'fields': fields})
+            logger.log(event.level, event.kind, extra={'fields': fields})
 
     return write_event
--- a/pomelopass/entry/node.py
+++ b/pomelopass/entry/node.py
@@ -15,6 +15,7 @@
 from ..jobs import manager as jobmanager
 from ..jobs import rewardgate
 from ..jobs import schedule
+from ..limits import observer
 from ..platform import ingress as ingresses
 from ..platform import names
 from ..registry import registry as registries
@@ -64,6 +65,9 @@
         self.settings = settings
         self.ports = ports
         self.write_event = ports.write_event
+        self.endpoints = observer.ObservedEndpoints(
+            ports.endpoints, ports.write_event
+        )
         self.membership = member.Membership(settings.name)
         self.registry = registries.Registry(ports.write_event)
         self.view = views.View(
@@ -81,7 +85,7 @@
         self.quarantine = quarantines.Quarantine()
         self.forwarder = forward.Forwarder(
             self.registry,
-            ports.endpoints,
+            self.endpoints,
             settings.availability_zone,
             ports.rng,
             ports.write_event,
@@ -113,7 +117,7 @@
             self.view,
             self.table,
             self.scheduler,
-            self.ports.endpoints,
+            self.endpoints,
             self.forwarder,
             rewardgate.RewardGate(self.registry.count_slots),
         )
@@ -152,7 +156,7 @@
             self.table,
             self.registry,
             self.membership,
-            self.ports.endpoints,
+            self.endpoints,
             self.settings.takeover_wait_ms if must_wait else 0.0,
             self.view.needs_single_version,
             self._get_demand,
--- /dev/null
+++ b/pomelopass/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Keep the request rates that endpoints allow all instances together."""
--- /dev/null
+++ b/pomelopass/limits/observer.py
@@ -0,0 +1,89 @@
+"""Log the answers of endpoints and the request limits that they name."""
+
+import asyncio
+
+from ..registry import endpoint as endpoints
+from ..reporting import logevents
+from ..requests import call as calls
+
+__all__ = ['ObservedEndpoints']
+
+# Smaller changes of a limit are not logged.
+MIN_LOGGED_CHANGE = 0.2
+
+
+class ObservedEndpoints:
+    """Endpoint port that logs each answer and each change of a limit."""
+
+    def __init__(
+        self, port: calls.EndpointPort, write_event: logevents.WriteEvent
+    ):
+        self.port = port
+        self.write_event = write_event
+        self.logged_limit_by_id: dict[str, float] = {}
+        # The other calls pass unchanged.
+        self.read = port.read
+        self.is_refused = port.is_refused
+        self.fetch_report = port.fetch_report
+        self.order_version = port.order_version
+
+    async def open(
+        self,
+        target: endpoints.Endpoint,
+        call: calls.Call,
+        timeout_ms: float,
+        stall_ms: float | None = None,
+        fresh: bool = False,
+    ) -> calls.Answer:
+        """Return the answer once its head arrived; raise CallFailedError."""
+        started_at = asyncio.get_running_loop().time()
+        try:
+            answer = await self.port.open(
+                target, call, timeout_ms, stall_ms, fresh
+            )
+        except calls.CallFailedError as error:
+            not_run = not error.may_have_run
+            self._log_answer(target.id, call.id, started_at, 0, not_run)
+            raise
+        self._log_answer(
+            target.id,
+            call.id,
+            started_at,
+            answer.status,
+            answer.not_run,
+            answer.limit_per_s,
+        )
+        self._log_limit(target.id, answer.limit_per_s or 0.0)
+        return answer
+
+    def _log_answer(
+        self,
+        endpoint_id: str,
+        call_id: str,
+        started_at: float,
+        status: int,
+        not_run: bool,
+        limit: float | None = None,
+    ) -> None:
+        now = asyncio.get_running_loop().time()
+        self.write_event(
+            logevents.EndpointAnswered(
+                id=call_id,
+                endpoint=endpoint_id,
+                status=status,
+                not_run=not_run,
+                limit=limit,
+                took_ms=round((now - started_at) * 1000, 1),
+            )
+        )
+
+    def _log_limit(self, endpoint_id: str, limit: float) -> None:
+        logged = self.logged_limit_by_id.get(endpoint_id, 0.0)
+        if limit and abs(limit - logged) <= MIN_LOGGED_CHANGE * logged:
+            return
+        if limit == logged:
+            return
+        self.logged_limit_by_id[endpoint_id] = limit
+        self.write_event(
+            logevents.EndpointLimited(endpoint=endpoint_id, limit=limit)
+        )
--- a/pomelopass/platform/endpointclient.py
+++ b/pomelopass/platform/endpointclient.py
@@ -1,6 +1,7 @@
 """Call endpoints over the platform's HTTP protocol."""
 
 import asyncio
+import math
 
 import orjson
 
@@ -187,6 +188,9 @@
             message.find_header(headers, names.WEIGHT_VERSION)
         ),
         load=_decode_load(message.find_header(headers, names.ENDPOINT_LOAD)),
+        limit_per_s=_parse_rate(
+            message.find_header(headers, names.REQUEST_LIMIT)
+        ),
         reply=reply,
     )
 
@@ -195,6 +199,14 @@
     return int(text) if text is not None and text.isdecimal() else None
 
 
+def _parse_rate(text: str | None) -> float | None:
+    try:
+        rate = float(text or 'nan')
+    except ValueError:
+        return None
+    return rate if math.isfinite(rate) and rate >= 0.0 else None
+
+
 def _decode_load(text: str | None) -> endpoint.LoadReport | None:
     parts = (text or '').split(',')
     if len(parts) < 3 or not all(part.strip().isdecimal() for part in parts):
--- a/pomelopass/platform/names.py
+++ b/pomelopass/platform/names.py
@@ -7,6 +7,8 @@
 ENDPOINT_ID = 'instance-id'
 # Running, waiting, slots and, optionally, the slowdown in percent.
 ENDPOINT_LOAD = 'instance-load'
+# Requests per second that the endpoint takes from all instances together.
+REQUEST_LIMIT = 'server-limit'
 SIGNATURE = 'server-stamp'
 NOT_RUN = 'not-executed'
 LAST_EVENT_ID = 'last-event-id'
--- a/pomelopass/reporting/logevents.py
+++ b/pomelopass/reporting/logevents.py
@@ -2,6 +2,7 @@
 
 from collections import abc
 import dataclasses
+import logging
 import re
 from typing import ClassVar
 
@@ -11,8 +12,10 @@
     'ConfigurationUnreadable',
     'DutyLost',
     'DutyUnconfirmed',
+    'EndpointAnswered',
     'EndpointChanged',
     'EndpointCrashed',
+    'EndpointLimited',
     'EndpointUnreadable',
     'EngineOrdered',
     'Event',
@@ -76,10 +79,12 @@
     'job': 'id of a job',
     'key': 'key of a row',
     'last_event_id': 'id of the last event that a stream passed on',
+    'limit': 'requests per second that an endpoint takes from all instances',
     'listed': 'results that are already visible to readers',
     'may_have_run': 'number of endpoints that may have run it',
     'min_version': 'oldest weight version that the job accepts',
     'model': 'name of a model',
+    'not_run': 'whether the endpoint reports that it ran nothing',
     'outcome': 'result of the operation',
     'owned': 'jobs owned by the instance',
     'owner': 'name of the instance that runs a job',
@@ -110,6 +115,8 @@
 
     __slots__ = ()
     kind: ClassVar[str] = ''
+    # Level of the log line; frequent events are written only when debugging.
+    level: ClassVar[int] = logging.INFO
 
     def __init_subclass__(cls) -> None:
         """Derive the kind, in lower case with hyphens."""
@@ -199,6 +206,28 @@
     versions: abc.Mapping[str, int]
 
 
+@_event
+class EndpointAnswered(Event):
+    """The head of an answer arrived, or none did; logged when debugging."""
+
+    level: ClassVar[int] = logging.DEBUG
+
+    id: str
+    endpoint: str
+    status: int
+    not_run: bool
+    limit: float | None
+    took_ms: float
+
+
+@_event
+class EndpointLimited(Event):
+    """An endpoint named another request limit; 0 stands for none."""
+
+    endpoint: str
+    limit: float
+
+
 @_event
 class EndpointUnreadable(Event):
     """An endpoint's entry is invalid; the endpoint gets no work."""
--- a/pomelopass/requests/call.py
+++ b/pomelopass/requests/call.py
@@ -39,7 +39,9 @@
 class Answer:
     """Head of an answer whose body is still being received.
 
-    With not_run the endpoint guarantees that it ran nothing.
+    With not_run the endpoint guarantees that it ran nothing. The limit is the
+    requests per second that the endpoint takes from all instances together,
+    or None if it names no limit.
     """
 
     status: int
@@ -49,6 +51,7 @@
     weight_version: int | None
     load: endpoint.LoadReport | None
     reply: message.OpenReply
+    limit_per_s: float | None = None
 
 
 class CallFailedError(Exception):
--- a/standins/entries.py
+++ b/standins/entries.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import abc
 import dataclasses
+import logging
 import random
 
 import orjson
@@ -129,6 +130,9 @@
     loop = asyncio.get_running_loop()
 
     def write_event(event: logevents.Event) -> None:
+        # The default log level leaves out debugging events.
+        if event.level < logging.INFO:
+            return
         fields = logevents.get_fields(event)
         events.append({'event': event.kind, 'at': loop.time(), **fields})
 
