Reproduce that endpoints get more requests than their limit

What callers see: requests refused by an endpoint in need, which gets more work just then. Cause, as far as known: no decision reads the limit.

--- a/standins/modelengines.py
+++ b/standins/modelengines.py
@@ -47,6 +47,10 @@
     # A broken stream ends without a transport error, but inside an event.
     breaks_cleanly: bool = False
     lose_share: float = 0.0
+    # Requests a second that the endpoint names as its limit.
+    limit_per_s: float | None = None
+    # Times at which requests, reports and orders arrived.
+    arrivals: list[float] = dataclasses.field(default_factory=list)
     ran: list[str] = dataclasses.field(default_factory=list)
     accepted_orders: list[orders.VersionOrder] = dataclasses.field(
         default_factory=list
@@ -111,6 +115,17 @@
         """Return the answer's head and body stream; raise CallFailedError."""
         await asyncio.sleep(0.002)
         endpoint = self.endpoint_by_id[target.id]
+        self._count_arrival(endpoint)
+        answer = await self._answer(endpoint, call, stall_ms)
+        answer.limit_per_s = endpoint.limit_per_s
+        return answer
+
+    async def _answer(
+        self,
+        endpoint: FakeEndpoint,
+        call: calls.Call,
+        stall_ms: float | None,
+    ) -> calls.Answer:
         if call.body == POISON and endpoint.alive:
             endpoint.ran.append(call.id)
             endpoint.alive = False
@@ -157,6 +172,7 @@
         """Return an engine's weight report, or None without an answer."""
         await asyncio.sleep(0.002)
         endpoint = self.endpoint_by_id[target.id]
+        self._count_arrival(endpoint)
         if not endpoint.alive:
             return None
         return orders.Report(
@@ -171,6 +187,7 @@
         """Order an endpoint to load a weight version."""
         await asyncio.sleep(0.002)
         endpoint = self.endpoint_by_id[target.id]
+        self._count_arrival(endpoint)
         if not endpoint.alive:
             return orders.OrderOutcome.UNKNOWN
         if endpoint.checks_fences and order.fence < endpoint.fence:
@@ -185,6 +202,10 @@
         loop.call_later(LOAD_S, self._end_load, endpoint, order)
         return orders.OrderOutcome.ACCEPTED
 
+    def _count_arrival(self, endpoint: FakeEndpoint) -> None:
+        if endpoint.alive:
+            endpoint.arrivals.append(asyncio.get_running_loop().time())
+
     def _restart(self, endpoint: FakeEndpoint) -> None:
         endpoint.alive = True
         endpoint.started_at_ms += 1
--- a/standins/platformendpoints.py
+++ b/standins/platformendpoints.py
@@ -114,6 +114,8 @@
         headers = [('attempt-id', call.id)]
         if answer.not_run:
             headers.append(('not-executed', '1'))
+        if answer.limit_per_s is not None:
+            headers.append(('server-limit', str(answer.limit_per_s)))
         if answer.signature is not None:
             headers.append(('server-stamp', answer.signature))
         if answer.weight_version is not None:
