Send to a limited endpoint only what all instances together may

What callers see: an endpoint in need that names its Server-Limit got up to four times as many requests, refused many of them, and took longer to recover.

Cause: no decision read the limit; each instance went by the slots that it saw free. A budget of all instances that nobody accounts for.

Change: limits/ keeps what endpoints name (from own answers and from rows beside the heartbeats, newest first, 15 s), and a permit is needed for each request to a limited endpoint. The first live instance in an order that all compute for the endpoint allots due times at the limit's rate, burst 2; the second does at a quarter while the first does not answer; an instance that reaches neither has a quarter divided by the instances. Runs, reward calls, requests, streams and second attempts take permits at the two places that choose endpoints. A request for which no permit is due in its time is refused at once with the expected wait. The one-call client of the relay is shared (edges/peercall.py).

Ruled out: equal parts (one owner would get a tenth), parts by reported demand (lag, and a burst for each of 60 instances), a row of the table for each request.

--- a/Makefile
+++ b/Makefile
@@ -47,6 +47,7 @@
 generate:
 	thrift -r --gen py:slots -out pomelopass/wire/gen pomelopass/wire/peer.thrift
 	thrift -r --gen py:slots -out pomelopass/wire/gen pomelopass/wire/relay.thrift
+	thrift -r --gen py:slots -out pomelopass/wire/gen pomelopass/wire/permits.thrift
 	rm -f pomelopass/wire/gen/*/*-remote pomelopass/wire/gen/__init__.py
 	echo '"""Hold the code that thrift generates from the files beside it."""' \
 	  > pomelopass/wire/gen/__init__.py
--- a/pomelopass/entry/__main__.py
+++ b/pomelopass/entry/__main__.py
@@ -18,6 +18,7 @@
 from ..edges import requestreader
 from . import eventlog
 from . import node as nodes
+from ..limits import peers
 from ..platform import endpointclient
 from ..platform import ingress
 from ..platform import rowclient
@@ -77,6 +78,7 @@
         write_event=write_event,
         get_lease_now=lambda: time.clock_gettime(time.CLOCK_BOOTTIME),
         incarnation=f'{settings.name}-{rng.getrandbits(48):012x}',
+        permit_peers=peers.ThriftPeers(),
     )
     node = nodes.build_node(settings, ports)
     stop_requested = asyncio.Event()
--- a/pomelopass/entry/node.py
+++ b/pomelopass/entry/node.py
@@ -15,7 +15,11 @@
 from ..jobs import manager as jobmanager
 from ..jobs import rewardgate
 from ..jobs import schedule
+from ..limits import book as limitbooks
 from ..limits import observer
+from ..limits import peers
+from ..limits import permits as permitpools
+from ..limits import sharing
 from ..platform import ingress as ingresses
 from ..platform import names
 from ..registry import registry as registries
@@ -34,6 +38,7 @@
 from ..versions import assignment
 from ..versions import manager as versionmanagers
 from . import view as views
+from ..wire.gen.permits import PermitAllocator
 
 __all__ = ['Node', 'NodePorts', 'build_node']
 
@@ -54,6 +59,7 @@
     write_event: logevents.WriteEvent
     get_lease_now: abc.Callable[[], float]
     incarnation: str
+    permit_peers: sharing.PermitPeers
 
 
 class Node:
@@ -65,9 +71,6 @@
         self.settings = settings
         self.ports = ports
         self.write_event = ports.write_event
-        self.endpoints = observer.ObservedEndpoints(
-            ports.endpoints, ports.write_event
-        )
         self.membership = member.Membership(settings.name)
         self.registry = registries.Registry(ports.write_event)
         self.view = views.View(
@@ -78,10 +81,20 @@
             ports.table, self.relayed, ports.write_event
         )
         self.table = tableclock.TableClock(self.fallback)
-        self.relay_server = relayserver.RelayServer(ports.table)
+        self._build_limits()
+        self.relay_server = relayserver.RelayServer(
+            ports.table,
+            {
+                'reserve': relayserver.Handler(
+                    PermitAllocator,
+                    peers.make_reserve_handler(self.limit_sharing),
+                )
+            },
+        )
         self.jobs = jobview.JobView()
         self.job_table = jobtable.JobTable(self.table)
-        self.scheduler = schedule.Scheduler(self.registry)
+        self.scheduler = schedule.Scheduler(self.registry, self.permits)
+        self.permits.on_permit = self.scheduler.dispatch
         self.quarantine = quarantines.Quarantine()
         self.forwarder = forward.Forwarder(
             self.registry,
@@ -90,6 +103,7 @@
             ports.rng,
             ports.write_event,
             self.quarantine,
+            self.permits,
         )
         self._build_jobs()
         self._build_duties()
@@ -111,6 +125,24 @@
         )
         self.tasks: list[asyncio.Task] = []
 
+    def _build_limits(self) -> None:
+        self.limits = limitbooks.LimitBook()
+        self.endpoints = observer.ObservedEndpoints(
+            self.ports.endpoints,
+            self.limits,
+            self.table.get_now_ms,
+            self.ports.write_event,
+        )
+        self.limit_sharing = sharing.LimitSharing(
+            self.limits,
+            self.membership,
+            self.ports.permit_peers,
+            self.table.get_now_ms,
+        )
+        self.permits = permitpools.PermitPool(
+            self.limits, self.limit_sharing.acquire, self.table.get_now_ms
+        )
+
     def _build_jobs(self) -> None:
         contexts = itemcontexts.ItemContexts(
             lambda: self.settings.job_kept_s * 1000,
@@ -179,6 +211,7 @@
             self.view.get_runs,
             self._get_crashes,
             self.fallback.is_direct,
+            self._get_limits_value,
             self.ports.rng,
         )
 
@@ -224,6 +257,7 @@
     async def end_stop(self) -> None:
         """Hand over the owned jobs and stop the background tasks."""
         await self.job_manager.stop()
+        self.permits.stop()
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
@@ -238,9 +272,14 @@
             self.job_manager,
             self.versions,
             self.quarantine,
+            self.limits,
             self.write_event,
         )
 
+    def _get_limits_value(self) -> bytes | None:
+        limits = self.limits.get_recent(self.table.get_now_ms())
+        return limitbooks.encode_limits(limits) if limits else None
+
     def _get_crashes(self) -> dict[str, int]:
         return self.quarantine.get_recent_crashes(
             asyncio.get_running_loop().time()
--- a/pomelopass/entry/tablewatch.py
+++ b/pomelopass/entry/tablewatch.py
@@ -9,6 +9,7 @@
 from ..jobs import manager as jobmanager
 from ..jobs import rowcodec
 from ..jobs import schedule
+from ..limits import book as limitbooks
 from ..platform import rowhandlers
 from ..registry import endpoint as endpoints
 from ..registry import registry as registries
@@ -42,6 +43,7 @@
     job_manager: jobmanager.JobManager
     versions: versionmanagers.VersionManager
     quarantine: quarantines.Quarantine
+    limits: limitbooks.LimitBook
     write_event: logevents.WriteEvent
 
 
@@ -137,6 +139,9 @@
         if key.startswith(leader.LEADER_KEY_PREFIX):
             listeners.versions.apply_leader_row(row)
             return
+        if key.startswith(heartbeat.LIMITS_KEY_PREFIX):
+            self._put_limits_row(row)
+            return
         if row.value is None:
             name = key.removeprefix(heartbeat.MEMBER_KEY_PREFIX)
             listeners.membership.remove(name)
@@ -151,3 +156,16 @@
             listeners.quarantine.record_reported_crashes(
                 instance.name, instance.crashes_by_fingerprint
             )
+
+    def _put_limits_row(self, row: rows.Row) -> None:
+        if row.value is None:
+            return
+        try:
+            limits = limitbooks.decode_limits(row.value)
+        except ValueError:
+            self.listeners.write_event(
+                logevents.MemberUnreadable(key=row.name.key)
+            )
+            return
+        # Rows of an earlier start of this instance count as well.
+        self.listeners.limits.merge(limits)
--- a/pomelopass/fleet/heartbeat.py
+++ b/pomelopass/fleet/heartbeat.py
@@ -12,12 +12,13 @@
 
 MEMBER_TABLE = 'fleet'
 MEMBER_KEY_PREFIX = 'member/'
+LIMITS_KEY_PREFIX = 'limits/'
 HEARTBEAT_INTERVAL_MS = 500.0
 JITTER = 0.2
 
 
 class Heartbeat:
-    """Writer of this instance's member row."""
+    """Writer of this instance's member row and of the limits it knows."""
 
     def __init__(
         self,
@@ -26,8 +27,11 @@
         get_runs: abc.Callable[[], dict[str, int]],
         get_crashes: abc.Callable[[], dict[str, int]],
         is_direct: abc.Callable[[], bool],
+        get_limits_value: abc.Callable[[], bytes | None],
         rng: random.Random,
     ):
+        self.get_limits_value = get_limits_value
+        self.has_limits_row = False
         self.table = table
         self.own = own
         self.get_runs = get_runs
@@ -65,9 +69,18 @@
             crashes_by_fingerprint=self.get_crashes(),
         )
         key = rows.Key(MEMBER_TABLE, '', f'{MEMBER_KEY_PREFIX}{self.own.name}')
+        limits_key = rows.Key(
+            MEMBER_TABLE, '', f'{LIMITS_KEY_PREFIX}{self.own.name}'
+        )
+        limits_value = self.get_limits_value()
+        puts = [(key, member.encode_member(self.own))]
+        if limits_value is not None:
+            puts.append((limits_key, limits_value))
+        drops_limits = limits_value is None and self.has_limits_row
         transaction = rows.Transaction(
             expected=((key, self.version),),
-            puts=((key, member.encode_member(self.own)),),
+            puts=tuple(puts),
+            removes=(limits_key,) if drops_limits else (),
         )
         try:
             outcome = await self.table.transact(transaction)
@@ -76,6 +89,7 @@
             return
         if isinstance(outcome, rows.Applied):
             self.version = outcome.version
+            self.has_limits_row = limits_value is not None
             return
         versions = [row.version for row in outcome.rows if row.name == key]
         self.version = versions[0] if versions else 0
--- a/pomelopass/jobs/schedule.py
+++ b/pomelopass/jobs/schedule.py
@@ -5,6 +5,7 @@
 import dataclasses
 
 from . import job as jobs
+from ..limits import permits as permitpools
 from ..registry import choice
 from ..registry import endpoint as endpoints
 from ..registry import registry as registries
@@ -49,8 +50,11 @@
 class Scheduler:
     """Assign the waiting items of all jobs of this instance."""
 
-    def __init__(self, registry: registries.Registry):
+    def __init__(
+        self, registry: registries.Registry, permits: permitpools.PermitPool
+    ):
         self.registry = registry
+        self.permits = permits
         self.get_order = get_order
         self.choose_for_run = choice.choose_for_run
         self.waiting: list[WaitingItem] = []
@@ -108,22 +112,48 @@
             ) or self._choose(waiting_item, ())
             if state is not None:
                 state.in_flight += 1
+                self.permits.take(state.endpoint.id)
                 self.waiting.remove(waiting_item)
                 waiting_item.granted.set_result(state)
             else:
                 unmet.add(need)
+                self._request_permits(waiting_item)
 
     def _choose(
         self, waiting_item: WaitingItem, avoid: abc.Container[str]
+    ) -> endpoints.EndpointState | None:
+        open_states, _ = self.permits.split(
+            self.registry.get_by_service(waiting_item.service)
+        )
+        return self._choose_among(open_states, waiting_item, avoid)
+
+    def _choose_among(
+        self,
+        states: list[endpoints.EndpointState],
+        waiting_item: WaitingItem,
+        avoid: abc.Container[str],
     ) -> endpoints.EndpointState | None:
         return self.choose_for_run(
-            self.registry.get_by_service(waiting_item.service),
+            states,
             avoid,
             waiting_item.model,
             waiting_item.min_version,
             asyncio.get_running_loop().time(),
         )
 
+    def _request_permits(self, waiting_item: WaitingItem) -> None:
+        _, limited_states = self.permits.split(
+            self.registry.get_by_service(waiting_item.service)
+        )
+        # No more than the waiting items can use.
+        missing = len(self.waiting)
+        for state in limited_states:
+            if missing <= 0:
+                return
+            if self._choose_among([state], waiting_item, ()) is not None:
+                self.permits.request(state.endpoint.id)
+                missing -= 1
+
     def should_move(
         self, state: endpoints.EndpointState, waiting_item: WaitingItem
     ) -> bool:
--- a/pomelopass/limits/observer.py
+++ b/pomelopass/limits/observer.py
@@ -1,7 +1,9 @@
 """Log the answers of endpoints and the request limits that they name."""
 
 import asyncio
+from collections import abc
 
+from . import book as books
 from ..registry import endpoint as endpoints
 from ..reporting import logevents
 from ..requests import call as calls
@@ -13,12 +15,18 @@
 
 
 class ObservedEndpoints:
-    """Endpoint port that logs each answer and each change of a limit."""
+    """Endpoint port that notes and logs the limits that answers name."""
 
     def __init__(
-        self, port: calls.EndpointPort, write_event: logevents.WriteEvent
+        self,
+        port: calls.EndpointPort,
+        book: books.LimitBook,
+        get_table_ms: abc.Callable[[], int],
+        write_event: logevents.WriteEvent,
     ):
         self.port = port
+        self.book = book
+        self.get_table_ms = get_table_ms
         self.write_event = write_event
         self.logged_limit_by_id: dict[str, float] = {}
         # The other calls pass unchanged.
@@ -53,6 +61,7 @@
             answer.not_run,
             answer.limit_per_s,
         )
+        self.book.observe(target.id, answer.limit_per_s, self.get_table_ms())
         self._log_limit(target.id, answer.limit_per_s or 0.0)
         return answer
 
--- a/pomelopass/requests/callstate.py
+++ b/pomelopass/requests/callstate.py
@@ -5,6 +5,8 @@
 import random
 
 from . import call as calls
+from ..core import rendezvous
+from ..limits import permits as permitpools
 from . import outcome as outcomes
 from . import quarantine as quarantines
 from ..registry import choice
@@ -53,6 +55,8 @@
     refused_by: set[str] = dataclasses.field(default_factory=set)
     last_error: outcomes.Outcome | None = None
     reason: str = ''
+    # When an endpoint may take a request again, if limits exclude them all.
+    permit_expected_at: float | None = None
 
 
 def make_state(
@@ -81,23 +85,59 @@
 
 
 def choose_endpoint(
-    state: CallState, registry: registries.Registry, availability_zone: str
+    state: CallState,
+    registry: registries.Registry,
+    permits: permitpools.PermitPool,
+    availability_zone: str,
+    only_untried: bool = False,
 ) -> endpoints.EndpointState | None:
-    """Return the endpoint for the next attempt, or None."""
+    """Return the endpoint for an attempt that starts now, or None."""
     now = asyncio.get_running_loop().time()
-    candidates = registry.get_by_service(state.service)
+    candidates, limited_states = permits.split(
+        registry.get_by_service(state.service)
+    )
     avoid = state.tried | state.refused
     endpoint_state = choice.choose_for_call(
         candidates, avoid, availability_zone, now
     )
-    if endpoint_state is None and not state.refused:
+    if endpoint_state is None and not (state.refused or only_untried):
         # Each endpoint failed once; a further attempt is still allowed.
         endpoint_state = choice.choose_for_call(
             candidates, (), availability_zone, now
         )
+    state.permit_expected_at = None
+    if endpoint_state is None or choice.get_free_slots(endpoint_state) <= 0:
+        _request_permit(state, permits, limited_states, only_untried)
+    if endpoint_state is not None:
+        permits.take(endpoint_state.endpoint.id)
     return endpoint_state
 
 
+def _request_permit(
+    state: CallState,
+    permits: permitpools.PermitPool,
+    limited_states: list[endpoints.EndpointState],
+    only_untried: bool,
+) -> None:
+    # Spread by request, since all instances ask.
+    endpoint_ids = rendezvous.rank(
+        state.call.id,
+        [endpoint_state.endpoint.id for endpoint_state in limited_states],
+    )
+    if only_untried or not endpoint_ids:
+        # A hedge must not use up what other requests wait for.
+        return
+    fetching_ids = [
+        endpoint_id
+        for endpoint_id in endpoint_ids
+        if permits.is_fetching(endpoint_id)
+    ]
+    # One permit is enough for one request.
+    chosen_id = min(fetching_ids or endpoint_ids, key=permits.get_expected_at)
+    permits.request(chosen_id)
+    state.permit_expected_at = permits.get_expected_at(chosen_id)
+
+
 def record_refusal(state: CallState, endpoint_id: str) -> None:
     """Record that an endpoint refused the request without running it."""
     state.tried.discard(endpoint_id)
@@ -114,9 +154,13 @@
 async def wait_for_capacity(
     state: CallState, capacity_deadline_at: float
 ) -> bool:
-    """Pause after all endpoints refused; return whether to retry them."""
+    """Pause while no endpoint takes the request; return whether to retry."""
     now = asyncio.get_running_loop().time()
-    if not state.refused or now >= capacity_deadline_at:
+    expected_at = state.permit_expected_at
+    if expected_at is None and not state.refused:
+        return False
+    if max(now, expected_at or now) >= capacity_deadline_at:
+        state.reason = state.reason or 'endpoint-limited'
         return False
     state.refused.clear()
     await asyncio.sleep(FULL_RETRY_PAUSE_MS / 1000)
@@ -139,10 +183,18 @@
     return outcomes.Outcome(
         outcomes.OutcomeKind.NOT_RUN,
         state.reason or 'no-endpoint',
-        retry_after_ms=NO_ENDPOINT_RETRY_MS,
+        retry_after_ms=_get_retry_after_ms(state),
     )
 
 
+def _get_retry_after_ms(state: CallState) -> float:
+    if state.permit_expected_at is None:
+        return NO_ENDPOINT_RETRY_MS
+    now = asyncio.get_running_loop().time()
+    wait_ms = (state.permit_expected_at - now) * 1000
+    return max(wait_ms, NO_ENDPOINT_RETRY_MS)
+
+
 def make_ended_event(
     state: CallState,
     outcome: str,
--- a/pomelopass/requests/forward.py
+++ b/pomelopass/requests/forward.py
@@ -8,6 +8,7 @@
 from . import attempt as attempts
 from . import call as calls
 from . import callstate
+from ..limits import permits as permitpools
 from . import outcome as outcomes
 from . import quarantine as quarantines
 from ..registry import endpoint as endpoints
@@ -35,7 +36,9 @@
         rng: random.Random,
         write_event: logevents.WriteEvent,
         quarantine: quarantines.Quarantine,
+        permits: permitpools.PermitPool,
     ):
+        self.permits = permits
         self.quarantine = quarantine
         self.attempts = attempts.AttemptContext(port, quarantine, write_event)
         self.registry = registry
@@ -117,18 +120,19 @@
             return
         if state.may_have_run + len(tasks) >= state.route.max_attempts:
             return
-        endpoint_state = self._choose_endpoint(state)
-        if (
-            endpoint_state is not None
-            and endpoint_state.endpoint.id not in state.tried
-        ):
+        endpoint_state = self._choose_endpoint(state, only_untried=True)
+        if endpoint_state is not None:
             tasks.add(self._start_attempt(state, endpoint_state))
 
     def _choose_endpoint(
-        self, state: callstate.CallState
+        self, state: callstate.CallState, only_untried: bool = False
     ) -> endpoints.EndpointState | None:
         return callstate.choose_endpoint(
-            state, self.registry, self.availability_zone
+            state,
+            self.registry,
+            self.permits,
+            self.availability_zone,
+            only_untried,
         )
 
     def _start_attempt(
--- a/pomelopass/requests/stream.py
+++ b/pomelopass/requests/stream.py
@@ -89,6 +89,7 @@
             endpoint_state = callstate.choose_endpoint(
                 state,
                 self.forwarder.registry,
+                self.forwarder.permits,
                 self.forwarder.availability_zone,
             )
             if endpoint_state is None:
--- a/pomelopass/table/relay.py
+++ b/pomelopass/table/relay.py
@@ -3,11 +3,8 @@
 import asyncio
 from collections import abc
 import random
-import struct
 
-from thrift import Thrift
-
-from ..edges import peerframe
+from ..edges import peercall
 from . import relaycodec
 from . import rows
 from ..wire.gen.relay import TableRelay
@@ -19,14 +16,6 @@
 CONNECT_TIMEOUT_MS = 400
 # Time for which a peer is not used again after it failed.
 PEER_BACKOFF_MS = 1000
-CALL_ERRORS = (
-    EOFError,
-    OSError,
-    TimeoutError,
-    ValueError,
-    struct.error,
-    Thrift.TException,
-)
 
 
 class RelayedTable:
@@ -103,14 +92,13 @@
     async def _call(self, send, receive, is_write: bool = False):
         address = self._choose_peer()
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1000):
-                host, _, port = address.rpartition(':')
-                reader, writer = await asyncio.open_connection(host, int(port))
+            connection = await peercall.connect(address, CONNECT_TIMEOUT_MS)
         except (OSError, TimeoutError) as error:
             raise self._make_call_error(address, error, False) from None
         try:
-            async with asyncio.timeout(CALL_TIMEOUT_MS / 1000):
-                answer = await _exchange(reader, writer, send, receive)
+            answer = await peercall.call_peer(
+                connection, TableRelay.Client, send, receive, CALL_TIMEOUT_MS
+            )
         except ttypes.HistoryLost:
             raise rows.HistoryLostError from None
         except ttypes.RelayFailed as failure:
@@ -118,10 +106,8 @@
             raise rows.TableError(
                 failure.detail, failure.may_have_run
             ) from None
-        except CALL_ERRORS as error:
+        except peercall.CALL_ERRORS as error:
             raise self._make_call_error(address, error, is_write) from None
-        finally:
-            writer.close()
         self.preferred_address = address
         return answer
 
@@ -148,11 +134,3 @@
     def _back_off(self, address: str) -> None:
         now = asyncio.get_running_loop().time()
         self.backoff_until_by_address[address] = now + PEER_BACKOFF_MS / 1000
-
-
-async def _exchange(reader, writer, send, receive):
-    protocol = peerframe.make_writer()
-    send(TableRelay.Client(protocol))
-    writer.write(peerframe.make_frame(protocol.trans.getvalue()))
-    reply = await peerframe.read_frame(reader)
-    return receive(TableRelay.Client(peerframe.make_reader(reply)))
--- a/pomelopass/table/relayserver.py
+++ b/pomelopass/table/relayserver.py
@@ -1,7 +1,11 @@
 """Relay calls of peers to the table service."""
 
 import asyncio
+from collections import abc
+import dataclasses
 import struct
+import types
+from typing import Any
 
 from thrift import Thrift
 
@@ -11,19 +15,35 @@
 from ..wire.gen.relay import TableRelay
 from ..wire.gen.relay import ttypes
 
-__all__ = ['RelayServer']
+__all__ = ['Handler', 'RelayServer']
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Handler:
+    """Generated module of a thrift service and what handles a call of it."""
+
+    service: types.ModuleType
+    handle: abc.Callable[[Any], abc.Awaitable[Any]]
 
 
 class RelayServer:
-    """Server that forwards calls of peers to the table service."""
+    """Server that forwards calls of peers to the table service.
+
+    Calls of further services arrive at the same address.
+    """
 
-    def __init__(self, table: rows.RowTable):
+    def __init__(
+        self,
+        table: rows.RowTable,
+        handler_by_name: abc.Mapping[str, Handler] | None = None,
+    ):
         self.table = table
         self.handler_by_name = {
-            'read': self._read,
-            'list_parts': self._list_parts,
-            'transact': self._transact,
-            'follow': self._follow,
+            'read': Handler(TableRelay, self._read),
+            'list_parts': Handler(TableRelay, self._list_parts),
+            'transact': Handler(TableRelay, self._transact),
+            'follow': Handler(TableRelay, self._follow),
+            **(handler_by_name or {}),
         }
 
     async def serve(
@@ -54,11 +74,12 @@
     async def _process(self, frame: bytes) -> bytes:
         source = peerframe.make_reader(frame)
         name, _, sequence_id = source.readMessageBegin()
-        arguments = getattr(TableRelay, f'{name}_args')()
+        handler = self.handler_by_name[name]
+        arguments = getattr(handler.service, f'{name}_args')()
         arguments.read(source)
-        result = getattr(TableRelay, f'{name}_result')()
+        result = getattr(handler.service, f'{name}_result')()
         try:
-            result.success = await self.handler_by_name[name](arguments)
+            result.success = await handler.handle(arguments)
         except rows.HistoryLostError:
             result.lost = ttypes.HistoryLost()
         except rows.TableError as error:
--- a/standins/entries.py
+++ b/standins/entries.py
@@ -10,8 +10,12 @@
 
 from pomelopass.entry import node as nodes
 from pomelopass.entry import settings as entrysettings
+from pomelopass.fleet import member
 from pomelopass.jobs import api as jobapi
 from pomelopass.jobs import job as jobs
+from pomelopass.limits import allocator
+from pomelopass.limits import book as limitbooks
+from pomelopass.limits import sharing
 from pomelopass.reporting import logevents
 from pomelopass.table import rows
 from standins import modelengines
@@ -20,6 +24,7 @@
 __all__ = ['Entry', 'EntryCluster']
 
 READ_WAIT_MS = 1000.0
+PEER_ANSWER_S = 0.01
 
 
 @dataclasses.dataclass(slots=True)
@@ -30,6 +35,8 @@
     client: rowtable.RowClient
     events: list[dict]
     alive: bool = True
+    # Whether calls of peers fail.
+    unreachable: bool = False
 
 
 class EntryCluster:
@@ -69,6 +76,7 @@
             write_event=self.make_write_event(events),
             get_lease_now=asyncio.get_running_loop().time,
             incarnation=f'{name}-{self.start_count}',
+            permit_peers=_InMemoryPeers(self.entry_by_name),
         )
         node = nodes.build_node(_make_settings(name), ports)
         node.start()
@@ -84,6 +92,7 @@
             *entry.node.job_manager.task_by_id.values(),
             *entry.node.job_manager.background,
         ]
+        entry.node.permits.stop()
         for task in tasks:
             task.cancel()
         # Table calls in flight end with the process.
@@ -139,6 +148,27 @@
     return write_event
 
 
+class _InMemoryPeers:
+    """Reserve requests at other instances of the cluster."""
+
+    def __init__(self, entry_by_name: dict[str, Entry]):
+        self.entry_by_name = entry_by_name
+
+    async def reserve(
+        self,
+        peer: member.Member,
+        endpoint_id: str,
+        limit: limitbooks.NamedLimit,
+        count: int,
+    ) -> allocator.Reservation:
+        """Reserve requests at a peer; raise PeerFailedError."""
+        await asyncio.sleep(PEER_ANSWER_S)
+        entry = self.entry_by_name[peer.name]
+        if not entry.alive or entry.unreachable:
+            raise sharing.PeerFailedError('not reachable')
+        return entry.node.limit_sharing.allot(endpoint_id, limit, count)
+
+
 class _UnansweringTable:
     def __getattr__(self, name: str):
         async def wait_forever(*arguments):
--- a/tests/entry/test_limits.py
+++ b/tests/entry/test_limits.py
@@ -134,6 +134,41 @@
     entrybuilders.run_cluster(scenario, seed)
 
 
+@pytest.mark.parametrize('seed', range(4))
+def test_low_limit_is_known_right_after_a_kill_of_all_instances(seed):
+    async def scenario(cluster):
+        set_limits(cluster, ENGINES, 0.5)
+        started_at = asyncio.get_running_loop().time()
+        await submit_jobs(cluster, 6)
+        await asyncio.sleep(7.0 + seed / 3)
+        for name in list(cluster.entry_by_name):
+            cluster.kill(name)
+        await asyncio.sleep(0.3)
+        for number in range(3):
+            cluster.start(f'entry-{number}')
+        await asyncio.sleep(8)
+        since = started_at + SETTLE_S
+        assert get_worst_window(cluster, ENGINES, since, 0.5) <= 1.0
+
+    entrybuilders.run_cluster(scenario, seed)
+
+
+@pytest.mark.parametrize('seed', range(4))
+def test_limit_holds_while_instances_cannot_reach_each_other(seed):
+    async def scenario(cluster):
+        set_limits(cluster, ENGINES)
+        started_at = asyncio.get_running_loop().time()
+        await submit_jobs(cluster, 6, groups=24)
+        await asyncio.sleep(5)
+        for entry in cluster.entry_by_name.values():
+            entry.unreachable = True
+        await asyncio.sleep(6)
+        since = started_at + SETTLE_S
+        assert get_worst_window(cluster, ENGINES, since) <= 1.0
+
+    entrybuilders.run_cluster(scenario, seed)
+
+
 @pytest.mark.parametrize('seed', range(4))
 def test_limit_holds_while_the_table_is_away(seed):
     async def scenario(cluster):
--- a/tests/entrybuilders.py
+++ b/tests/entrybuilders.py
@@ -5,6 +5,9 @@
 from collections import abc
 
 from pomelopass.jobs import job as jobs
+from pomelopass.limits import allocator
+from pomelopass.limits import book
+from pomelopass.limits import permits
 from pomelopass.reporting import logevents
 from standins import entries
 from standins import modelengines
@@ -161,6 +164,17 @@
     virtualloop.run(run())
 
 
+async def _grant_all(
+    endpoint_id: str, per_s: float, count: int
+) -> allocator.Reservation:
+    return allocator.Reservation(count, 0.0)
+
+
+def make_permits() -> permits.PermitPool:
+    """Return the permits of an instance without limited endpoints."""
+    return permits.PermitPool(book.LimitBook(), _grant_all, lambda: 0)
+
+
 def make_job_body(submission: jobs.Submission) -> dict:
     """Return the body with which a trainer submits a job."""
     return {
--- a/tests/jobs/test_schedule.py
+++ b/tests/jobs/test_schedule.py
@@ -7,6 +7,7 @@
 from pomelopass.registry import endpoint
 from pomelopass.registry import registry as registries
 from standins import virtualloop
+from tests import entrybuilders
 
 RUN_S_PER_TOKEN = 0.001
 
@@ -31,7 +32,9 @@
 
 async def run_batch(lengths: list[int], with_lengths: bool) -> float:
     """Return the seconds until all items of a batch have run."""
-    scheduler = schedule.Scheduler(make_registry(2, 4))
+    scheduler = schedule.Scheduler(
+        make_registry(2, 4), entrybuilders.make_permits()
+    )
     loop = asyncio.get_running_loop()
     started_at = loop.time()
 
@@ -81,7 +84,7 @@
 def test_cancelled_item_releases_its_slot():
     async def scenario():
         registry = make_registry(1, 1)
-        scheduler = schedule.Scheduler(registry)
+        scheduler = schedule.Scheduler(registry, entrybuilders.make_permits())
         loop = asyncio.get_running_loop()
 
         def make_waiting_item() -> schedule.WaitingItem:
--- /dev/null
+++ b/tests/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the limits of endpoints."""
--- a/tests/requests/test_forward.py
+++ b/tests/requests/test_forward.py
@@ -15,6 +15,7 @@
 from pomelopass.requests import quarantine
 from pomelopass.requests import routes
 from standins import virtualloop
+from tests import entrybuilders
 
 
 class ScriptedClient:
@@ -99,6 +100,7 @@
             random.Random(1),
             lambda event: None,
             quarantine.Quarantine(),
+            entrybuilders.make_permits(),
         )
         loop = asyncio.get_running_loop()
         started_at = loop.time()
--- a/tests/requests/test_stream.py
+++ b/tests/requests/test_stream.py
@@ -18,6 +18,7 @@
 from standins import modelengines
 from standins import rowtable
 from standins import virtualloop
+from tests import entrybuilders
 
 
 # A caller disconnects after a pause of this length.
@@ -55,6 +56,7 @@
         rng,
         lambda event: None,
         quarantine.Quarantine(),
+        entrybuilders.make_permits(),
     )
     return pool, streams.StreamForwarder(forwarder, 'weight-versions')
 
