--- a/pomelopass/entry/__main__.py
+++ b/pomelopass/entry/__main__.py
@@ -17,8 +17,8 @@
 from ..edges import httpserver
 from ..edges import requestreader
 from . import eventlog
-from . import node as nodes
 from ..limits import peers
+from . import node as nodes
 from ..platform import endpointclient
 from ..platform import ingress
 from ..platform import rowclient
