Log the software version of endpoints, audit joined texts

What callers see: nothing yet. Logs named the engines of a text but not their software, nor after which event a run went on, so nobody could tell whether a text was written by two versions that do not fit together.

Change: the registry entry's software version is decoded; endpoint-changed, item-run and endpoint-answered name it, with the event after which a run goes on and the request that began a stream that its caller resumes; 'pomelopass logs audit' lists texts that went on at another version. No decision changes.

--- a/pomelopass/commands/logs.py
+++ b/pomelopass/commands/logs.py
@@ -11,6 +11,7 @@
 from ..reporting import clockskew
 from ..reporting import limitaudit
 from ..reporting import savedlogs
+from ..reporting import textaudit
 from ..reporting import timelinepage
 
 __all__ = ['Logs']
@@ -79,11 +80,13 @@
 
 
 @cappa.command(
-    name='audit', help='Compare what endpoints got with their limits.'
+    name='audit',
+    help='Compare what endpoints got with their limits, and find texts that '
+    'several software versions wrote.',
 )
 @dataclasses.dataclass
 class AuditLogs:
-    """Arguments of the comparison."""
+    """Arguments of the audit."""
 
     files: Annotated[
         list[str],
@@ -91,8 +94,9 @@
     ]
 
     def run(self, access: command.Access | None) -> None:
-        """Print the worst window of each limited endpoint."""
-        uses = limitaudit.measure_limit_use(_read_files(self.files))
+        """Print limited endpoints at their worst, and joined texts."""
+        lines = _read_files(self.files)
+        uses = limitaudit.measure_limit_use(lines)
         for use in uses:
             state = 'EXCEEDED' if use.is_exceeded else 'kept'
             print(
@@ -100,8 +104,19 @@
                 f'of {use.instances} instances in 4 s, allowed '
                 f'{use.allowed:.1f}, {use.refused} refused'
             )
-        if any(use.is_exceeded for use in uses):
-            raise command.CommandError('A limit was exceeded.')
+        texts = textaudit.find_joined_texts(lines)
+        print(f'{texts.resumed} texts resumed, {len(texts.joined)} joined')
+        for text in texts.joined:
+            print(
+                f'text JOINED: {text.id} began at {text.began_at} '
+                f'({text.software}), went on after event '
+                f'{text.resumed_after} at {text.continued_at} '
+                f'({text.continued_software})'
+            )
+        if texts.joined or any(use.is_exceeded for use in uses):
+            raise command.CommandError(
+                'A limit was exceeded or a text was joined.'
+            )
 
 
 @cappa.command(name='logs', help='Read saved logs of several instances.')
--- a/pomelopass/jobs/itemrun.py
+++ b/pomelopass/jobs/itemrun.py
@@ -70,6 +70,7 @@
     state = await context.scheduler.acquire(waiting_item)
     started_at = loop.time()
     old_count = len(run.progress.texts)
+    resumed_after = run.progress.last_event_id
     outcome = 'done'
     try:
         outcome = await itemstream.stream_item(
@@ -88,6 +89,8 @@
             outcome=outcome,
             events=len(run.progress.texts),
             versions=run.progress.versions,
+            software=state.endpoint.software,
+            resumed_after=resumed_after,
             waited_ms=round((started_at - queued_at) * 1000, 1),
             took_ms=round((loop.time() - started_at) * 1000, 1),
         )
--- a/pomelopass/limits/observer.py
+++ b/pomelopass/limits/observer.py
@@ -51,11 +51,11 @@
             )
         except calls.CallFailedError as error:
             not_run = not error.may_have_run
-            self._log_answer(target.id, call.id, started_at, 0, not_run)
+            self._log_answer(target, call, started_at, 0, not_run)
             raise
         self._log_answer(
-            target.id,
-            call.id,
+            target,
+            call,
             started_at,
             answer.status,
             answer.not_run,
@@ -67,8 +67,8 @@
 
     def _log_answer(
         self,
-        endpoint_id: str,
-        call_id: str,
+        target: endpoints.Endpoint,
+        call: calls.Call,
         started_at: float,
         status: int,
         not_run: bool,
@@ -77,12 +77,15 @@
         now = asyncio.get_running_loop().time()
         self.write_event(
             logevents.EndpointAnswered(
-                id=call_id,
-                endpoint=endpoint_id,
+                id=call.id,
+                endpoint=target.id,
                 status=status,
                 not_run=not_run,
                 limit=limit,
                 took_ms=round((now - started_at) * 1000, 1),
+                software=target.software,
+                resumed_after=call.last_event_id,
+                resumes=call.resumes,
             )
         )
 
--- a/pomelopass/platform/endpointdecode.py
+++ b/pomelopass/platform/endpointdecode.py
@@ -25,6 +25,8 @@
     state: Literal['ready', 'draining']
     models: list[_Model] = []
     born: int = 0
+    # Of the endpoint's software, not of weights.
+    version: str = ''
 
 
 class _Report(pydantic.BaseModel):
@@ -58,6 +60,7 @@
                 model.name: model.version for model in entry.models
             },
             started_at_ms=entry.born,
+            software=entry.version,
         )
     )
 
--- a/pomelopass/platform/ingress.py
+++ b/pomelopass/platform/ingress.py
@@ -249,6 +249,7 @@
         last_event_id=message.find_header(
             request.headers, names.LAST_EVENT_ID
         ),
+        resumes=message.find_header(request.headers, names.RESUMED_REQUEST_ID),
     )
 
 
--- a/pomelopass/platform/names.py
+++ b/pomelopass/platform/names.py
@@ -12,6 +12,8 @@
 SIGNATURE = 'server-stamp'
 NOT_RUN = 'not-executed'
 LAST_EVENT_ID = 'last-event-id'
+# Id of the caller's request that brought the first event of the stream.
+RESUMED_REQUEST_ID = 'resumes'
 WEIGHT_VERSION = 'weight-versions'
 WAIT_MS = 'wait-ms'
 LENGTH_HINT = 'length-hint'
--- a/pomelopass/registry/endpoint.py
+++ b/pomelopass/registry/endpoint.py
@@ -30,6 +30,8 @@
     is_draining: bool
     version_by_model: dict[str, int]
     started_at_ms: int
+    # Version of the endpoint's own software; empty if it names none.
+    software: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/pomelopass/registry/registry.py
+++ b/pomelopass/registry/registry.py
@@ -100,5 +100,6 @@
                 address=entry.address,
                 change=change,
                 versions=entry.version_by_model,
+                software=entry.software,
             )
         )
--- a/pomelopass/reporting/logevents.py
+++ b/pomelopass/reporting/logevents.py
@@ -92,9 +92,12 @@
     'process': 'process id',
     'reason': 'why the last attempt failed',
     'refused_by': 'ids of the endpoints that reported that they ran nothing',
+    'resumed_after': 'id of the event after which a text was to go on',
+    'resumes': 'id of the request that brought the first event of a stream',
     'route': 'name of the route',
     'rows': 'number of removed rows',
     'service': 'name of a service',
+    'software': 'software version of an endpoint, empty if unknown',
     'start': 'name of one start of an instance',
     'status': 'HTTP status; 0 without an answer',
     'step': 'number of the training step',
@@ -204,6 +207,7 @@
     address: str
     change: str
     versions: abc.Mapping[str, int]
+    software: str
 
 
 @_event
@@ -218,6 +222,9 @@
     not_run: bool
     limit: float | None
     took_ms: float
+    software: str
+    resumed_after: str | None
+    resumes: str | None
 
 
 @_event
@@ -391,6 +398,8 @@
     outcome: str
     events: int
     versions: list[int]
+    software: str
+    resumed_after: str | None
     waited_ms: float
     took_ms: float
 
--- a/pomelopass/requests/call.py
+++ b/pomelopass/requests/call.py
@@ -22,7 +22,8 @@
 class Call:
     """Request as the caller sent it, without the service's own headers.
 
-    The deadline is a time of the event loop in seconds.
+    The deadline is a time of the event loop in seconds. A stream that its
+    caller resumes names the id of the request that brought its first event.
     """
 
     id: str
@@ -33,6 +34,7 @@
     body: bytes
     deadline_at: float | None
     last_event_id: str | None = None
+    resumes: str | None = None
 
 
 @dataclasses.dataclass(slots=True)
