Reproduce texts and streams joined from two software versions

What callers see: a text whose first part one software version wrote and another the rest, with nothing to show it. Cause, as far as known: no decision reads the version, and what is stored with a text names weight versions alone.

--- a/standins/modelengines.py
+++ b/standins/modelengines.py
@@ -57,6 +57,8 @@
     )
     started_at_ms: int = 1
     address: str = '10.0.0.1:8000'
+    # Version of the software, which marks the events that it writes.
+    software: str = ''
 
 
 class EndpointPool:
@@ -84,6 +86,7 @@
             'state': 'draining' if endpoint.draining else 'ready',
             'seq': endpoint.order_count,
             'born': endpoint.started_at_ms,
+            'version': endpoint.software,
             'models': [
                 {'name': name, 'version': version}
                 for name, version in endpoint.version_by_model.items()
@@ -263,9 +266,8 @@
                 if version is not None and current_version != version:
                     version_line = f'weight-versions: {current_version}\n'
                 version = current_version
-                event = (
-                    f'{version_line}id: {number}\ndata: {call.id}.{number}\n\n'
-                )
+                data = make_event_data(call.id, number, endpoint.software)
+                event = f'{version_line}id: {number}\ndata: {data}\n\n'
                 yield event.encode()
         finally:
             endpoint.running -= 1
@@ -276,9 +278,17 @@
     return message.find_header(call.headers, 'model') or first
 
 
-def make_text(item_id: str, events: int) -> str:
+def make_event_data(text_id: str, number: int, software: str = '') -> str:
+    """Return the data of an event, with the software that wrote it."""
+    return f'{text_id}.{number}{"@" if software else ""}{software}'
+
+
+def make_text(item_id: str, events: int, software: str = '') -> str:
     """Return the complete text of an item with a number of events."""
-    return '\n'.join(f'{item_id}.{number}' for number in range(1, events + 1))
+    return '\n'.join(
+        make_event_data(item_id, number, software)
+        for number in range(1, events + 1)
+    )
 
 
 def _make_answer(
