Carry a text on only at the software version that began it

What callers see: trainers got texts whose first part one software version of the engines wrote and another the rest.

Cause: nothing in the product read the version of an endpoint's software. An item went on wherever a slot was free: after a break, a move from a slow engine, an adoption, in a group that came again. What was stored with a text named weight versions alone. Class: state that is carried on without all of its provenance.

Change: the progress of a text names the software that began it, in memory, in the cache of resubmitted groups and in the table. The scheduler prefers engines that can go on with it and lets others begin it again; a run never moves to other software; whatever engine a run gets, a text that it can't go on with is dropped before the call. Texts are stored in a table of their own: those of earlier builds name no software and are made again.

Ruled out: waiting for a slot of the same software (a text is made again in under a second, a slot may take longer); refusing all resumption (breaks cost every text).

--- a/pomelopass/jobs/itemrun.py
+++ b/pomelopass/jobs/itemrun.py
@@ -69,6 +69,9 @@
     queued_at = loop.time()
     state = await context.scheduler.acquire(waiting_item)
     started_at = loop.time()
+    software = state.endpoint.software
+    if not run.progress.can_resume_at(software):
+        run.progress.restart()
     old_count = len(run.progress.texts)
     resumed_after = run.progress.last_event_id
     outcome = 'done'
@@ -89,7 +92,7 @@
             outcome=outcome,
             events=len(run.progress.texts),
             versions=run.progress.versions,
-            software=state.endpoint.software,
+            software=software,
             resumed_after=resumed_after,
             waited_ms=round((started_at - queued_at) * 1000, 1),
             took_ms=round((loop.time() - started_at) * 1000, 1),
@@ -119,6 +122,7 @@
         group_index=run.group_index,
         avoid=run.avoid,
         granted=asyncio.get_running_loop().create_future(),
+        can_resume_at=run.progress.can_resume_at,
     )
 
 
--- a/pomelopass/jobs/itemstream.py
+++ b/pomelopass/jobs/itemstream.py
@@ -33,6 +33,8 @@
     """
     loop = asyncio.get_running_loop()
     remaining_ms = (context.expires_at - loop.time()) * 1000
+    # The entry may change while the run goes on.
+    software = state.endpoint.software
     answer = await context.port.open(
         state.endpoint,
         _make_call(context, run),
@@ -55,6 +57,8 @@
             endpoints.record_version(
                 state, run.item.model, answer.weight_version
             )
+        if not run.progress.texts:
+            run.progress.software = software
         outcome = await _read_events(
             context, run, route, state, waiting_item, answer
         )
--- a/pomelopass/jobs/rowcodec.py
+++ b/pomelopass/jobs/rowcodec.py
@@ -24,7 +24,8 @@
 JOB_TABLE = 'jobs'
 BODY_TABLE = 'job-bodies'
 RESULT_TABLE = 'job-results'
-TEXT_TABLE = 'job-texts'
+# Earlier builds stored texts without their software version in 'job-texts'.
+TEXT_TABLE = 'job-item-texts'
 PART_COUNT = 16
 PARTS = tuple(f'p{number:02d}' for number in range(PART_COUNT))
 CHUNK_BYTES = 60_000
@@ -152,9 +153,10 @@
     """Return the item's id and its progress; raise ValueError if malformed."""
     try:
         fields = orjson.loads(zlib.decompress(row.value))
-    except zlib.error as error:
+        progress = progresses.Progress(**fields)
+    except (TypeError, zlib.error) as error:
         raise ValueError(str(error)) from None
-    return row.name.key.split('/')[-1], progresses.Progress(**fields)
+    return row.name.key.split('/')[-1], progress
 
 
 def _encode_bytes(value: object) -> str:
--- a/pomelopass/jobs/schedule.py
+++ b/pomelopass/jobs/schedule.py
@@ -31,6 +31,8 @@
     group_index: int
     avoid: set[str]
     granted: asyncio.Future
+    # Whether an endpoint of a software version may go on with the text.
+    can_resume_at: abc.Callable[[str], bool] = lambda software: True
 
 
 def get_order(waiting_item: WaitingItem) -> tuple[float, float, int, int]:
@@ -106,10 +108,7 @@
             )
             if need in unmet or waiting_item.granted.done():
                 continue
-            # An engine that failed the item is used only if there is no other.
-            state = self._choose(
-                waiting_item, waiting_item.avoid
-            ) or self._choose(waiting_item, ())
+            state = self._choose_preferred(waiting_item)
             if state is not None:
                 state.in_flight += 1
                 self.permits.take(state.endpoint.id)
@@ -119,12 +118,33 @@
                 unmet.add(need)
                 self._request_permits(waiting_item)
 
+    def _choose_preferred(
+        self, waiting_item: WaitingItem
+    ) -> endpoints.EndpointState | None:
+        # An engine that failed the item, and one that must begin its text
+        # again, are used only if there is no other.
+        return (
+            self._choose(waiting_item, waiting_item.avoid, True)
+            or self._choose(waiting_item, (), True)
+            or self._choose(waiting_item, waiting_item.avoid, False)
+            or self._choose(waiting_item, (), False)
+        )
+
     def _choose(
-        self, waiting_item: WaitingItem, avoid: abc.Container[str]
+        self,
+        waiting_item: WaitingItem,
+        avoid: abc.Container[str],
+        must_resume: bool,
     ) -> endpoints.EndpointState | None:
         open_states, _ = self.permits.split(
             self.registry.get_by_service(waiting_item.service)
         )
+        if must_resume:
+            open_states = [
+                state
+                for state in open_states
+                if waiting_item.can_resume_at(state.endpoint.software)
+            ]
         return self._choose_among(open_states, waiting_item, avoid)
 
     def _choose_among(
@@ -160,7 +180,7 @@
         """Return whether a run on a slow engine should move to another."""
         if self.waiting or state.pace_ms == 0.0:
             return False
-        best = self._choose(waiting_item, {state.endpoint.id})
+        best = self._choose(waiting_item, {state.endpoint.id}, True)
         if best is None or best.pace_ms == 0.0:
             return False
         return state.pace_ms > MOVE_FACTOR * best.pace_ms
--- a/pomelopass/reporting/textaudit.py
+++ b/pomelopass/reporting/textaudit.py
@@ -44,7 +44,7 @@
     resumed_ids = set()
     joined = []
     for line in lines:
-        if line.event != 'endpoint-answered' or line.fields['status'] != 200:
+        if not _has_events(line):
             continue
         # A caller that resumes a stream names the id that began it.
         text_id = str(line.fields.get('resumes') or line.fields['id'])
@@ -56,6 +56,9 @@
         if resumed_after is None or start is None:
             start_by_id[text_id] = answer
             continue
+        if line.event == 'item-run':
+            # The answer of this run has been compared.
+            continue
         resumed_ids.add(text_id)
         if start.software != answer.software:
             joined.append(
@@ -69,3 +72,11 @@
                 )
             )
     return TextCount(len(resumed_ids), joined)
+
+
+def _has_events(line: savedlogs.LogLine) -> bool:
+    # The end of a run also tells where its text began, should the line of the
+    # answer be lost.
+    if line.event == 'item-run':
+        return bool(line.fields['events'])
+    return line.event == 'endpoint-answered' and line.fields['status'] == 200
--- a/tests/test_textaudit.py
+++ b/tests/test_textaudit.py
@@ -56,3 +56,14 @@
         ]
     )
     assert [text.resumed_after for text in found.joined] == ['9']
+
+
+def test_end_of_a_run_tells_where_its_text_began():
+    answer = make_answer('a', 'v1')
+    run = savedlogs.LogLine(
+        answer.time, 'entry-0', 'item-run', {**answer.fields, 'events': 9}
+    )
+    found = textaudit.find_joined_texts(
+        [make_answer('a', 'v2'), run, make_answer('a', 'v1', '9')]
+    )
+    assert not found.joined
