Let a stream go on only at the software version that began it

What callers see: a stream whose first events one software version wrote and another the rest, in one answer, or over two answers of which the second was 200 and whole.

Cause: as for the texts of jobs, what began a stream was not kept. Within an answer any engine went on; for a stream that its caller resumes nothing told its origin, least of all after a kill of all instances.

Change: within one answer only engines of the software that began it are chosen. origins/ lets any instance tell the origin of a stream by the id in Resumes: each service has a base, the version of streams without a row; a stream that another version begins gets a row before its caller gets an event, written under the condition that there is none and repeated each 150 ms. While rows can't be written, new streams go to the base; one that can't be told in 0.6 s is not begun (502, nothing sent). The base changes only 5 minutes after its last endpoint left. A stream whose origin can't be told is refused at once. Services without resumable streams cost nothing.

--- a/pomelopass/entry/node.py
+++ b/pomelopass/entry/node.py
@@ -20,6 +20,9 @@
 from ..limits import peers
 from ..limits import permits as permitpools
 from ..limits import sharing
+from ..origins import bases
+from ..origins import recorder
+from ..origins import sweep
 from ..platform import ingress as ingresses
 from ..platform import names
 from ..registry import registry as registries
@@ -27,6 +30,7 @@
 from ..requests import call as calls
 from ..requests import forward
 from ..requests import quarantine as quarantines
+from ..requests import routes
 from ..requests import stream as streams
 from . import settings as entrysettings
 from ..table import fallback
@@ -107,11 +111,12 @@
         )
         self._build_jobs()
         self._build_duties()
+        self._build_origins()
         self.ingress = ingresses.Ingress(
             get_configuration=lambda: self.view.configuration,
             forwarder=self.forwarder,
             streams=streams.StreamForwarder(
-                self.forwarder, names.WEIGHT_VERSION
+                self.forwarder, self.origins, names.WEIGHT_VERSION
             ),
             job_api=self.job_api,
             get_members=self._get_routable,
@@ -180,6 +185,34 @@
             self.ports.write_event,
         )
 
+    def _build_origins(self) -> None:
+        self.bases = bases.BaseKeeper(
+            self.table,
+            self.registry,
+            self.membership,
+            self._get_resumable_services,
+            lambda: self.watch.is_registry_fresh(),
+            self.table.get_now_ms,
+            self.write_event,
+        )
+        self.origins = recorder.OriginRecorder(
+            self.table,
+            self.bases,
+            self.registry,
+            self.table.get_answer_age_ms,
+            self.table.get_now_ms,
+            self.write_event,
+        )
+        self.origin_sweeper = sweep.OriginSweeper(
+            self.table,
+            lambda: (
+                bool(self._get_resumable_services())
+                and self.bases.is_responsible('stream-origins')
+            ),
+            self.table.get_now_ms,
+            self.write_event,
+        )
+
     def _build_duties(self) -> None:
         must_wait = not self.settings.engines_check_fences
         self.versions = versionmanagers.VersionManager(
@@ -232,6 +265,9 @@
             ('VersionKeeper.run', self.versions.run),
             ('Cleaner.run', self.cleaner.run),
             ('TableWatch.keep_house', self.watch.run_housekeeping),
+            ('BaseKeeper.run', self.bases.run),
+            ('OriginRecorder.run', self.origins.run),
+            ('OriginSweeper.run', self.origin_sweeper.run),
         ):
             task = asyncio.ensure_future(self._supervise(task_name, run))
             self.tasks.append(task)
@@ -258,6 +294,7 @@
         """Hand over the owned jobs and stop the background tasks."""
         await self.job_manager.stop()
         self.permits.stop()
+        self.origins.stop()
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
@@ -273,9 +310,16 @@
             self.versions,
             self.quarantine,
             self.limits,
+            self.bases,
             self.write_event,
         )
 
+    def _get_resumable_services(self) -> set[str]:
+        configuration = self.view.configuration
+        if configuration is None:
+            return set()
+        return routes.get_resumable_services(configuration)
+
     def _get_limits_value(self) -> bytes | None:
         limits = self.limits.get_recent(self.table.get_now_ms())
         return limitbooks.encode_limits(limits) if limits else None
--- a/pomelopass/entry/tableclock.py
+++ b/pomelopass/entry/tableclock.py
@@ -13,6 +13,12 @@
     def __init__(self, table: rows.RowTable):
         self.table = table
         self.offset_ms = 0.0
+        self.answered_at = float('-inf')
+
+    def get_answer_age_ms(self) -> float:
+        """Return the time since the last answer in milliseconds."""
+        now = asyncio.get_running_loop().time()
+        return (now - self.answered_at) * 1000
 
     def get_now_ms(self) -> int:
         """Return the service's monotonic time in milliseconds."""
@@ -48,4 +54,5 @@
 
     def _update_offset(self, now_ms: int) -> None:
         now = asyncio.get_running_loop().time()
+        self.answered_at = now
         self.offset_ms = now_ms - now * 1000
--- a/pomelopass/entry/tablewatch.py
+++ b/pomelopass/entry/tablewatch.py
@@ -10,6 +10,8 @@
 from ..jobs import rowcodec
 from ..jobs import schedule
 from ..limits import book as limitbooks
+from ..origins import bases
+from ..origins import origin as origins
 from ..platform import rowhandlers
 from ..registry import endpoint as endpoints
 from ..registry import registry as registries
@@ -44,6 +46,7 @@
     versions: versionmanagers.VersionManager
     quarantine: quarantines.Quarantine
     limits: limitbooks.LimitBook
+    bases: bases.BaseKeeper
     write_event: logevents.WriteEvent
 
 
@@ -112,6 +115,12 @@
             listeners.view.update_in_flight_elsewhere()
             listeners.scheduler.dispatch()
 
+    def is_registry_fresh(self) -> bool:
+        """Return whether the copy of the endpoints' entries is up to date."""
+        return self.endpoints.loaded and not (
+            self.in_outage or self._is_unavailable()
+        )
+
     def _is_unavailable(self) -> bool:
         # Answers relayed by a peer count: they are as fresh as direct ones.
         return (
@@ -139,6 +148,9 @@
         if key.startswith(leader.LEADER_KEY_PREFIX):
             listeners.versions.apply_leader_row(row)
             return
+        if key.startswith(origins.BASE_KEY_PREFIX):
+            listeners.bases.apply_row(row)
+            return
         if key.startswith(heartbeat.LIMITS_KEY_PREFIX):
             self._put_limits_row(row)
             return
--- a/pomelopass/reporting/logevents.py
+++ b/pomelopass/reporting/logevents.py
@@ -36,6 +36,7 @@
     'LinesDropped',
     'ListenFailed',
     'MemberUnreadable',
+    'OriginNotStored',
     'RequestEnded',
     'RequestFailed',
     'ResultsListed',
@@ -266,6 +267,14 @@
     key: str
 
 
+@_event
+class OriginNotStored(Event):
+    """The software version that began a stream could not be stored."""
+
+    id: str
+    detail: str
+
+
 @_event
 class RequestEnded(Event):
     """A request ended; the line covers all its attempts.
@@ -283,6 +292,8 @@
     may_have_run: int
     took_ms: float
     last_event_id: str | None = None
+    resumes: str | None = None
+    software: str | None = None
 
 
 @_event
--- a/pomelopass/requests/callstate.py
+++ b/pomelopass/requests/callstate.py
@@ -55,6 +55,8 @@
     refused_by: set[str] = dataclasses.field(default_factory=set)
     last_error: outcomes.Outcome | None = None
     reason: str = ''
+    # Only endpoints of this software version may run it; None for any.
+    software: str | None = None
     # When an endpoint may take a request again, if limits exclude them all.
     permit_expected_at: float | None = None
 
@@ -94,7 +96,9 @@
     """Return the endpoint for an attempt that starts now, or None."""
     now = asyncio.get_running_loop().time()
     candidates, limited_states = permits.split(
-        registry.get_by_service(state.service)
+        endpoint_state
+        for endpoint_state in registry.get_by_service(state.service)
+        if state.software in (None, endpoint_state.endpoint.software)
     )
     avoid = state.tried | state.refused
     endpoint_state = choice.choose_for_call(
@@ -214,4 +218,6 @@
         may_have_run=state.may_have_run,
         took_ms=round((now - state.started_at) * 1000, 1),
         last_event_id=last_event_id,
+        resumes=state.call.resumes,
+        software=state.software,
     )
--- a/pomelopass/requests/routes.py
+++ b/pomelopass/requests/routes.py
@@ -12,6 +12,7 @@
     'ServiceTarget',
     'choose_service',
     'find_route',
+    'get_resumable_services',
     'get_time_limit',
     'may_repeat',
 ]
@@ -104,6 +105,17 @@
     return timeout_at if deadline_at is None else min(timeout_at, deadline_at)
 
 
+def get_resumable_services(configuration: Configuration) -> set[str]:
+    """Return the services whose streams callers may resume."""
+    return {
+        share.service
+        for host_routes in configuration.routes_by_host.values()
+        for route in host_routes
+        if route.route_type is RouteType.STREAMING and route.resumable
+        for share in route.shares
+    }
+
+
 def choose_service(route: Route, rng: random.Random) -> str:
     """Return a service of the route, drawn at random by weight."""
     if len(route.shares) == 1:
--- a/pomelopass/requests/stream.py
+++ b/pomelopass/requests/stream.py
@@ -11,6 +11,8 @@
 from . import callstate
 from . import forward
 from ..jobs import events
+from ..origins import origin
+from ..origins import recorder as origins
 from . import outcome as outcomes
 from ..registry import endpoint as endpoints
 from . import routes
@@ -44,8 +46,14 @@
 class StreamForwarder:
     """Forwards the events of streamed answers as they arrive."""
 
-    def __init__(self, forwarder: forward.Forwarder, version_field: str):
+    def __init__(
+        self,
+        forwarder: forward.Forwarder,
+        origin_recorder: origins.OriginRecorder,
+        version_field: str,
+    ):
         self.forwarder = forwarder
+        self.origins = origin_recorder
         self.version_field = version_field
 
     async def open_stream(
@@ -64,7 +72,7 @@
             _get_stall_timeout_ms(route),
             last_event_id=call.last_event_id,
         )
-        opened = await self._open(stream, open_deadline_at)
+        opened = await self._begin(stream, open_deadline_at)
         if isinstance(opened, outcomes.Outcome):
             self._log_end(stream, opened.kind.value, opened.status)
             return opened
@@ -74,6 +82,50 @@
             opened.answer.status, opened.answer.headers, chunks=chunks
         )
 
+    async def _begin(
+        self, stream: _Stream, open_deadline_at: float
+    ) -> outcomes.Outcome | _OpenedStream:
+        """Open a stream at an endpoint that may begin it, or go on with it."""
+        state = stream.state
+        if not state.route.resumable:
+            return await self._open(stream, open_deadline_at)
+        if stream.last_event_id is not None:
+            try:
+                await self._bind_origin(state)
+            except origins.OriginUnknownError:
+                state.reason = 'origin-unknown'
+                return callstate.get_final_outcome(state)
+            return await self._open(stream, open_deadline_at)
+        state.software = self.origins.get_required_software(state.service)
+        opened = await self._open(stream, open_deadline_at)
+        if isinstance(opened, outcomes.Outcome) or opened.answer.status != 200:
+            return opened
+        state.software = opened.endpoint_state.endpoint.software
+        is_recorded = False
+        try:
+            is_recorded = await self.origins.record(
+                state.call.id,
+                origin.Origin(state.service, state.software),
+                len(state.route.shares) == 1,
+            )
+        finally:
+            if not is_recorded:
+                await opened.answer.reply.close()
+        if is_recorded:
+            return opened
+        # No event has reached the caller, who may ask again.
+        state.reason = 'origin-not-stored'
+        return callstate.get_final_outcome(state)
+
+    async def _bind_origin(self, state: callstate.CallState) -> None:
+        """Let only the software that began a stream go on with it."""
+        began = await self.origins.find(
+            state.call.resumes,
+            [share.service for share in state.route.shares],
+        )
+        state.service = began.service
+        state.software = began.software
+
     async def _open(
         self, stream: _Stream, open_deadline_at: float
     ) -> outcomes.Outcome | _OpenedStream:
@@ -203,6 +255,7 @@
             outcome = 'caller-left'
             raise
         finally:
+            self.origins.end(stream.state.call.id)
             self._log_end(stream, outcome, stream.status)
 
     async def _relay_run(
--- a/standins/entries.py
+++ b/standins/entries.py
@@ -93,6 +93,7 @@
             *entry.node.job_manager.background,
         ]
         entry.node.permits.stop()
+        entry.node.origins.stop()
         for task in tasks:
             task.cancel()
         # Table calls in flight end with the process.
--- a/tests/entry/test_resumed_streams.py
+++ b/tests/entry/test_resumed_streams.py
@@ -7,8 +7,8 @@
 import pytest
 
 from pomelopass import message
-from tests import entrybuilders
 from tests.entry import test_software
+from tests import entrybuilders
 
 STREAMS = 16
 PATH = '/chats/1'
@@ -130,11 +130,16 @@
 
 def run(scenario, seed=1):
     async def start(cluster):
+        for endpoint in cluster.pool.endpoint_by_id.values():
+            # Callers that left count until the end of their streams.
+            endpoint.slots = 40
         test_software.mix_software(cluster)
         await asyncio.sleep(4)
         await scenario(cluster)
 
-    entrybuilders.run_cluster(start, seed, engines=4)
+    entrybuilders.run_cluster(
+        start, seed, engines=4, software=test_software.OLD
+    )
 
 
 @pytest.mark.parametrize('seed', range(4))
@@ -221,6 +226,30 @@
     run(scenario)
 
 
+@pytest.mark.parametrize('how', ['down', 'silent'])
+def test_streams_are_recorded_once_the_table_answers_again(how):
+    async def scenario(cluster):
+        # Nothing of the base is left, so every stream needs a row.
+        everything_new = {f'engine-{number}': 'v1.1' for number in range(4)}
+        test_software.set_software(cluster, everything_new)
+        await asyncio.sleep(1)
+        for entry in cluster.entry_by_name.values():
+            setattr(entry.client.faults, how, True)
+        streams = await begin_all(cluster)
+        assert len(streams) == STREAMS
+        for entry in cluster.entry_by_name.values():
+            setattr(entry.client.faults, how, False)
+        await asyncio.sleep(5)
+        await kill_all(cluster)
+        await leave_all(streams)
+        await asyncio.sleep(3)
+        went_on = await resume_all(cluster, streams)
+        check_streams(streams)
+        assert went_on >= 0.9 * len(streams)
+
+    run(scenario)
+
+
 def test_stream_of_an_unknown_beginning_is_refused_at_once():
     async def scenario(cluster):
         stream = Stream('s0', texts=['x.1@v1', 'x.2@v1'])
--- a/tests/entrybuilders.py
+++ b/tests/entrybuilders.py
@@ -3,14 +3,22 @@
 import asyncio
 import base64
 from collections import abc
+import random
 
+from pomelopass.fleet import member
 from pomelopass.jobs import job as jobs
 from pomelopass.limits import allocator
 from pomelopass.limits import book
 from pomelopass.limits import permits
+from pomelopass.origins import bases
+from pomelopass.origins import origin
+from pomelopass.origins import recorder
+from pomelopass.registry import registry as registries
 from pomelopass.reporting import logevents
+from pomelopass.table import rows
 from standins import entries
 from standins import modelengines
+from standins import rowtable
 from standins import virtualloop
 
 HOST = 'trainer.test'
@@ -128,6 +136,7 @@
     engines: int = 3,
     make_write_event: abc.Callable[[list[dict]], logevents.WriteEvent]
     | None = None,
+    software: str = '',
     **job_changes: object,
 ) -> entries.EntryCluster:
     """Return a cluster with engines, plain endpoints and a configuration."""
@@ -136,7 +145,10 @@
     for number in range(engines):
         cluster.pool.add(
             modelengines.FakeEndpoint(
-                f'engine-{number}', 'engines', version_by_model={MODEL: 1}
+                f'engine-{number}',
+                'engines',
+                version_by_model={MODEL: 1},
+                software=software,
             )
         )
     for number in range(2):
@@ -175,6 +187,35 @@
     return permits.PermitPool(book.LimitBook(), _grant_all, lambda: 0)
 
 
+def make_origins(registry: registries.Registry) -> recorder.OriginRecorder:
+    """Return the origins of an instance whose services have a base."""
+    service = rowtable.RowService()
+    table = rowtable.RowClient(service, random.Random(1))
+    membership = member.Membership('entry-0')
+    base_keeper = bases.BaseKeeper(
+        table,
+        registry,
+        membership,
+        set,
+        lambda: True,
+        service.get_now_ms,
+        lambda event: None,
+    )
+    for state in registry.state_by_id.values():
+        endpoint = state.endpoint
+        value = origin.encode_row(origin.Base(endpoint.software))
+        key = origin.make_base_key(endpoint.service)
+        base_keeper.apply_row(rows.Row(key, value, 1))
+    return recorder.OriginRecorder(
+        table,
+        base_keeper,
+        registry,
+        lambda: 0.0,
+        service.get_now_ms,
+        lambda event: None,
+    )
+
+
 def make_job_body(submission: jobs.Submission) -> dict:
     """Return the body with which a trainer submits a job."""
     return {
--- a/tests/limits/__init__.py
+++ b/tests/limits/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of the limits of endpoints."""
+"""Test the package of the same name."""
--- /dev/null
+++ b/tests/origins/test_recorder.py
@@ -0,0 +1,189 @@
+"""Test the rows that tell which software began a stream."""
+
+import asyncio
+import random
+
+import pytest
+
+from pomelopass.fleet import member
+from pomelopass.origins import bases
+from pomelopass.origins import origin as origins
+from pomelopass.origins import recorder as recorders
+from pomelopass.origins import sweep
+from pomelopass.registry import endpoint as endpoints
+from pomelopass.registry import registry as registries
+from pomelopass.table import rows
+from standins import rowtable
+from standins import virtualloop
+
+SERVICE = 'engines'
+OLD = origins.Origin(SERVICE, 'v1')
+NEW = origins.Origin(SERVICE, 'v2')
+
+
+def make_registry(software):
+    registry = registries.Registry(lambda event: None)
+    for number, name in enumerate(software):
+        registry.put(
+            endpoints.Endpoint(
+                *(f'e{number}', SERVICE, '10.0.0.1:1', 'north', 8, False),
+                *({'m': 1}, 1, name),
+            )
+        )
+    return registry
+
+
+def make_recorder(service, software=('v1', 'v2'), base='v1', client=None):
+    client = client or rowtable.RowClient(service, random.Random(1))
+    registry = make_registry(software)
+    keeper = bases.BaseKeeper(
+        client,
+        registry,
+        member.Membership('entry-0'),
+        lambda: {SERVICE},
+        lambda: True,
+        service.get_now_ms,
+        lambda event: None,
+    )
+    if base is not None:
+        value = origins.encode_row(origins.Base(base))
+        keeper.apply_row(rows.Row(origins.make_base_key(SERVICE), value, 1))
+    return recorders.OriginRecorder(
+        client,
+        keeper,
+        registry,
+        lambda: 0.0,
+        service.get_now_ms,
+        lambda event: None,
+    )
+
+
+def run(scenario):
+    async def start():
+        await scenario(rowtable.RowService())
+
+    virtualloop.run(start())
+
+
+def test_stream_of_the_base_needs_no_row():
+    async def scenario(service):
+        calls = service.calls
+        assert await make_recorder(service).record('a', OLD, True)
+        assert service.calls == calls
+        other = make_recorder(service)
+        assert await other.find('a', [SERVICE]) == OLD
+
+    run(scenario)
+
+
+def test_any_other_stream_is_told_by_every_instance():
+    async def scenario(service):
+        assert await make_recorder(service).record('a', NEW, True)
+        assert await make_recorder(service).find('a', [SERVICE]) == NEW
+
+    run(scenario)
+
+
+def test_stream_of_a_route_to_several_services_has_a_row():
+    async def scenario(service):
+        assert await make_recorder(service).record('a', OLD, False)
+        found = await make_recorder(service).find('a', ['other', SERVICE])
+        assert found == OLD
+
+    run(scenario)
+
+
+def test_stream_is_not_begun_without_the_row_that_it_needs():
+    async def scenario(service):
+        recorder = make_recorder(service)
+        service.down = True
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        assert not await recorder.record('a', NEW, True)
+        assert loop.time() - started_at < 0.8
+        # What can be told without a row is preferred from now on.
+        recorder.get_answer_age_ms = lambda: 1000.0
+        assert recorder.get_required_software(SERVICE) == 'v1'
+        recorder.get_answer_age_ms = lambda: 0.0
+        await asyncio.sleep(0.01)
+        assert recorder.get_required_software(SERVICE) is None
+
+    run(scenario)
+
+
+def test_write_whose_answer_is_lost_counts_once_it_is_confirmed():
+    async def scenario(service):
+        client = rowtable.RowClient(service, random.Random(2))
+        client.faults.lose_answers = 0.6
+        recorder = make_recorder(service, client=client)
+        recorded = [
+            await recorder.record(f'r{number}', NEW, True)
+            for number in range(20)
+        ]
+        assert sum(recorded) >= 16
+        reader = make_recorder(service)
+        for number, is_recorded in enumerate(recorded):
+            if is_recorded:
+                assert await reader.find(f'r{number}', [SERVICE]) == NEW
+
+    run(scenario)
+
+
+@pytest.mark.parametrize('base', [None, 'v1'])
+def test_stream_without_a_known_request_is_not_guessed(base):
+    async def scenario(service):
+        recorder = make_recorder(service, base=base)
+        with pytest.raises(recorders.OriginUnknownError):
+            await recorder.find(None, [SERVICE])
+
+    run(scenario)
+
+
+def test_stream_is_not_guessed_before_the_service_has_a_base():
+    async def scenario(service):
+        recorder = make_recorder(service, base=None)
+        with pytest.raises(recorders.OriginUnknownError):
+            await recorder.find('a', [SERVICE])
+
+    run(scenario)
+
+
+def test_stream_does_not_go_on_at_a_service_off_its_route():
+    async def scenario(service):
+        await make_recorder(service).record('a', NEW, True)
+        with pytest.raises(recorders.OriginUnknownError):
+            await make_recorder(service).find('a', ['other'])
+
+    run(scenario)
+
+
+def test_rows_are_removed_long_after_the_end_of_their_streams():
+    async def scenario(service):
+        recorder = make_recorder(service)
+        task = asyncio.ensure_future(recorder.run())
+        await recorder.record('a', NEW, True)
+        await asyncio.sleep(200)
+        recorder.end('a')
+        await asyncio.sleep(200)
+        assert len(service.row_by_name) == 1
+        await asyncio.sleep(110)
+        assert not service.row_by_name
+        task.cancel()
+
+    run(scenario)
+
+
+def test_rows_of_dead_instances_are_removed_in_the_end():
+    async def scenario(service):
+        await make_recorder(service).record('a', NEW, True)
+        client = rowtable.RowClient(service, random.Random(1))
+        sweeper = sweep.OriginSweeper(
+            client, lambda: True, service.get_now_ms, lambda event: None
+        )
+        await sweeper.sweep()
+        assert len(service.row_by_name) == 1
+        await asyncio.sleep(sweep.ABANDONED_AFTER_MS / 1000 + 1)
+        await sweeper.sweep()
+        assert not service.row_by_name
+
+    run(scenario)
--- a/tests/requests/test_stream.py
+++ b/tests/requests/test_stream.py
@@ -58,7 +58,10 @@
         quarantine.Quarantine(),
         entrybuilders.make_permits(),
     )
-    return pool, streams.StreamForwarder(forwarder, 'weight-versions')
+    origin_recorder = entrybuilders.make_origins(registry)
+    return pool, streams.StreamForwarder(
+        forwarder, origin_recorder, 'weight-versions'
+    )
 
 
 def make_route(resumable):
