Place an item again however many endpoints crashed under it

What trainers see: an item that was at three engines as they crashed waited 30 s with slots free, and its group came late; the same for a reward call, whose content was refused for 30 s on all instances.

Cause: items were counted like requests whose content crashes endpoints. The count was never reset by progress, and the reward call went through the quarantine of callers' requests. A sound item that is at work during a burst of crashes looks the same.

Change: items don't count crashes; the pauses after failed runs (at most 2 s) remain. Their reward calls neither count towards the quarantine nor are stopped by it.

Ruled out: resetting the count by progress (an item may crash three times before its first event), a shorter wait (still idle in calm).

--- a/pomelopass/jobs/itemcontext.py
+++ b/pomelopass/jobs/itemcontext.py
@@ -46,6 +46,5 @@
     errors: int = 0
     # Consecutive runs that added no event.
     failed_runs: int = 0
-    crashes: int = 0
     avoid: set[str] = dataclasses.field(default_factory=set)
     terminated: bool = False
--- a/pomelopass/jobs/itemrun.py
+++ b/pomelopass/jobs/itemrun.py
@@ -11,7 +11,6 @@
 from ..registry import endpoint as endpoints
 from ..reporting import logevents
 from ..requests import call as calls
-from ..requests import quarantine as quarantines
 from ..requests import routes
 from . import reward
 from . import schedule
@@ -137,8 +136,6 @@
     if outcome == 'moved':
         return
     run.failed_runs = 0 if progressed else run.failed_runs + 1
-    if outcome in message.DISCONNECT_KINDS and not progressed:
-        await _check_crash(context, run, state)
     if outcome == 'endpoint-refused':
         await asyncio.sleep(
             RETRY_PAUSE_MS / 1000 * (0.5 + context.rng.random())
@@ -149,16 +146,3 @@
         await asyncio.sleep(pause_ms / 1000)
     if run.failed_runs > 1:
         run.avoid = set()
-
-
-async def _check_crash(
-    context: itemcontext.ItemContext,
-    run: itemcontext.ItemRun,
-    state: endpoints.EndpointState,
-) -> None:
-    if not await context.port.is_refused(state.endpoint):
-        return
-    run.crashes += 1
-    if run.crashes >= quarantines.CRASHES_TO_BLOCK:
-        # The item must not be listed as failed before it expires.
-        await asyncio.sleep(quarantines.CRASH_TTL_MS / 1000)
--- a/pomelopass/jobs/reward.py
+++ b/pomelopass/jobs/reward.py
@@ -33,7 +33,10 @@
             reward.id, reward.host, 'POST', reward.path, (), reward.body, None
         )
         async with context.gate.enter(route.shares[0].service):
-            outcome = await context.forwarder.forward(call, route)
+            # An item is never taken for one that crashes endpoints.
+            outcome = await context.forwarder.forward(
+                call, route, may_quarantine=False
+            )
         if outcome.signature is not None and 200 <= outcome.status < 300:
             score = outcome.signature
             return jobs.Result(run.item.id, True, text, versions, score)
--- a/pomelopass/requests/attempt.py
+++ b/pomelopass/requests/attempt.py
@@ -29,7 +29,7 @@
     call: calls.Call,
     give_up_at: float,
     fresh: bool,
-    fingerprint: str,
+    fingerprint: str | None,
 ) -> outcomes.Attempt:
     """Send the call to an endpoint and return the result."""
     loop = asyncio.get_running_loop()
@@ -96,9 +96,11 @@
 async def record_if_crashed(
     context: AttemptContext,
     state: endpoints.EndpointState,
-    fingerprint: str,
+    fingerprint: str | None,
 ) -> None:
     """Record a crash if the endpoint refuses new connections."""
+    if fingerprint is None:
+        return
     if not await context.port.is_refused(state.endpoint):
         return
     now = asyncio.get_running_loop().time()
--- a/pomelopass/requests/callstate.py
+++ b/pomelopass/requests/callstate.py
@@ -44,7 +44,8 @@
     call: calls.Call
     route: routes.Route
     service: str
-    fingerprint: str
+    # None if its content never counts as one that crashes endpoints.
+    fingerprint: str | None
     started_at: float
     give_up_at: float
     may_have_run: int = 0
--- a/pomelopass/requests/forward.py
+++ b/pomelopass/requests/forward.py
@@ -48,13 +48,18 @@
         self.write_event = write_event
 
     async def forward(
-        self, call: calls.Call, route: routes.Route
+        self,
+        call: calls.Call,
+        route: routes.Route,
+        may_quarantine: bool = True,
     ) -> outcomes.Outcome:
         """Return the answer to a request that is not streamed."""
         deadline_at = routes.get_time_limit(route, call.deadline_at)
         state = callstate.make_state(
             call, route, deadline_at, ANSWER_MARGIN_MS / 1000, self.rng
         )
+        if not may_quarantine:
+            state.fingerprint = None
         outcome = await self._run(state)
         self.write_event(
             callstate.make_ended_event(
--- a/pomelopass/requests/quarantine.py
+++ b/pomelopass/requests/quarantine.py
@@ -38,7 +38,7 @@
             crashes, now + CRASH_TTL_MS / 1000
         )
 
-    def clear(self, fingerprint: str) -> None:
+    def clear(self, fingerprint: str | None) -> None:
         """Reset the own count after an endpoint ran the content to its end."""
         self.own_record_by_fingerprint.pop(fingerprint, None)
 
@@ -62,8 +62,10 @@
         newest = list(live_by_fingerprint.items())[-MAX_REPORTED_FINGERPRINTS:]
         return {fingerprint: record.crashes for fingerprint, record in newest}
 
-    def is_quarantined(self, fingerprint: str, now: float) -> bool:
+    def is_quarantined(self, fingerprint: str | None, now: float) -> bool:
         """Return whether the content has crashed too many endpoints."""
+        if fingerprint is None:
+            return False
         if not self.own_record_by_fingerprint and not self.crashes_by_instance:
             return False
         record = self._find_live(fingerprint, now)
