Clear a content's crashes on all instances once it ran to its end

What callers see: a sound request that met crashes at several instances was refused for 30 s although it had run to its end in between.

Cause: a success cleared the count of the instance that saw it alone; the counts that others report stayed for their 30 s, and a later crash by bad luck added up with them.

Change: a success dismisses what others have reported so far, and the instance reports a count of zero, on which the others drop theirs. A content that crashes each endpoint never runs to its end, so the quarantine of such contents is unchanged.

Measured: the new test fails on the code before (503 crashes-endpoints where 200 is due) and passes now, with the tests of poisonous requests unchanged.

--- a/pomelopass/requests/forward.py
+++ b/pomelopass/requests/forward.py
@@ -175,7 +175,9 @@
             if attempt.outcome is None:
                 continue
             if attempt.outcome.status < 500:
-                self.quarantine.clear(state.fingerprint)
+                self.quarantine.clear(
+                    state.fingerprint, asyncio.get_running_loop().time()
+                )
                 return dataclasses.replace(
                     attempt.outcome, errors=state.errors
                 )
--- a/pomelopass/requests/quarantine.py
+++ b/pomelopass/requests/quarantine.py
@@ -29,6 +29,8 @@
     def __init__(self) -> None:
         self.own_record_by_fingerprint: dict[str, _CrashRecord] = {}
         self.crashes_by_instance: dict[str, dict[str, int]] = {}
+        # Part of a report that no longer counts, by instance and fingerprint.
+        self.dismissed_by_report: dict[tuple[str, str], int] = {}
 
     def record_crash(self, fingerprint: str, now: float) -> None:
         """Count a crash of an endpoint that was running the content."""
@@ -38,14 +40,27 @@
             crashes, now + CRASH_TTL_MS / 1000
         )
 
-    def clear(self, fingerprint: str | None) -> None:
-        """Reset the own count after an endpoint ran the content to its end."""
-        self.own_record_by_fingerprint.pop(fingerprint, None)
+    def clear(self, fingerprint: str | None, now: float) -> None:
+        """Reset all counts after an endpoint ran the content to its end.
+
+        Other instances learn it from an own count of zero.
+        """
+        if fingerprint is None or not self._count(fingerprint, now):
+            return
+        self.own_record_by_fingerprint[fingerprint] = _CrashRecord(
+            0, now + CRASH_TTL_MS / 1000
+        )
+        self._dismiss_reports(fingerprint)
 
     def record_reported_crashes(
         self, instance: str, crashes: dict[str, int]
     ) -> None:
         """Replace the crash counts reported by another instance."""
+        known = self.crashes_by_instance.get(instance, {})
+        for fingerprint, count in crashes.items():
+            if count == 0 and known.get(fingerprint) != 0:
+                self.own_record_by_fingerprint.pop(fingerprint, None)
+                self._dismiss_reports(fingerprint)
         if crashes:
             self.crashes_by_instance[instance] = crashes
         else:
@@ -66,13 +81,36 @@
         """Return whether the content has crashed too many endpoints."""
         if fingerprint is None:
             return False
+        return self._count(fingerprint, now) >= CRASHES_TO_BLOCK
+
+    def _count(self, fingerprint: str, now: float) -> int:
         if not self.own_record_by_fingerprint and not self.crashes_by_instance:
-            return False
+            return 0
         record = self._find_live(fingerprint, now)
         crashes = record.crashes if record is not None else 0
-        for crashes_by_fingerprint in self.crashes_by_instance.values():
-            crashes += crashes_by_fingerprint.get(fingerprint, 0)
-        return crashes >= CRASHES_TO_BLOCK
+        for (
+            instance,
+            crashes_by_fingerprint,
+        ) in self.crashes_by_instance.items():
+            reported = crashes_by_fingerprint.get(fingerprint, 0)
+            dismissed = self.dismissed_by_report.get(
+                (instance, fingerprint), 0
+            )
+            crashes += max(reported - dismissed, 0)
+        return crashes
+
+    def _dismiss_reports(self, fingerprint: str) -> None:
+        # Crashes that were reported before the content ran to its end.
+        self.dismissed_by_report = {
+            (instance, name): count
+            for (instance, name), count in self.dismissed_by_report.items()
+            if name in self.crashes_by_instance.get(instance, {})
+        }
+        for instance, crashes in self.crashes_by_instance.items():
+            if crashes.get(fingerprint):
+                self.dismissed_by_report[instance, fingerprint] = crashes[
+                    fingerprint
+                ]
 
     def _find_live(self, fingerprint: str, now: float) -> _CrashRecord | None:
         record = self.own_record_by_fingerprint.get(fingerprint)
--- a/pomelopass/requests/stream.py
+++ b/pomelopass/requests/stream.py
@@ -238,7 +238,10 @@
                         async for chunk in run:
                             yield chunk
                     outcome = outcomes.OutcomeKind.ANSWERED.value
-                    self.forwarder.quarantine.clear(stream.state.fingerprint)
+                    self.forwarder.quarantine.clear(
+                        stream.state.fingerprint,
+                        asyncio.get_running_loop().time(),
+                    )
                     return
                 except message.ExchangeError as error:
                     await self._record_break(
--- a/tests/entry/test_poison.py
+++ b/tests/entry/test_poison.py
@@ -9,10 +9,10 @@
 from tests import entrybuilders
 
 
-async def send_request(cluster, name, request_id, body):
+async def send_request(cluster, name, request_id, body, path='/scores/1'):
     request = message.Request(
         'POST',
-        '/scores/1',
+        path,
         (('host', entrybuilders.HOST), ('attempt-id', request_id)),
         body,
     )
@@ -44,6 +44,30 @@
     entrybuilders.run_cluster(scenario)
 
 
+def test_content_that_ran_to_its_end_is_cleared_on_all_instances():
+    async def send(cluster, name, request_id):
+        # Not repeated after a crash.
+        return await send_request(
+            cluster, name, request_id, b'sound', '/orders/1'
+        )
+
+    async def scenario(cluster):
+        for number in range(2):
+            cluster.pool.crashes_left_by_id[f'a-{number}'] = 1
+            await send(cluster, 'entry-0', f'a-{number}')
+            await asyncio.sleep(1.5)
+        # The content runs to its end elsewhere, then meets a third crash.
+        assert (await send(cluster, 'entry-1', 'b')).status == 200
+        await asyncio.sleep(1.5)
+        cluster.pool.crashes_left_by_id['c'] = 1
+        await send(cluster, 'entry-2', 'c')
+        await asyncio.sleep(1.5)
+        for name in cluster.entry_by_name:
+            assert (await send(cluster, name, f'd-{name}')).status == 200
+
+    entrybuilders.run_cluster(scenario)
+
+
 @pytest.mark.parametrize('times', [3, 6])
 def test_item_under_which_engines_crashed_is_placed_again_at_once(times):
     async def scenario(cluster):
