Cut answers off that never end, in the head or the body

What callers see: while an endpoint sends bytes without end, a refused request is not sent on, an item waits for its expiry at that engine, a stream holds its caller.

Cause: reads were bounded by silence and by the deadline, seldom by bytes, and never by progress; bytes that keep arriving reset the wait for silence.

Change: a head ends within a second of its first byte, after at most 8 informational ones; refusals are read for reuse up to 64 KB and 100 ms, else the connection is closed and the refusal counts all the same; answers are 8 MB at most (before 32), error bodies of streams wait 0.5 s; an event is 256 KB at most, ids rise, and a stream without a complete event for the stall time is left, though bytes arrive; a text has at most 65,536 events; a connection at rest that gets bytes is closed. Looked at and left: reports and orders (1 MB, 0.7 s in all), connection probes (one byte), the table.

Ruled out: a byte limit alone (a drip of bytes lasts for hours).

--- a/pomelopass/edges/clientconnection.py
+++ b/pomelopass/edges/clientconnection.py
@@ -1,6 +1,7 @@
 """Read HTTP responses from one connection with h11."""
 
 import asyncio
+from collections import abc
 import math
 
 import h11
@@ -23,10 +24,13 @@
         self.unread = 0
         self.deadline = math.inf
         self.timer: asyncio.TimerHandle | None = None
+        self.on_unexpected_data: abc.Callable[[], None] | None = None
 
     def feed_data(self, data: bytes) -> None:
         self.unread += len(data)
         super().feed_data(data)
+        if self.on_unexpected_data is not None:
+            self.on_unexpected_data()
 
     async def read_until(self, deadline: float) -> bytes:
         """Return the received bytes; raise TimeoutError at the deadline.
@@ -87,13 +91,21 @@
         self.reader.cancel_timer()
         self.writer.close()
 
-    async def next_event(self, deadline: float) -> h11.Event:
-        """Return the next event; raise TimeoutError, OSError, h11 errors."""
+    async def next_head(
+        self, deadline: float, head_timeout_ms: float
+    ) -> h11.Event:
+        """Return the next head; raise TimeoutError, OSError, h11 errors.
+
+        The head may begin until the deadline and must end soon after.
+        """
         while True:
             event = self.state.next_event()
             if event is not h11.NEED_DATA:
                 return event
             await self.receive(deadline)
+            head_deadline = self.reader.loop.time() + head_timeout_ms / 1000
+            deadline = min(deadline, head_deadline)
+            head_timeout_ms = math.inf
 
     async def read_data(self, deadline: float) -> tuple[bytes, bool]:
         """Return the next bytes of the body and whether it is complete."""
--- a/pomelopass/edges/httpclient.py
+++ b/pomelopass/edges/httpclient.py
@@ -21,6 +21,9 @@
 MAX_PROBES = 5
 # Time from the choice of an idle connection until the request arrives.
 KEEP_ALIVE_MARGIN_MS = 300
+# Time from the first byte of a head to its end.
+HEAD_TIMEOUT_MS = 1000
+MAX_INFORMATIONAL_HEADS = 8
 
 
 class HttpClient:
@@ -134,6 +137,7 @@
             if expired or dirty or connection.writer.is_closing():
                 connection.close()
                 continue
+            connection.reader.on_unexpected_data = None
             return connection
         return None
 
@@ -173,18 +177,21 @@
             return
         connection.state.start_next_cycle()
         connection.idle_since = asyncio.get_running_loop().time()
+        # No request awaits more bytes, which might come without an end.
+        connection.reader.on_unexpected_data = connection.close
         connections.append(connection)
 
 
 async def _read_head(
     connection: clientconnection.Connection, deadline: float
 ) -> h11.Response:
-    event = await connection.next_event(deadline)
-    while isinstance(event, h11.InformationalResponse):
-        event = await connection.next_event(deadline)
+    for _ in range(MAX_INFORMATIONAL_HEADS):
+        event = await connection.next_head(deadline, HEAD_TIMEOUT_MS)
+        if not isinstance(event, h11.InformationalResponse):
+            break
     if not isinstance(event, h11.Response):
         raise h11.RemoteProtocolError(
-            'connection closed before the response head'
+            'no response head, or too many informational ones'
         )
     return event
 
--- a/pomelopass/jobs/events.py
+++ b/pomelopass/jobs/events.py
@@ -2,9 +2,15 @@
 
 import dataclasses
 
-__all__ = ['Event', 'EventParser']
+__all__ = ['BadEventError', 'Event', 'EventParser']
 
 EVENT_END = b'\n\n'
+# A larger event is no answer; its end may never come.
+MAX_EVENT_BYTES = 262_144
+
+
+class BadEventError(Exception):
+    """Raised for bytes that are no event of a generation."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -19,6 +25,8 @@
 class EventParser:
     """Incremental parser that buffers an incomplete event.
 
+    The ids of events must rise. Comments are skipped.
+
     >>> parser = EventParser('weight-version')
     >>> parser.feed(b'id: 1\\ndata: a\\n\\nid: 2\\nda')
     [Event(id='1', data='a', weight_version=None)]
@@ -26,17 +34,34 @@
     b'id: 2\\nda'
     """
 
-    def __init__(self, version_field: str):
+    def __init__(self, version_field: str, last_id: str | None = None):
         self.version_field = version_field
         self.unread = b''
+        # Of the event after which the text goes on.
+        self.last_id = last_id if (last_id or '').isdecimal() else ''
 
     def feed(self, data: bytes) -> list[Event]:
-        """Return the events completed by the data."""
+        """Return the events completed by the data; raise BadEventError."""
         self.unread += data
         *blocks, self.unread = self.unread.split(EVENT_END)
-        return [self._parse(block) for block in blocks if block.strip()]
+        if len(self.unread) > MAX_EVENT_BYTES:
+            raise BadEventError(f'{len(self.unread)} bytes without an end')
+        return [self._parse(block) for block in blocks if not _is_blank(block)]
 
     def _parse(self, block: bytes) -> Event:
+        event = self._read_fields(block)
+        is_rising = (
+            not self.last_id
+            or not event.id.isdecimal()
+            or int(event.id) > int(self.last_id)
+        )
+        if not event.id or not is_rising:
+            raise BadEventError(f'id {event.id!r} after {self.last_id!r}')
+        if event.id.isdecimal():
+            self.last_id = event.id
+        return event
+
+    def _read_fields(self, block: bytes) -> Event:
         event_id = ''
         data = []
         version = None
@@ -50,3 +75,10 @@
             elif name == self.version_field and value.isdecimal():
                 version = int(value)
         return Event(event_id, '\n'.join(data), version)
+
+
+def _is_blank(block: bytes) -> bool:
+    return all(
+        not line.strip() or line.startswith(b':')
+        for line in block.split(b'\n')
+    )
--- a/pomelopass/jobs/itemstream.py
+++ b/pomelopass/jobs/itemstream.py
@@ -17,7 +17,8 @@
 MOVE_CHECK_INTERVAL_MS = 250.0
 # A brief slowdown by a noisy neighbour must not move the run.
 SLOW_CHECKS_TO_MOVE = 3
-MAX_REFUSAL_BYTES = 1_048_576
+# More events than any text has; they may come without an end.
+MAX_EVENTS = 65_536
 
 
 async def stream_item(
@@ -46,8 +47,9 @@
         if answer.load is not None:
             endpoints.record_load(state, answer.load, loop.time())
         if answer.status != 200 or answer.not_run:
-            # Reading the body keeps the connection reusable.
-            await answer.reply.read(MAX_REFUSAL_BYTES)
+            await answer.reply.discard(
+                calls.MAX_DISCARDED_BYTES, calls.DISCARD_TIMEOUT_MS
+            )
             is_complete = True
             return _record_refusal(run, answer, state, route.max_attempts)
         if not _accepts_version(context, run, route, answer.weight_version):
@@ -125,14 +127,22 @@
     answer: calls.Answer,
 ) -> str:
     loop = asyncio.get_running_loop()
-    parser = events.EventParser(context.version_field)
+    parser = events.EventParser(
+        context.version_field, run.progress.last_event_id
+    )
     version = answer.weight_version
     last_event_at = None
+    stall_at = loop.time() + STALL_TIMEOUT_MS / 1000
     next_check_at = loop.time() + MOVE_CHECK_INTERVAL_MS / 1000
     slow_checks = 0
     async for chunk in answer.reply.chunks:
-        new_events = parser.feed(chunk)
         now = loop.time()
+        new_events = _parse_events(parser, chunk)
+        if new_events:
+            stall_at = now + STALL_TIMEOUT_MS / 1000
+        elif now >= stall_at:
+            # Bytes keep arriving, but no event.
+            raise message.ExchangeError('timeout', 1)
         for event in new_events:
             if event.weight_version is not None:
                 version = event.weight_version
@@ -156,6 +166,16 @@
     return 'done'
 
 
+def _parse_events(
+    parser: events.EventParser, chunk: bytes
+) -> list[events.Event]:
+    try:
+        return parser.feed(chunk)
+    except events.BadEventError:
+        # The log line of the run names the outcome.
+        raise message.ExchangeError('bad-event', 1) from None
+
+
 def _append_event(
     context: itemcontext.ItemContext,
     run: itemcontext.ItemRun,
@@ -166,6 +186,9 @@
     if not _accepts_version(context, run, route, version):
         run.progress.restart()
         return False
+    if len(run.progress.texts) >= MAX_EVENTS:
+        run.progress.restart()
+        raise message.ExchangeError('too-many-events', 1)
     run.progress.texts.append(event.data)
     run.progress.last_event_id = event.id
     if version is not None and version not in run.progress.versions:
--- a/pomelopass/message.py
+++ b/pomelopass/message.py
@@ -1,5 +1,6 @@
 """Represent HTTP messages independently of their connection."""
 
+import asyncio
 from collections import abc
 import dataclasses
 
@@ -62,6 +63,15 @@
         if self.abort is not None:
             self.abort()
 
+    async def discard(self, limit: int, timeout_ms: float) -> None:
+        """Read a short rest so that the connection can be reused, or close."""
+        try:
+            async with asyncio.timeout(timeout_ms / 1000):
+                await self.read(limit)
+        except (ExchangeError, TimeoutError):
+            # The rest says nothing, and may never end.
+            await self.close()
+
     async def read(self, limit: int) -> bytes:
         """Return the complete body; raise ExchangeError above the limit."""
         parts = []
--- a/pomelopass/requests/attempt.py
+++ b/pomelopass/requests/attempt.py
@@ -11,7 +11,8 @@
 
 __all__ = ['AttemptContext', 'record_if_crashed', 'run_attempt']
 
-MAX_ANSWER_BYTES = 33_554_432
+# Several answers at a time must fit into the memory of an instance.
+MAX_ANSWER_BYTES = 8_388_608
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -84,6 +85,12 @@
         answer = await context.port.open(
             state.endpoint, call, timeout_ms, fresh=fresh
         )
+        if answer.not_run:
+            await answer.reply.discard(
+                calls.MAX_DISCARDED_BYTES, calls.DISCARD_TIMEOUT_MS
+            )
+            complete = True
+            return answer, b''
         body = await context.port.read(answer, MAX_ANSWER_BYTES)
         complete = True
         return answer, body
--- a/pomelopass/requests/call.py
+++ b/pomelopass/requests/call.py
@@ -7,6 +7,8 @@
 from ..registry import endpoint
 
 __all__ = [
+    'DISCARD_TIMEOUT_MS',
+    'MAX_DISCARDED_BYTES',
     'UNPROCESSABLE_STATUS',
     'Answer',
     'Call',
@@ -16,6 +18,9 @@
 
 # An endpoint reports that the content fails on every run.
 UNPROCESSABLE_STATUS = 422
+# Longer bodies that nobody needs cost more to read than a new connection.
+MAX_DISCARDED_BYTES = 65_536
+DISCARD_TIMEOUT_MS = 100.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/pomelopass/requests/stream.py
+++ b/pomelopass/requests/stream.py
@@ -27,6 +27,8 @@
 # Any other stream is aborted only after its caller has disconnected.
 BREAK_PAUSE_SHARE = 1.25
 EVENT_END = b'\n\n'
+# An error's body is passed on only if it ends this soon.
+ERROR_BODY_TIMEOUT_MS = 500.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -198,11 +200,13 @@
         self, stream: _Stream, answer: calls.Answer
     ) -> None:
         try:
-            body = await self.forwarder.port.read(
-                answer, attempts.MAX_ANSWER_BYTES
-            )
-        except calls.CallFailedError as error:
-            stream.state.reason = error.kind
+            async with asyncio.timeout(ERROR_BODY_TIMEOUT_MS / 1000):
+                body = await self.forwarder.port.read(
+                    answer, attempts.MAX_ANSWER_BYTES
+                )
+        except (calls.CallFailedError, TimeoutError) as error:
+            await answer.reply.close()
+            stream.state.reason = getattr(error, 'kind', 'timeout')
             return
         stream.state.errors += 1
         stream.state.last_error = outcomes.make_answered_outcome(answer, body)
@@ -264,9 +268,11 @@
     async def _relay_run(
         self, stream: _Stream, opened: _OpenedStream
     ) -> abc.AsyncGenerator[bytes, None]:
-        parser = events.EventParser(self.version_field)
+        loop = asyncio.get_running_loop()
+        parser = events.EventParser(self.version_field, stream.last_event_id)
         pending = b''
         is_complete = False
+        stall_at = loop.time() + stream.stall_ms / 1000
         opened.endpoint_state.in_flight += 1
         try:
             async for chunk in opened.answer.reply.chunks:
@@ -277,9 +283,13 @@
                 complete_events, separator, pending = (
                     pending + chunk
                 ).rpartition(EVENT_END)
-                parsed_events = parser.feed(chunk)
+                parsed_events = _parse_events(parser, chunk)
                 if parsed_events:
                     stream.last_event_id = parsed_events[-1].id
+                    stall_at = loop.time() + stream.stall_ms / 1000
+                elif loop.time() >= stall_at:
+                    # Bytes keep arriving, but no event.
+                    raise message.ExchangeError('timeout', 1)
                 if separator:
                     yield complete_events + separator
             if pending:
@@ -298,6 +308,16 @@
         )
 
 
+def _parse_events(
+    parser: events.EventParser, chunk: bytes
+) -> list[events.Event]:
+    try:
+        return parser.feed(chunk)
+    except events.BadEventError:
+        # The stream's log line names the reason.
+        raise message.ExchangeError('bad-event', 1) from None
+
+
 def _get_stall_timeout_ms(route: routes.Route) -> float:
     pause_ms = max(
         MIN_CALLER_PAUSE_MS, route.target_latency_ms * CALLER_PAUSE_TARGETS
--- a/standins/modelengines.py
+++ b/standins/modelengines.py
@@ -59,6 +59,32 @@
     address: str = '10.0.0.1:8000'
     # Version of the software, which marks the events that it writes.
     software: str = ''
+    # Where bytes come without end until the caller closes: a key of ENDLESS.
+    endless: str | None = None
+    endless_bytes: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndlessBody:
+    """An answer whose body never ends, sent in pieces."""
+
+    piece: bytes
+    pause_s: float
+    status: int = 200
+    not_run: bool = False
+
+
+ENDLESS = {
+    'refusal': EndlessBody(b'x' * 1000, 0.01, 503, not_run=True),
+    'dripping-refusal': EndlessBody(b'x', 0.5, 503, not_run=True),
+    'error': EndlessBody(b'x' * 1000, 0.01, 500),
+    'body': EndlessBody(b'x' * 65_536, 0.005),
+    'event': EndlessBody(b'data: xxxxxxxx', 0.005),
+    'large-event': EndlessBody(b'x' * 65_536, 0.001),
+    'blank-lines': EndlessBody(b'\n\n', 0.01),
+    'comments': EndlessBody(b': x\n\n', 0.01),
+    'junk-events': EndlessBody(b'x\n\ndata: y\n\n', 0.01),
+}
 
 
 class EndpointPool:
@@ -148,6 +174,8 @@
         ):
             return _make_answer(503, b'', not_run=True)
         endpoint.ran.append(call.id)
+        if endpoint.endless is not None:
+            return _make_endless_answer(endpoint, call)
         if self.rng.random() < endpoint.error_share:
             return _make_answer(
                 endpoint.error_status, b'{}\n\n', signature=f's-{call.id}'
@@ -303,6 +331,24 @@
     )
 
 
+def _make_endless_answer(
+    endpoint: FakeEndpoint, call: calls.Call
+) -> calls.Answer:
+    body = ENDLESS[endpoint.endless]
+
+    async def make_chunks() -> abc.AsyncGenerator[bytes, None]:
+        while True:
+            await asyncio.sleep(body.pause_s)
+            endpoint.endless_bytes += len(body.piece)
+            yield body.piece
+
+    answer = _make_answer(
+        body.status, b'', body.not_run, None if body.not_run else call.id
+    )
+    answer.reply.chunks = make_chunks()
+    return answer
+
+
 def _make_answer(
     status: int,
     body: bytes,
