--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -13,6 +13,7 @@
 from scripts import jobmutants
 from scripts import mutant
 from scripts import requestmutants
+from scripts import sharedmutants
 
 __all__ = ['main']
 
@@ -47,6 +48,7 @@
         *requestmutants.MUTANTS,
         *fleetmutants.MUTANTS,
         *jobmutants.MUTANTS,
+        *sharedmutants.MUTANTS,
     )
     selected = [mutation for mutation in mutants if name_part in mutation.name]
     with concurrent.futures.ThreadPoolExecutor(WORKERS) as pool:
--- /dev/null
+++ b/scripts/sharedmutants.py
@@ -0,0 +1,207 @@
+"""Mutants of limits, software versions and endless answers."""
+
+from scripts import mutant
+
+__all__ = ['MUTANTS']
+
+LIMITS = 'tests/entry/test_limits.py'
+SHARING = 'tests/limits/test_sharing.py'
+ALLOCATOR = 'tests/limits/test_allocator.py'
+SOFTWARE = 'tests/entry/test_software.py'
+STREAMS = 'tests/entry/test_resumed_streams.py'
+RECORDER = 'tests/origins/test_recorder.py'
+BASES = 'tests/origins/test_bases.py'
+POISON = 'tests/entry/test_poison.py'
+ENDLESS = 'tests/entry/test_endless.py'
+
+MUTANTS = (
+    mutant.Mutant(
+        'runs-take-no-permit',
+        'pomelopass/jobs/schedule.py',
+        'self.permits.take(state.endpoint.id)',
+        'pass',
+        (LIMITS,),
+    ),
+    mutant.Mutant(
+        'requests-take-no-permit',
+        'pomelopass/requests/callstate.py',
+        'permits.take(endpoint_state.endpoint.id)',
+        'pass',
+        (LIMITS,),
+    ),
+    mutant.Mutant(
+        'every-instance-allots-to-itself',
+        'pomelopass/limits/sharing.py',
+        'if name == self.membership.own_name:',
+        'if True:',
+        (SHARING, LIMITS),
+    ),
+    mutant.Mutant(
+        'the-second-allots-the-whole-limit',
+        'pomelopass/limits/sharing.py',
+        'per_s *= DEPUTY_SHARE',
+        'pass',
+        (SHARING,),
+    ),
+    mutant.Mutant(
+        'who-reaches-nobody-has-the-whole-limit',
+        'pomelopass/limits/sharing.py',
+        'own_per_s = per_s * DEPUTY_SHARE / max(len(ranked), 1)',
+        'own_per_s = per_s',
+        (SHARING,),
+    ),
+    mutant.Mutant(
+        'a-pause-saves-up-requests',
+        'pomelopass/limits/allocator.py',
+        'BURST_REQUESTS = 2',
+        'BURST_REQUESTS = 20',
+        (ALLOCATOR,),
+    ),
+    mutant.Mutant(
+        'permits-do-not-lapse',
+        'pomelopass/limits/permits.py',
+        'return self.count if now < self.lapse_at else 0',
+        'return self.count',
+        ('tests/limits/test_permits.py',),
+    ),
+    mutant.Mutant(
+        'limits-are-not-learned-from-rows',
+        'pomelopass/entry/tablewatch.py',
+        'self.listeners.limits.merge(limits)',
+        'pass',
+        (LIMITS,),
+    ),
+    mutant.Mutant(
+        'older-limits-win',
+        'pomelopass/limits/book.py',
+        'known.observed_ms < limit.observed_ms',
+        'known.observed_ms > limit.observed_ms',
+        ('tests/limits/test_book.py',),
+    ),
+    mutant.Mutant(
+        'lifted-limits-stay',
+        'pomelopass/limits/book.py',
+        'if per_s is not None or endpoint_id in self.limit_by_endpoint:',
+        'if per_s is not None:',
+        (LIMITS,),
+    ),
+    mutant.Mutant(
+        'texts-go-on-at-any-software',
+        'pomelopass/jobs/progress.py',
+        'return not self.texts or self.software == software',
+        'return True',
+        (SOFTWARE,),
+    ),
+    mutant.Mutant(
+        'software-of-a-text-is-not-kept',
+        'pomelopass/jobs/itemstream.py',
+        'run.progress.software = software',
+        'pass',
+        (SOFTWARE, 'tests/entry/test_owners.py'),
+    ),
+    mutant.Mutant(
+        'streams-go-on-at-any-software',
+        'pomelopass/requests/callstate.py',
+        'if state.software in (None, endpoint_state.endpoint.software)',
+        'if True',
+        (STREAMS,),
+    ),
+    mutant.Mutant(
+        'stream-begins-without-its-row',
+        'pomelopass/origins/recorder.py',
+        'if await self._write(request_id, origin):',
+        'if True:',
+        (STREAMS, RECORDER),
+    ),
+    mutant.Mutant(
+        'lost-answer-of-a-row-is-a-failure',
+        'pomelopass/origins/recorder.py',
+        'and origins.decode_record(row.value).origin == origin',
+        'and False',
+        (RECORDER, STREAMS),
+    ),
+    mutant.Mutant(
+        'resumed-streams-are-taken-for-the-base',
+        'pomelopass/origins/recorder.py',
+        'for row in page.rows:',
+        'for row in ():',
+        (STREAMS, RECORDER),
+    ),
+    mutant.Mutant(
+        'base-follows-the-majority',
+        'pomelopass/origins/bases.py',
+        'if current.software in count_by_software:',
+        'if False:',
+        (BASES,),
+    ),
+    mutant.Mutant(
+        'base-changes-at-once',
+        'pomelopass/origins/bases.py',
+        'if now_ms - current.absent_since_ms < BASE_TTL_MS:',
+        'if False:',
+        (BASES,),
+    ),
+    mutant.Mutant(
+        'missing-rows-are-never-written',
+        'pomelopass/origins/recorder.py',
+        'await self._write_missing()',
+        'pass',
+        (STREAMS,),
+    ),
+    mutant.Mutant(
+        'reward-calls-are-quarantined',
+        'pomelopass/jobs/reward.py',
+        'may_quarantine=False',
+        'may_quarantine=True',
+        (POISON,),
+    ),
+    mutant.Mutant(
+        'success-clears-the-own-count-only',
+        'pomelopass/requests/quarantine.py',
+        'if count == 0 and known.get(fingerprint) != 0:',
+        'if False:',
+        (POISON,),
+    ),
+    mutant.Mutant(
+        'events-may-have-no-end',
+        'pomelopass/jobs/events.py',
+        'if len(self.unread) > MAX_EVENT_BYTES:',
+        'if False:',
+        (ENDLESS,),
+    ),
+    mutant.Mutant(
+        'bytes-count-as-progress-of-an-item',
+        'pomelopass/jobs/itemstream.py',
+        'elif now >= stall_at:',
+        'elif False:',
+        (ENDLESS,),
+    ),
+    mutant.Mutant(
+        'bytes-count-as-progress-of-a-stream',
+        'pomelopass/requests/stream.py',
+        'elif loop.time() >= stall_at:',
+        'elif False:',
+        (ENDLESS,),
+    ),
+    mutant.Mutant(
+        'event-ids-may-repeat',
+        'pomelopass/jobs/events.py',
+        'if not event.id or not is_rising:',
+        'if False:',
+        (ENDLESS, 'tests/jobs/test_events.py'),
+    ),
+    mutant.Mutant(
+        'refusals-are-read-to-their-end',
+        'pomelopass/message.py',
+        'async with asyncio.timeout(timeout_ms / 1000):',
+        'async with asyncio.timeout(None):',
+        (ENDLESS,),
+    ),
+    mutant.Mutant(
+        'missing-endpoints-get-work',
+        'pomelopass/registry/registry.py',
+        'return registered if 2 * len(registered) > len(states) else states',
+        'return states',
+        ('tests/registry/test_registry.py',),
+    ),
+)
--- a/tests/test_mutants.py
+++ b/tests/test_mutants.py
@@ -7,12 +7,14 @@
 from scripts import fleetmutants
 from scripts import jobmutants
 from scripts import requestmutants
+from scripts import sharedmutants
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 MUTANTS = (
     *requestmutants.MUTANTS,
     *fleetmutants.MUTANTS,
     *jobmutants.MUTANTS,
+    *sharedmutants.MUTANTS,
 )
 
 
