--- a/standins/modelengines.py
+++ b/standins/modelengines.py
@@ -98,6 +98,8 @@
         # Endpoints crash by bad luck while they begin to run these ids.
         self.crashes_left_by_id: dict[str, int] = {}
         self.run_times_by_id: dict[str, list[float]] = {}
+        # Number of the first event of each run, by id.
+        self.first_events_by_id: dict[str, list[int]] = {}
 
     def add(self, endpoint: FakeEndpoint) -> FakeEndpoint:
         """Start an endpoint and register it."""
@@ -266,6 +268,7 @@
         self, endpoint: FakeEndpoint, call: calls.Call, stall_ms: float | None
     ) -> calls.Answer:
         first = int(call.last_event_id or 0) + 1
+        self.first_events_by_id.setdefault(call.id, []).append(first)
         answer = _make_answer(200, b'', signature=f's-{call.id}')
         model = _get_model(call, endpoint)
         answer.weight_version = endpoint.version_by_model[model]
--- a/tests/entry/test_software.py
+++ b/tests/entry/test_software.py
@@ -162,3 +162,25 @@
         check_texts(cluster, results)
 
     entrybuilders.run_cluster(scenario, seed, engines=4)
+
+
+def test_broken_text_goes_on_where_it_ended_at_the_same_software():
+    async def scenario(cluster):
+        mix_software(cluster)
+        for endpoint in cluster.pool.endpoint_by_id.values():
+            endpoint.break_share = 0.5
+        await asyncio.sleep(0.5)
+        submission = entrybuilders.make_submission(groups=2)
+        await cluster.submit('entry-0', submission)
+        results = await cluster.read_all('job-1', 25)
+        check_texts(cluster, results)
+        starts = [
+            first
+            for item in submission.items
+            for first in cluster.pool.first_events_by_id[item.id][1:]
+        ]
+        assert len(starts) >= 3
+        # Both versions have free slots, so nothing is made again.
+        assert min(starts) > 1
+
+    entrybuilders.run_cluster(scenario, engines=4)
--- a/tests/limits/test_allocator.py
+++ b/tests/limits/test_allocator.py
@@ -11,7 +11,12 @@
 EXTRA_REQUESTS = 5
 
 ASKS = strategies.lists(
-    strategies.tuples(strategies.floats(0.0, 2.0), strategies.integers(1, 30)),
+    strategies.tuples(
+        strategies.one_of(
+            strategies.floats(0.0, 0.2), strategies.floats(0.0, 60.0)
+        ),
+        strategies.integers(1, 30),
+    ),
     min_size=1,
     max_size=80,
 )
@@ -89,3 +94,11 @@
     ]
     # What was not allotted is not lost.
     assert allocator.reserve('e', 2.0, 1, 0.5).count == 1
+
+
+def test_pause_saves_up_two_requests_at_most():
+    allocator = allocators.Allocator()
+    allocator.reserve('e', 2.0, 1, 0.0)
+    reservations = [allocator.reserve('e', 2.0, 1, 60.0) for _ in range(4)]
+    waits_ms = [reservation.wait_ms for reservation in reservations]
+    assert waits_ms == [0.0, 0.0, 500.0, 1000.0]
