Ask a limited engine less often about its loads

What engines saw: while a limited engine loads weights for seconds, reports four times a second and repeated orders come on top of the runs that its limit allows.

Change: reports and repeated orders to a limited engine are at least 1.5 s apart, which fits into the slack that the permits leave. Besides, a limit that expires while its permit is being fetched no longer raises, and what is logged of gone engines is forgotten.

--- a/pomelopass/entry/node.py
+++ b/pomelopass/entry/node.py
@@ -224,6 +224,7 @@
             self.endpoints,
             self.settings.takeover_wait_ms if must_wait else 0.0,
             self.view.needs_single_version,
+            self.permits.is_limited,
             self._get_demand,
             self.ports.write_event,
             self.ports.get_lease_now,
--- a/pomelopass/limits/observer.py
+++ b/pomelopass/limits/observer.py
@@ -95,7 +95,9 @@
             return
         if limit == logged:
             return
-        self.logged_limit_by_id[endpoint_id] = limit
+        self.logged_limit_by_id.pop(endpoint_id, None)
+        if limit:
+            self.logged_limit_by_id[endpoint_id] = limit
         self.write_event(
             logevents.EndpointLimited(endpoint=endpoint_id, limit=limit)
         )
--- a/pomelopass/limits/permits.py
+++ b/pomelopass/limits/permits.py
@@ -72,6 +72,11 @@
                 open_states.append(state)
         return open_states, limited_states
 
+    def is_limited(self, endpoint_id: str) -> bool:
+        """Return whether the endpoint names a limit."""
+        rate = self.book.get_rate(endpoint_id, self.get_table_ms())
+        return rate is not None
+
     def take(self, endpoint_id: str) -> None:
         """Use up a permit for a request to the endpoint."""
         permits = self.permits_by_endpoint.get(endpoint_id)
--- a/pomelopass/limits/sharing.py
+++ b/pomelopass/limits/sharing.py
@@ -65,8 +65,11 @@
         self, endpoint_id: str, per_s: float, count: int
     ) -> allocators.Reservation:
         """Reserve requests for this instance."""
+        limit = self.book.limit_by_endpoint.get(endpoint_id)
+        if limit is None:
+            # It has expired since the permit was requested.
+            return allocators.Reservation(count, 0.0)
         ranked = self._rank(endpoint_id)
-        limit = self.book.limit_by_endpoint[endpoint_id]
         for name in ranked[:MAX_ASKED]:
             if name == self.membership.own_name:
                 return self.allot(endpoint_id, limit, count)
--- a/pomelopass/versions/manager.py
+++ b/pomelopass/versions/manager.py
@@ -24,6 +24,8 @@
 # A load that takes longer is considered failed.
 LOAD_TIMEOUT_MS = 6000.0
 RETRY_DELAY_MS = 400.0
+# Reports and orders count against the limit of an engine.
+LIMITED_INTERVAL_MS = 1500.0
 # Orders are sent only within this time after the duty was confirmed.
 CONFIRMATION_TTL_MS = 800.0
 
@@ -63,6 +65,7 @@
         port: OrderPort,
         takeover_wait_ms: float,
         needs_single_version: abc.Callable[[str], bool],
+        is_limited: abc.Callable[[str], bool],
         get_demand: abc.Callable[[], dict[str, assignment.Demand]],
         write_event: logevents.WriteEvent,
         get_lease_now: abc.Callable[[], float],
@@ -75,6 +78,7 @@
         self.port = port
         self.takeover_wait_ms = takeover_wait_ms
         self.needs_single_version = needs_single_version
+        self.is_limited = is_limited
         self.get_demand = get_demand
         self.write_event = write_event
         # This clock also advances while the machine is suspended.
@@ -192,7 +196,8 @@
         version = load.version
         target = state.endpoint
         now = asyncio.get_running_loop().time()
-        self.retry_at_by_id[target.id] = now + RETRY_DELAY_MS / 1000
+        retry_ms = self._get_interval_ms(target.id, RETRY_DELAY_MS)
+        self.retry_at_by_id[target.id] = now + retry_ms / 1000
         report = await self.port.fetch_report(target)
         if report is None:
             return
@@ -235,6 +240,11 @@
             expected_count=report.order_count,
         )
 
+    def _get_interval_ms(self, endpoint_id: str, usual_ms: float) -> float:
+        if self.is_limited(endpoint_id):
+            return max(LIMITED_INTERVAL_MS, usual_ms)
+        return usual_ms
+
     async def _poll_loads(self) -> None:
         now = asyncio.get_running_loop().time()
         for endpoint_id, load in list(self.pending_load_by_id.items()):
@@ -247,7 +257,10 @@
                 continue
             if now < load.next_report_at:
                 continue
-            load.next_report_at = now + REPORT_INTERVAL_MS / 1000
+            interval_ms = self._get_interval_ms(
+                endpoint_id, REPORT_INTERVAL_MS
+            )
+            load.next_report_at = now + interval_ms / 1000
             report = await self.port.fetch_report(state.endpoint)
             if report is not None:
                 reported_version = report.version_by_model.get(load.model, 0)
--- a/standins/modelengines.py
+++ b/standins/modelengines.py
@@ -33,6 +33,7 @@
     slots: int = 8
     version_by_model: dict[str, int] = dataclasses.field(default_factory=dict)
     checks_fences: bool = True
+    load_s: float = LOAD_S
     alive: bool = True
     draining: bool = False
     slowness: float = 1.0
@@ -238,7 +239,7 @@
         endpoint.accepted_orders.append(order)
         endpoint.loading = order.model
         loop = asyncio.get_running_loop()
-        loop.call_later(LOAD_S, self._end_load, endpoint, order)
+        loop.call_later(endpoint.load_s, self._end_load, endpoint, order)
         return orders.OrderOutcome.ACCEPTED
 
     def _crashes(self, call: calls.Call) -> bool:
--- a/tests/entry/test_limits.py
+++ b/tests/entry/test_limits.py
@@ -169,6 +169,28 @@
     entrybuilders.run_cluster(scenario, seed)
 
 
+@pytest.mark.parametrize('seed', range(4))
+def test_orders_and_reports_fit_into_the_limit(seed):
+    async def scenario(cluster):
+        set_limits(cluster, ENGINES)
+        for name in ENGINES:
+            cluster.pool.endpoint_by_id[name].load_s = 3.5
+        started_at = asyncio.get_running_loop().time()
+        await submit_jobs(cluster, 3, groups=24)
+        for version in range(2, 6):
+            cluster.set_target_version(entrybuilders.MODEL, version)
+            await asyncio.sleep(4.0)
+        since = started_at + SETTLE_S
+        assert get_worst_window(cluster, ENGINES, since) <= 1.0
+        orders = [
+            len(cluster.pool.endpoint_by_id[name].accepted_orders)
+            for name in ENGINES
+        ]
+        assert min(orders) >= 1
+
+    entrybuilders.run_cluster(scenario, seed)
+
+
 @pytest.mark.parametrize('seed', range(4))
 def test_limit_holds_while_the_table_is_away(seed):
     async def scenario(cluster):
