--- a/pomelopass/entry/node.py
+++ b/pomelopass/entry/node.py
@@ -15,14 +15,9 @@
 from ..jobs import manager as jobmanager
 from ..jobs import rewardgate
 from ..jobs import schedule
-from ..limits import book as limitbooks
-from ..limits import observer
-from ..limits import peers
-from ..limits import permits as permitpools
+from . import limitparts
 from ..limits import sharing
-from ..origins import bases
-from ..origins import recorder
-from ..origins import sweep
+from . import originparts
 from ..platform import ingress as ingresses
 from ..platform import names
 from ..registry import registry as registries
@@ -42,7 +37,6 @@
 from ..versions import assignment
 from ..versions import manager as versionmanagers
 from . import view as views
-from ..wire.gen.permits import PermitAllocator
 
 __all__ = ['Node', 'NodePorts', 'build_node']
 
@@ -85,38 +79,45 @@
             ports.table, self.relayed, ports.write_event
         )
         self.table = tableclock.TableClock(self.fallback)
-        self._build_limits()
+        self.limits = limitparts.build_limit_parts(
+            ports.endpoints,
+            ports.permit_peers,
+            self.membership,
+            self.table.get_now_ms,
+            ports.write_event,
+        )
         self.relay_server = relayserver.RelayServer(
-            ports.table,
-            {
-                'reserve': relayserver.Handler(
-                    PermitAllocator,
-                    peers.make_reserve_handler(self.limit_sharing),
-                )
-            },
+            ports.table, self.limits.make_handlers()
         )
         self.jobs = jobview.JobView()
         self.job_table = jobtable.JobTable(self.table)
-        self.scheduler = schedule.Scheduler(self.registry, self.permits)
-        self.permits.on_permit = self.scheduler.dispatch
+        self.scheduler = schedule.Scheduler(self.registry, self.limits.permits)
+        self.limits.permits.on_permit = self.scheduler.dispatch
         self.quarantine = quarantines.Quarantine()
         self.forwarder = forward.Forwarder(
             self.registry,
-            self.endpoints,
+            self.limits.endpoints,
             settings.availability_zone,
             ports.rng,
             ports.write_event,
             self.quarantine,
-            self.permits,
+            self.limits.permits,
         )
         self._build_jobs()
         self._build_duties()
-        self._build_origins()
+        self.origins = originparts.build_origin_parts(
+            self.table,
+            self.registry,
+            self.membership,
+            self._get_resumable_services,
+            lambda: self.watch.is_registry_fresh(),
+            ports.write_event,
+        )
         self.ingress = ingresses.Ingress(
             get_configuration=lambda: self.view.configuration,
             forwarder=self.forwarder,
             streams=streams.StreamForwarder(
-                self.forwarder, self.origins, names.WEIGHT_VERSION
+                self.forwarder, self.origins.recorder, names.WEIGHT_VERSION
             ),
             job_api=self.job_api,
             get_members=self._get_routable,
@@ -130,31 +131,13 @@
         )
         self.tasks: list[asyncio.Task] = []
 
-    def _build_limits(self) -> None:
-        self.limits = limitbooks.LimitBook()
-        self.endpoints = observer.ObservedEndpoints(
-            self.ports.endpoints,
-            self.limits,
-            self.table.get_now_ms,
-            self.ports.write_event,
-        )
-        self.limit_sharing = sharing.LimitSharing(
-            self.limits,
-            self.membership,
-            self.ports.permit_peers,
-            self.table.get_now_ms,
-        )
-        self.permits = permitpools.PermitPool(
-            self.limits, self.limit_sharing.acquire, self.table.get_now_ms
-        )
-
     def _build_jobs(self) -> None:
         contexts = itemcontexts.ItemContexts(
             lambda: self.settings.job_kept_s * 1000,
             self.view,
             self.table,
             self.scheduler,
-            self.endpoints,
+            self.limits.endpoints,
             self.forwarder,
             rewardgate.RewardGate(self.registry.count_slots),
         )
@@ -185,34 +168,6 @@
             self.ports.write_event,
         )
 
-    def _build_origins(self) -> None:
-        self.bases = bases.BaseKeeper(
-            self.table,
-            self.registry,
-            self.membership,
-            self._get_resumable_services,
-            lambda: self.watch.is_registry_fresh(),
-            self.table.get_now_ms,
-            self.write_event,
-        )
-        self.origins = recorder.OriginRecorder(
-            self.table,
-            self.bases,
-            self.registry,
-            self.table.get_answer_age_ms,
-            self.table.get_now_ms,
-            self.write_event,
-        )
-        self.origin_sweeper = sweep.OriginSweeper(
-            self.table,
-            lambda: (
-                bool(self._get_resumable_services())
-                and self.bases.is_responsible('stream-origins')
-            ),
-            self.table.get_now_ms,
-            self.write_event,
-        )
-
     def _build_duties(self) -> None:
         must_wait = not self.settings.engines_check_fences
         self.versions = versionmanagers.VersionManager(
@@ -221,10 +176,10 @@
             self.table,
             self.registry,
             self.membership,
-            self.endpoints,
+            self.limits.endpoints,
             self.settings.takeover_wait_ms if must_wait else 0.0,
             self.view.needs_single_version,
-            self.permits.is_limited,
+            self.limits.permits.is_limited,
             self._get_demand,
             self.ports.write_event,
             self.ports.get_lease_now,
@@ -245,7 +200,7 @@
             self.view.get_runs,
             self._get_crashes,
             self.fallback.is_direct,
-            self._get_limits_value,
+            self.limits.get_row_value,
             self.ports.rng,
         )
 
@@ -266,9 +221,9 @@
             ('VersionKeeper.run', self.versions.run),
             ('Cleaner.run', self.cleaner.run),
             ('TableWatch.keep_house', self.watch.run_housekeeping),
-            ('BaseKeeper.run', self.bases.run),
-            ('OriginRecorder.run', self.origins.run),
-            ('OriginSweeper.run', self.origin_sweeper.run),
+            ('BaseKeeper.run', self.origins.bases.run),
+            ('OriginRecorder.run', self.origins.recorder.run),
+            ('OriginSweeper.run', self.origins.sweeper.run),
         ):
             task = asyncio.ensure_future(self._supervise(task_name, run))
             self.tasks.append(task)
@@ -294,8 +249,8 @@
     async def end_stop(self) -> None:
         """Hand over the owned jobs and stop the background tasks."""
         await self.job_manager.stop()
-        self.permits.stop()
-        self.origins.stop()
+        self.limits.permits.stop()
+        self.origins.recorder.stop()
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
@@ -310,8 +265,8 @@
             self.job_manager,
             self.versions,
             self.quarantine,
-            self.limits,
-            self.bases,
+            self.limits.book,
+            self.origins.bases,
             self.write_event,
         )
 
@@ -321,10 +276,6 @@
             return set()
         return routes.get_resumable_services(configuration)
 
-    def _get_limits_value(self) -> bytes | None:
-        limits = self.limits.get_recent(self.table.get_now_ms())
-        return limitbooks.encode_limits(limits) if limits else None
-
     def _get_crashes(self) -> dict[str, int]:
         return self.quarantine.get_recent_crashes(
             asyncio.get_running_loop().time()
--- a/pomelopass/jobs/events.py
+++ b/pomelopass/jobs/events.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from .. import message
+
 __all__ = ['BadEventError', 'Event', 'EventParser']
 
 EVENT_END = b'\n\n'
@@ -9,9 +11,13 @@
 MAX_EVENT_BYTES = 262_144
 
 
-class BadEventError(Exception):
+class BadEventError(message.ExchangeError):
     """Raised for bytes that are no event of a generation."""
 
+    def __init__(self, detail: str):
+        super().__init__('bad-event', 1)
+        self.detail = detail
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Event:
--- a/pomelopass/jobs/itemstream.py
+++ b/pomelopass/jobs/itemstream.py
@@ -137,7 +137,7 @@
     slow_checks = 0
     async for chunk in answer.reply.chunks:
         now = loop.time()
-        new_events = _parse_events(parser, chunk)
+        new_events = parser.feed(chunk)
         if new_events:
             stall_at = now + STALL_TIMEOUT_MS / 1000
         elif now >= stall_at:
@@ -166,16 +166,6 @@
     return 'done'
 
 
-def _parse_events(
-    parser: events.EventParser, chunk: bytes
-) -> list[events.Event]:
-    try:
-        return parser.feed(chunk)
-    except events.BadEventError:
-        # The log line of the run names the outcome.
-        raise message.ExchangeError('bad-event', 1) from None
-
-
 def _append_event(
     context: itemcontext.ItemContext,
     run: itemcontext.ItemRun,
--- /dev/null
+++ b/pomelopass/requests/streamopen.py
@@ -0,0 +1,195 @@
+"""Open resumable and other streams at endpoints that may run them."""
+
+import asyncio
+import dataclasses
+
+from . import attempt as attempts
+from . import call as calls
+from . import callstate
+from . import forward
+from ..origins import origin
+from ..origins import recorder as origins
+from . import outcome as outcomes
+from ..registry import endpoint as endpoints
+from . import routes
+
+__all__ = ['OpenedStream', 'Stream', 'StreamOpener']
+
+# An error's body is passed on only if it ends this soon.
+ERROR_BODY_TIMEOUT_MS = 500.0
+
+
+@dataclasses.dataclass(slots=True)
+class Stream:
+    """A stream across the endpoints that run it."""
+
+    state: callstate.CallState
+    stall_ms: float
+    status: int = 0
+    last_event_id: str | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OpenedStream:
+    """An answer whose events are still to come, and its endpoint."""
+
+    answer: calls.Answer
+    endpoint_state: endpoints.EndpointState
+
+
+class StreamOpener:
+    """Chooses endpoints for streams until one answers."""
+
+    def __init__(
+        self,
+        forwarder: forward.Forwarder,
+        origin_recorder: origins.OriginRecorder,
+    ):
+        self.forwarder = forwarder
+        self.origins = origin_recorder
+
+    async def begin(
+        self, stream: Stream, open_deadline_at: float
+    ) -> outcomes.Outcome | OpenedStream:
+        """Open a stream at an endpoint that may begin it, or go on with it."""
+        state = stream.state
+        if not state.route.resumable:
+            return await self.open(stream, open_deadline_at)
+        if stream.last_event_id is not None:
+            try:
+                await self._bind_origin(state)
+            except origins.OriginUnknownError:
+                state.reason = 'origin-unknown'
+                return callstate.get_final_outcome(state)
+            return await self.open(stream, open_deadline_at)
+        state.software = self.origins.get_required_software(state.service)
+        opened = await self.open(stream, open_deadline_at)
+        if isinstance(opened, outcomes.Outcome) or opened.answer.status != 200:
+            return opened
+        state.software = opened.endpoint_state.endpoint.software
+        is_recorded = False
+        try:
+            is_recorded = await self.origins.record(
+                state.call.id,
+                origin.Origin(state.service, state.software),
+                len(state.route.shares) == 1,
+            )
+        finally:
+            if not is_recorded:
+                await opened.answer.reply.close()
+        if is_recorded:
+            return opened
+        # No event has reached the caller, who may ask again.
+        state.reason = 'origin-not-stored'
+        return callstate.get_final_outcome(state)
+
+    async def _bind_origin(self, state: callstate.CallState) -> None:
+        """Let only the software that began a stream go on with it."""
+        began = await self.origins.find(
+            state.call.resumes,
+            [share.service for share in state.route.shares],
+        )
+        state.service = began.service
+        state.software = began.software
+
+    async def open(
+        self, stream: Stream, open_deadline_at: float
+    ) -> outcomes.Outcome | OpenedStream:
+        """Return the answer of an endpoint that runs the stream."""
+        state = stream.state
+        loop = asyncio.get_running_loop()
+        capacity_deadline_at = callstate.get_capacity_deadline(state)
+        while loop.time() < open_deadline_at and callstate.may_attempt(state):
+            if self.forwarder.quarantine.is_quarantined(
+                state.fingerprint, loop.time()
+            ):
+                state.reason = 'crashes-endpoints'
+                break
+            endpoint_state = callstate.choose_endpoint(
+                state,
+                self.forwarder.registry,
+                self.forwarder.permits,
+                self.forwarder.availability_zone,
+            )
+            if endpoint_state is None:
+                if await callstate.wait_for_capacity(
+                    state, capacity_deadline_at
+                ):
+                    continue
+                break
+            answer = await self._try_endpoint(stream, endpoint_state)
+            if answer is not None:
+                return OpenedStream(answer, endpoint_state)
+        return callstate.get_final_outcome(state)
+
+    async def _try_endpoint(
+        self, stream: Stream, endpoint_state: endpoints.EndpointState
+    ) -> calls.Answer | None:
+        state = stream.state
+        remaining_s = state.give_up_at - asyncio.get_running_loop().time()
+        call = dataclasses.replace(
+            state.call, last_event_id=stream.last_event_id
+        )
+        try:
+            answer = await self.forwarder.port.open(
+                endpoint_state.endpoint,
+                call,
+                remaining_s * 1000,
+                stream.stall_ms,
+                fresh=not routes.may_repeat(state.route),
+            )
+        except calls.CallFailedError as error:
+            state.may_have_run += error.may_have_run
+            await self.record_break(
+                stream, endpoint_state, error.kind, error.connection_broken
+            )
+            return None
+        if answer.not_run:
+            await answer.reply.close()
+            state.reason = 'endpoint-refused'
+            callstate.record_refusal(state, endpoint_state.endpoint.id)
+            return None
+        state.may_have_run += 1
+        state.tried.add(endpoint_state.endpoint.id)
+        if stream.status and answer.status != stream.status:
+            # The caller has already received another status.
+            await answer.reply.close()
+            state.reason = 'other-status'
+            return None
+        if answer.status < 500 or not routes.may_repeat(state.route):
+            return answer
+        await self._store_error(stream, answer)
+        return None
+
+    async def _store_error(self, stream: Stream, answer: calls.Answer) -> None:
+        try:
+            async with asyncio.timeout(ERROR_BODY_TIMEOUT_MS / 1000):
+                body = await self.forwarder.port.read(
+                    answer, attempts.MAX_ANSWER_BYTES
+                )
+        except (calls.CallFailedError, TimeoutError) as error:
+            await answer.reply.close()
+            stream.state.reason = getattr(error, 'kind', 'timeout')
+            return
+        stream.state.errors += 1
+        stream.state.last_error = outcomes.make_answered_outcome(answer, body)
+
+    async def record_break(
+        self,
+        stream: Stream,
+        endpoint_state: endpoints.EndpointState,
+        reason: str,
+        connection_broken: bool,
+    ) -> None:
+        """Record that an endpoint broke a stream off."""
+        stream.state.reason = reason
+        stream.state.tried.add(endpoint_state.endpoint.id)
+        endpoints.record_failure(
+            endpoint_state, asyncio.get_running_loop().time()
+        )
+        if connection_broken:
+            await attempts.record_if_crashed(
+                self.forwarder.attempts,
+                endpoint_state,
+                stream.state.fingerprint,
+            )
--- a/scripts/jobmutants.py
+++ b/scripts/jobmutants.py
@@ -153,7 +153,7 @@
     ),
     mutant.Mutant(
         'streams-never-suspected',
-        'pomelopass/requests/stream.py',
+        'pomelopass/requests/streamopen.py',
         'if self.forwarder.quarantine.is_quarantined(\n'
         '                state.fingerprint, loop.time()\n'
         '            ):',
@@ -162,14 +162,14 @@
     ),
     mutant.Mutant(
         'streams-joined-with-errors',
-        'pomelopass/requests/stream.py',
+        'pomelopass/requests/streamopen.py',
         'if stream.status and answer.status != stream.status:',
         'if False:',
         (STREAM,),
     ),
     mutant.Mutant(
         'resumable-streams-take-errors',
-        'pomelopass/requests/stream.py',
+        'pomelopass/requests/streamopen.py',
         'if answer.status < 500 or not routes.may_repeat(state.route):',
         'if True:',
         (STREAM,),
--- a/standins/entries.py
+++ b/standins/entries.py
@@ -92,8 +92,8 @@
             *entry.node.job_manager.task_by_id.values(),
             *entry.node.job_manager.background,
         ]
-        entry.node.permits.stop()
-        entry.node.origins.stop()
+        entry.node.limits.permits.stop()
+        entry.node.origins.recorder.stop()
         for task in tasks:
             task.cancel()
         # Table calls in flight end with the process.
@@ -167,7 +167,7 @@
         entry = self.entry_by_name[peer.name]
         if not entry.alive or entry.unreachable:
             raise sharing.PeerFailedError('not reachable')
-        return entry.node.limit_sharing.allot(endpoint_id, limit, count)
+        return entry.node.limits.sharing.allot(endpoint_id, limit, count)
 
 
 class _UnansweringTable:
--- a/standins/modelengines.py
+++ b/standins/modelengines.py
@@ -11,6 +11,7 @@
 from pomelopass.registry import endpoint as endpoints
 from pomelopass.requests import call as calls
 from pomelopass.versions import orders
+from standins import endlessbodies
 from standins import rowtable
 
 __all__ = ['EndpointPool', 'FakeEndpoint']
@@ -60,34 +61,11 @@
     address: str = '10.0.0.1:8000'
     # Version of the software, which marks the events that it writes.
     software: str = ''
-    # Where bytes come without end until the caller closes: a key of ENDLESS.
+    # Where bytes come without end until the caller closes, by name.
     endless: str | None = None
     endless_bytes: int = 0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class EndlessBody:
-    """An answer whose body never ends, sent in pieces."""
-
-    piece: bytes
-    pause_s: float
-    status: int = 200
-    not_run: bool = False
-
-
-ENDLESS = {
-    'refusal': EndlessBody(b'x' * 1000, 0.01, 503, not_run=True),
-    'dripping-refusal': EndlessBody(b'x', 0.5, 503, not_run=True),
-    'error': EndlessBody(b'x' * 1000, 0.01, 500),
-    'body': EndlessBody(b'x' * 65_536, 0.005),
-    'event': EndlessBody(b'data: xxxxxxxx', 0.005),
-    'large-event': EndlessBody(b'x' * 65_536, 0.001),
-    'blank-lines': EndlessBody(b'\n\n', 0.01),
-    'comments': EndlessBody(b': x\n\n', 0.01),
-    'junk-events': EndlessBody(b'x\n\ndata: y\n\n', 0.01),
-}
-
-
 class EndpointPool:
     """Endpoints by id; serves calls to them."""
 
@@ -338,7 +316,7 @@
 def _make_endless_answer(
     endpoint: FakeEndpoint, call: calls.Call
 ) -> calls.Answer:
-    body = ENDLESS[endpoint.endless]
+    body = endlessbodies.ENDLESS[endpoint.endless]
 
     async def make_chunks() -> abc.AsyncGenerator[bytes, None]:
         while True:
