--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -13,6 +13,7 @@
 
 TOKEN = 'operator-token-for-tests'
 ROOT = pathlib.Path(__file__).resolve().parent.parent
+LAST_LOG_LINES = 8
 
 
 class Fleet:
@@ -188,6 +189,17 @@
             if name.startswith('entry-') and process.popen.poll() is None
         ]
 
+    def describe(self) -> str:
+        """Return the state of each process and the last lines of its log."""
+        lines = []
+        for name, process in self.process_by_name.items():
+            lines.append(f'{name}: exit status {process.popen.poll()}')
+            log = self.folder / f'{name}.log'
+            if log.exists():
+                text = log.read_text(encoding='utf-8', errors='replace')
+                lines.extend(text.splitlines()[-LAST_LOG_LINES:])
+        return '\n'.join(lines)
+
     def wait_live(self) -> None:
         """Wait until every entry instance reports that it is live."""
         for entry in self.get_entries():
