Let the soak mix software versions and callers that resume streams

Cause: the soak's engines all wrote the same text and no caller resumed, so real processes under faults showed nothing about joined texts.

Change: its engines run two software versions, whose events bear their mark; half of the callers of resumable streams lose their connection after three events and ask again up to three times at any instance, with the id of the first request; a joined text or stream, a gap or a repeated event fails the run. The stand-in engine goes on with the text of the request that began a stream.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -43,10 +43,13 @@
 ) -> None:
     if result['state'] != 'completed':
         return
-    expected_text = modelengines.make_text(
-        result['id'], records['events'][result['id']]
-    )
-    if result['text'] != expected_text:
+    count = records['events'][result['id']]
+    # A text that two software versions wrote equals none of these.
+    expected_texts = {
+        modelengines.make_text(result['id'], count, software)
+        for software in clients.SOFTWARE_BY_ENGINE.values()
+    }
+    if result['text'] not in expected_texts:
         fail(f'{name}: the text of {result["id"]} is truncated or wrong')
     score = f's-{result["id"].replace("item", "score")}'
     if result.get('score') != score:
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -18,6 +18,13 @@
 REQUEST_EVERY_S = 0.2
 MAX_REPLY_BYTES = 2_000_000
 RESUMABLE_SHARE = 0.7
+# Requests with which a caller takes a broken stream up again.
+MAX_RESUMPTIONS = 3
+RESUME_PAUSE_S = 0.5
+LOST_SHARE = 0.5
+LOST_AFTER_EVENTS = 3
+# What two software versions write does not fit together.
+SOFTWARE_BY_ENGINE = {'engine-0': 'v1', 'engine-1': 'v1.1', 'engine-2': 'v1'}
 
 
 @dataclasses.dataclass(slots=True)
@@ -54,6 +61,9 @@
     non_resumable_streams: set[str] = dataclasses.field(default_factory=set)
     answered: int = 0
     counter: int = 0
+    # Streams that were asked for again after a break, and that went on.
+    taken_up: int = 0
+    resumed: int = 0
 
     async def run(self, seconds: float) -> None:
         """Send all kinds of requests for a time."""
@@ -184,26 +194,74 @@
         stream_id = f'stream-{self.counter}'
         if not resumable:
             self.non_resumable_streams.add(stream_id)
-        status, _, body = await self.call(
-            self._choose_instance(),
-            'POST',
-            '/chats/1' if resumable else '/talks/1',
-            b'{}',
-            attempt_id=stream_id,
-            model=self.model,
+        received: list[str] = []
+        target = '/chats/1' if resumable else '/talks/1'
+        # Some callers lose their connection after a few events.
+        is_lost = resumable and self.rng.random() < LOST_SHARE
+        is_complete = await self._read_stream(
+            target, stream_id, received, LOST_AFTER_EVENTS if is_lost else None
         )
-        if status != 200:
-            return
-        received = [
-            line.removeprefix('data: ')
-            for line in body.decode().splitlines()
-            if line.startswith('data: ')
+        for _ in range(MAX_RESUMPTIONS if resumable and received else 0):
+            if is_complete:
+                break
+            await asyncio.sleep(RESUME_PAUSE_S)
+            self.taken_up += 1
+            count = len(received)
+            is_complete = await self._read_stream(target, stream_id, received)
+            self.resumed += is_complete or len(received) > count
+        self._check_events(stream_id, received)
+        if is_complete:
+            self.events_by_stream[stream_id] = len(received)
+
+    async def _read_stream(
+        self,
+        target: str,
+        stream_id: str,
+        received: list[str],
+        lost_after: int | None = None,
+    ) -> bool:
+        """Append the data of a stream's events; return whether it is whole."""
+        headers = [
+            ('host', self.host),
+            ('attempt-id', stream_id),
+            ('model', self.model),
         ]
+        if received:
+            self.counter += 1
+            headers[1] = ('attempt-id', f'{stream_id}-{self.counter}')
+            headers.append(('last-event-id', str(len(received))))
+            headers.append(('resumes', stream_id))
+        request = message.Request('POST', target, tuple(headers), b'{}')
+        address = self.address_by_name[self._choose_instance()]
+        unread = b''
+        try:
+            reply = await self.http.open(address, request, CALL_TIMEOUT_MS)
+            if reply.status != 200:
+                await reply.close()
+                return False
+            async for chunk in reply.chunks:
+                *blocks, unread = (unread + chunk).split(b'\n\n')
+                received.extend(
+                    line.removeprefix('data: ')
+                    for block in blocks
+                    for line in block.decode().splitlines()
+                    if line.startswith('data: ')
+                )
+                if lost_after is not None and len(received) >= lost_after:
+                    await reply.close()
+                    return False
+        except message.ExchangeError:
+            return False
+        return True
+
+    def _check_events(self, stream_id: str, received: list[str]) -> None:
+        softwares = {data.partition('@')[2] for data in received}
+        if len(softwares) > 1:
+            self.fail(f'{stream_id} is joined from {sorted(softwares)}')
         expected = [
             f'{stream_id}.{number}' for number in range(1, len(received) + 1)
         ]
-        if received != expected:
+        if [data.partition('@')[0] for data in received] != expected:
             self.fail(
                 f'{stream_id}: events are missing, repeated or out of order'
             )
-        self.events_by_stream[stream_id] = len(received)
--- a/soak/run.py
+++ b/soak/run.py
@@ -82,6 +82,10 @@
             self.fleet.start_platform, '--seed', str(self.seed)
         )
         await self._put_configuration(1)
+        for endpoint_id, software in clients.SOFTWARE_BY_ENGINE.items():
+            await self.post(
+                '/endpoint', {'id': endpoint_id, 'software': software}
+            )
         for number in range(self.instances):
             name = f'entry-{number}'
             table_proxy = proxy.Proxy(self.fleet.platform.address)
@@ -150,7 +154,8 @@
             f'{accepted} of {len(callers.job_by_id)} jobs accepted, '
             f'{served} of {len(callers.status_by_order)} orders and '
             f'{callers.answered} requests answered, '
-            f'{len(callers.events_by_stream)} streams completed'
+            f'{len(callers.events_by_stream)} streams completed, '
+            f'{callers.resumed} of {callers.taken_up} resumed went on'
         )
         streams = callers.events_by_stream
         if not (accepted and served and callers.answered and streams):
--- a/standins/modelengines.py
+++ b/standins/modelengines.py
@@ -264,9 +264,11 @@
         stall_ms: float | None,
     ) -> abc.AsyncGenerator[bytes, None]:
         endpoint.running += 1
+        # A stream that its caller resumes has the text of its first request.
+        text_id = message.find_header(call.headers, 'resumes') or call.id
         try:
             total = self.events_by_item.setdefault(
-                call.id, self.rng.randint(2, 30)
+                text_id, self.rng.randint(2, 30)
             )
             breaks = self.rng.random() < endpoint.break_share
             version = None
@@ -288,7 +290,7 @@
                 if version is not None and current_version != version:
                     version_line = f'weight-versions: {current_version}\n'
                 version = current_version
-                data = make_event_data(call.id, number, endpoint.software)
+                data = make_event_data(text_id, number, endpoint.software)
                 event = f'{version_line}id: {number}\ndata: {data}\n\n'
                 yield event.encode()
         finally:
--- a/tests/entry/test_resumed_streams.py
+++ b/tests/entry/test_resumed_streams.py
@@ -84,9 +84,6 @@
         name = f'entry-{number % 3}'
         if await request(cluster, name, stream) == 200:
             await read(stream, 4)
-            cluster.pool.events_by_item.update(
-                {f'{stream.first_id}-{n}': 24 for n in range(2, 9)}
-            )
     return [stream for stream in streams if stream.texts]
 
 
