--- a/pomelopass/commands/logs.py
+++ b/pomelopass/commands/logs.py
@@ -108,9 +108,9 @@
         print(f'{texts.resumed} texts resumed, {len(texts.joined)} joined')
         for text in texts.joined:
             print(
-                f'text JOINED: {text.id} began at {text.began_at} '
-                f'({text.software}), went on after event '
-                f'{text.resumed_after} at {text.continued_at} '
+                f'text JOINED: {text.id}, written by '
+                f'{", ".join(text.software) or "nobody"}, went on after '
+                f'event {text.resumed_after} at {text.continued_at} '
                 f'({text.continued_software})'
             )
         if texts.joined or any(use.is_exceeded for use in uses):
