Log reservations that another instance did not answer

Cause: the error of a reservation was passed over with a comment; the house rule asks for a log line for each.

Change: permit-not-reserved names the endpoint, the instance that was asked and the error, at most once a second and instance, since it is not asked meanwhile. The part that the second instance allots has a plainer name.

--- a/pomelopass/entry/limitparts.py
+++ b/pomelopass/entry/limitparts.py
@@ -47,7 +47,9 @@
 ) -> LimitParts:
     """Return the parts of an instance."""
     book = limitbooks.LimitBook()
-    shared = sharing.LimitSharing(book, membership, permit_peers, get_table_ms)
+    shared = sharing.LimitSharing(
+        book, membership, permit_peers, get_table_ms, write_event
+    )
     return LimitParts(
         book,
         observer.ObservedEndpoints(
--- a/pomelopass/limits/sharing.py
+++ b/pomelopass/limits/sharing.py
@@ -8,13 +8,14 @@
 from . import book as books
 from ..core import rendezvous
 from ..fleet import member
+from ..reporting import logevents
 
 __all__ = ['LimitSharing', 'PeerFailedError', 'PermitPeers']
 
 # Instances asked in turn for an endpoint's permits.
 MAX_ASKED = 2
-# Part of a limit that an instance allots when another one should.
-DEPUTY_SHARE = 0.25
+# Part of a limit that an instance allots in place of the first one.
+SECONDARY_SHARE = 0.25
 # Time for which an instance that did not answer is not asked again.
 PEER_BACKOFF_MS = 1000.0
 
@@ -51,7 +52,9 @@
         membership: member.Membership,
         peers: PermitPeers,
         get_table_ms: abc.Callable[[], int],
+        write_event: logevents.WriteEvent,
     ):
+        self.write_event = write_event
         self.book = book
         self.membership = membership
         self.peers = peers
@@ -83,11 +86,15 @@
                     limit,
                     count,
                 )
-            except PeerFailedError:
-                # The next instance is asked; heartbeats tell who is dead.
+            except PeerFailedError as error:
+                self.write_event(
+                    logevents.PermitNotReserved(
+                        endpoint=endpoint_id, peer=name, detail=str(error)
+                    )
+                )
                 self.backoff_until_by_name[name] = now + PEER_BACKOFF_MS / 1000
         now = asyncio.get_running_loop().time()
-        own_per_s = per_s * DEPUTY_SHARE / max(len(ranked), 1)
+        own_per_s = per_s * SECONDARY_SHARE / max(len(ranked), 1)
         return self.own_allocator.reserve(endpoint_id, own_per_s, 1, now)
 
     def allot(
@@ -101,7 +108,7 @@
             return allocators.Reservation(count, 0.0)
         ranked = self._rank(endpoint_id)
         if not ranked or ranked[0] != self.membership.own_name:
-            per_s *= DEPUTY_SHARE
+            per_s *= SECONDARY_SHARE
         now = asyncio.get_running_loop().time()
         return self.allocator.reserve(endpoint_id, per_s, count, now)
 
--- a/pomelopass/reporting/logevents.py
+++ b/pomelopass/reporting/logevents.py
@@ -37,6 +37,7 @@
     'ListenFailed',
     'MemberUnreadable',
     'OriginNotStored',
+    'PermitNotReserved',
     'RequestEnded',
     'RequestFailed',
     'ResultsListed',
@@ -89,6 +90,7 @@
     'outcome': 'result of the operation',
     'owned': 'jobs owned by the instance',
     'owner': 'name of the instance that runs a job',
+    'peer': 'name of the instance that was asked',
     'problems': 'validation errors of the settings, each with its place',
     'process': 'process id',
     'reason': 'why the last attempt failed',
@@ -275,6 +277,15 @@
     detail: str
 
 
+@_event
+class PermitNotReserved(Event):
+    """Another instance did not answer a reservation for an endpoint."""
+
+    endpoint: str
+    peer: str
+    detail: str
+
+
 @_event
 class RequestEnded(Event):
     """A request ended; the line covers all its attempts.
--- a/scripts/sharedmutants.py
+++ b/scripts/sharedmutants.py
@@ -39,14 +39,14 @@
     mutant.Mutant(
         'the-second-allots-the-whole-limit',
         'pomelopass/limits/sharing.py',
-        'per_s *= DEPUTY_SHARE',
+        'per_s *= SECONDARY_SHARE',
         'pass',
         (SHARING,),
     ),
     mutant.Mutant(
         'who-reaches-nobody-has-the-whole-limit',
         'pomelopass/limits/sharing.py',
-        'own_per_s = per_s * DEPUTY_SHARE / max(len(ranked), 1)',
+        'own_per_s = per_s * SECONDARY_SHARE / max(len(ranked), 1)',
         'own_per_s = per_s',
         (SHARING,),
     ),
--- a/tests/limits/test_peers.py
+++ b/tests/limits/test_peers.py
@@ -18,20 +18,19 @@
     return member.Member('a', 'a-1', 'n', address, address, True, 1, {})
 
 
-async def start_peer(unused_port=0):
+async def start_peer():
     shared = sharing.LimitSharing(
         books.LimitBook(),
         member.Membership('a'),
         peers.ThriftPeers(),
         lambda: 1000,
+        lambda event: None,
     )
     handler = relayserver.Handler(
         PermitAllocator, peers.make_reserve_handler(shared)
     )
     relay_server = relayserver.RelayServer(None, {'reserve': handler})
-    server = await asyncio.start_server(
-        relay_server.serve, '127.0.0.1', unused_port
-    )
+    server = await asyncio.start_server(relay_server.serve, '127.0.0.1', 0)
     host, port = server.sockets[0].getsockname()
     return server, f'{host}:{port}', shared
 
--- a/tests/limits/test_sharing.py
+++ b/tests/limits/test_sharing.py
@@ -54,6 +54,7 @@
             make_membership(name, names),
             FakePeers(sharing_by_name, name, unreachable),
             lambda: 0,
+            lambda event: None,
         )
     return sharing_by_name
 
