Test a resumed stream against an error with an empty body

Since bytes that are no event end a run, the test's error body was rejected by the parser too, and no longer showed whether a run with another status is refused. An error with an empty body has nothing to reject and would end the stream as whole.

Change: the test runs with both bodies; the stand-in's error body is a field. No code of the product changes.

--- a/standins/modelengines.py
+++ b/standins/modelengines.py
@@ -45,6 +45,7 @@
     fence: int = 0
     error_share: float = 0.0
     error_status: int = 500
+    error_body: bytes = b'{}\n\n'
     break_share: float = 0.0
     # A broken stream ends without a transport error, but inside an event.
     breaks_cleanly: bool = False
@@ -159,7 +160,9 @@
             return _make_endless_answer(endpoint, call)
         if self.rng.random() < endpoint.error_share:
             return _make_answer(
-                endpoint.error_status, b'{}\n\n', signature=f's-{call.id}'
+                endpoint.error_status,
+                endpoint.error_body,
+                signature=f's-{call.id}',
             )
         if endpoint.version_by_model:
             return self._start_run(endpoint, call, stall_ms)
--- a/tests/requests/test_stream.py
+++ b/tests/requests/test_stream.py
@@ -221,7 +221,8 @@
     virtualloop.run(scenario())
 
 
-def test_resumed_stream_never_contains_an_error_answer():
+@pytest.mark.parametrize('error_body', [b'{}\n\n', b''])
+def test_resumed_stream_never_contains_an_error_answer(error_body):
     async def scenario():
         pool, forwarder = make_streams(1, 1.0)
         pool.events_by_item['s'] = 20
@@ -229,6 +230,7 @@
         for endpoint in pool.endpoint_by_id.values():
             endpoint.error_share = 1.0
             endpoint.error_status = 404
+            endpoint.error_body = error_body
         stream, is_complete = await collect(reply)
         assert not is_complete
         assert b'{}' not in stream
