Keep the row of a long stream until after its end

What callers would see: a stream that another version than the base began and that breaks more than five minutes after it began goes on at the base's version when its caller resumes it: a joined text.

Cause, found on the last read of the change: the row's removal was due five minutes after its write, and only the end of the stream moved it; a running stream lost its row.

Change: until the end is noticed the row stays for an hour, the bound after which the rows of dead instances go as well; the end sets it to five minutes from then.

Measured: the new test fails on the code before and passes now, with the tests of origins and of resumed streams.

--- a/pomelopass/origins/recorder.py
+++ b/pomelopass/origins/recorder.py
@@ -18,6 +18,8 @@
 MAX_REMEMBERED = 4000
 # Rows are removed this long after the end of their streams.
 RECORD_TTL_MS = 300_000
+# Of a stream whose end is not noticed, the row goes this long after it began.
+MAX_STREAM_MS = 3_600_000
 CHECK_INTERVAL_S = 1.0
 
 
@@ -199,7 +201,7 @@
     ) -> rows.Transaction:
         key = origins.make_record_key(request_id)
         now_ms = self.get_table_ms()
-        self.remove_after_ms_by_key[key] = now_ms + RECORD_TTL_MS
+        self.remove_after_ms_by_key[key] = now_ms + MAX_STREAM_MS
         row = origins.RecordedOrigin(origin.service, origin.software, now_ms)
         return rows.Transaction(
             expected=((key, rows.ABSENT),),
--- a/tests/origins/test_recorder.py
+++ b/tests/origins/test_recorder.py
@@ -173,6 +173,21 @@
     run(scenario)
 
 
+def test_row_of_a_long_stream_stays_until_after_its_end():
+    async def scenario(service):
+        recorder = make_recorder(service)
+        task = asyncio.ensure_future(recorder.run())
+        await recorder.record('a', NEW, True)
+        await asyncio.sleep(1000)
+        assert await make_recorder(service).find('a', [SERVICE]) == NEW
+        recorder.end('a')
+        await asyncio.sleep(320)
+        assert not service.row_by_name
+        task.cancel()
+
+    run(scenario)
+
+
 def test_rows_of_dead_instances_are_removed_in_the_end():
     async def scenario(service):
         await make_recorder(service).record('a', NEW, True)
