Limit the power of two of backoffs

Cause: the backoff doubled a whole number without an end before it took the minimum, and after 1,015 failures in a row the product no longer fits into a float (OverflowError). The same shape stood in record_refusal, in the pause of failed runs and in the ejection of the product's own interface; one function computes all four now and bounds the exponent. Ruled out: a bound on the count itself, which other code reads. Conclusion: class of fault, a counter without an end used as an exponent; grep finds no other.

--- a/pomelopass/core/ejection.py
+++ b/pomelopass/core/ejection.py
@@ -3,6 +3,7 @@
 import math
 import statistics
 
+from . import backoff
 from . import health
 
 __all__ = ['is_in_rotation', 'record_probe_sent', 'review']
@@ -109,8 +110,9 @@
 
 def _eject(state: health.EndpointHealth, now_ms: float) -> None:
     state.ejections_in_row += 1
-    ejection_ms = EJECT_MS * 2 ** (state.ejections_in_row - 1)
-    state.ejected_until_ms = now_ms + min(ejection_ms, EJECT_MAX_MS)
+    state.ejected_until_ms = now_ms + backoff.get_backoff_ms(
+        EJECT_MS, state.ejections_in_row - 1, EJECT_MAX_MS
+    )
     state.probing = False
     state.recent_paces.clear()
     state.failures_in_row = 0
--- a/pomelopass/jobs/itemrun.py
+++ b/pomelopass/jobs/itemrun.py
@@ -4,6 +4,7 @@
 import contextlib
 
 from .. import message
+from ..core import backoff
 from . import itemcontext
 from . import itemstream
 from . import job as jobs
@@ -142,7 +143,9 @@
         )
     elif run.failed_runs >= FAILED_RUNS_BEFORE_BACKOFF:
         exponent = run.failed_runs - FAILED_RUNS_BEFORE_BACKOFF
-        pause_ms = min(RETRY_PAUSE_MS * 4 * 2**exponent, MAX_PAUSE_MS)
+        pause_ms = backoff.get_backoff_ms(
+            RETRY_PAUSE_MS * 4, exponent, MAX_PAUSE_MS
+        )
         await asyncio.sleep(pause_ms / 1000)
     if run.failed_runs > 1:
         run.avoid = set()
--- a/pomelopass/registry/endpoint.py
+++ b/pomelopass/registry/endpoint.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from ..core import backoff
+
 __all__ = [
     'Endpoint',
     'EndpointState',
@@ -90,8 +92,9 @@
 
 def record_failure(state: EndpointState, now: float) -> None:
     """Start a backoff that doubles with each consecutive failure."""
-    backoff_ms = min(
-        MIN_FAILURE_BACKOFF_MS * 2**state.consecutive_failures,
+    backoff_ms = backoff.get_backoff_ms(
+        MIN_FAILURE_BACKOFF_MS,
+        state.consecutive_failures,
         MAX_FAILURE_BACKOFF_MS,
     )
     state.consecutive_failures += 1
@@ -102,8 +105,9 @@
     """Start a doubling backoff for an engine that is full or loading."""
     if state.is_backing_off(now):
         return
-    backoff_ms = min(
-        MIN_REFUSAL_BACKOFF_MS * 2**state.consecutive_refusals,
+    backoff_ms = backoff.get_backoff_ms(
+        MIN_REFUSAL_BACKOFF_MS,
+        state.consecutive_refusals,
         MAX_REFUSAL_BACKOFF_MS,
     )
     state.consecutive_refusals += 1
