--- a/standins/entries.py
+++ b/standins/entries.py
@@ -18,6 +18,7 @@
 from pomelopass.limits import sharing
 from pomelopass.reporting import logevents
 from pomelopass.table import rows
+from standins import links as instancelinks
 from standins import modelengines
 from standins import rowtable
 
@@ -29,10 +30,11 @@
 
 @dataclasses.dataclass(slots=True)
 class Entry:
-    """A running entry instance, its table client and its log events."""
+    """A running entry instance, its table client, links and log events."""
 
     node: nodes.Node
     client: rowtable.RowClient
+    links: instancelinks.InstanceLinks
     events: list[dict]
     alive: bool = True
     # Whether calls of peers fail.
@@ -68,10 +70,11 @@
         """Start an instance, or restart it with a new incarnation."""
         self.start_count += 1
         client = rowtable.RowClient(self.service, self.rng)
+        links = instancelinks.InstanceLinks(self.pool)
         events: list[dict] = []
         ports = nodes.NodePorts(
             table=client,
-            endpoints=self.pool,
+            endpoints=links,
             rng=self.rng,
             write_event=self.make_write_event(events),
             get_lease_now=asyncio.get_running_loop().time,
@@ -80,7 +83,7 @@
         )
         node = nodes.build_node(_make_settings(name), ports)
         node.start()
-        self.entry_by_name[name] = Entry(node, client, events)
+        self.entry_by_name[name] = Entry(node, client, links, events)
         return self.entry_by_name[name]
 
     def kill(self, name: str) -> None:
--- /dev/null
+++ b/standins/links.py
@@ -0,0 +1,197 @@
+"""Cut the links between one instance and the in-memory endpoints."""
+
+import asyncio
+from collections import abc
+import contextlib
+import dataclasses
+import enum
+
+from pomelopass import message
+from pomelopass.registry import endpoint as endpoints
+from pomelopass.requests import call as calls
+from pomelopass.versions import orders
+from standins import modelengines
+
+__all__ = ['CutKind', 'InstanceLinks']
+
+# How long a connection attempt of an instance may take.
+CONNECT_TIMEOUT_S = 0.15
+
+
+class CutKind(enum.Enum):
+    """What connections to endpoints do while the links are cut."""
+
+    HANG = 'hang'
+    RESET = 'reset'
+    REFUSE = 'refuse'
+    # Open connections live on while new ones are refused.
+    LIVE_ON = 'live-on'
+
+
+@dataclasses.dataclass(slots=True)
+class _Use:
+    """A request on its connection, and when bytes came last."""
+
+    endpoint_id: str
+    is_repeatable: bool
+    heard_at: float
+    broken: asyncio.Future
+
+
+class InstanceLinks:
+    """Endpoint port of one instance over links that may be cut."""
+
+    def __init__(self, pool: modelengines.EndpointPool):
+        self.pool = pool
+        self.cut: CutKind | None = None
+        # Endpoints with an idle connection.
+        self.idle_ids: set[str] = set()
+        self.uses: list[_Use] = []
+        self.last_heard_at = float('-inf')
+        self.connects: list[str] = []
+
+    @property
+    def heard_at(self) -> float:
+        """Return when bytes came last from any endpoint."""
+        return self.last_heard_at
+
+    async def open(
+        self,
+        target: endpoints.Endpoint,
+        call: calls.Call,
+        timeout_ms: float,
+        stall_ms: float | None = None,
+        fresh: bool = False,
+    ) -> calls.Answer:
+        """Return the answer's head and body stream; raise CallFailedError."""
+        loop = asyncio.get_running_loop()
+        use = _Use(target.id, not fresh, loop.time(), loop.create_future())
+        self.uses.append(use)
+        try:
+            if fresh or target.id not in self.idle_ids:
+                await self._connect(target, timeout_ms)
+            else:
+                await self._pass_cut(use, timeout_ms, stall_ms)
+            answer = await self.pool.open(target, call, timeout_ms, stall_ms)
+            await self._pass_cut(use, timeout_ms, stall_ms)
+        except message.ExchangeError as error:
+            self.uses.remove(use)
+            kind = 'reset' if error.kind == 'truncated' else error.kind
+            raise calls.CallFailedError(kind, True) from None
+        except BaseException:
+            self.uses.remove(use)
+            raise
+        self._hear(use)
+        self.idle_ids.add(target.id)
+        chunks = answer.reply.chunks
+        answer.reply.chunks = self._pass_chunks(use, chunks, stall_ms)
+        return answer
+
+    async def read(self, answer: calls.Answer, limit: int) -> bytes:
+        """Return the complete body; raise CallFailedError."""
+        return await self.pool.read(answer, limit)
+
+    async def is_refused(self, target: endpoints.Endpoint) -> bool:
+        """Return whether connections to an endpoint are refused."""
+        if self.cut is None:
+            return await self.pool.is_refused(target)
+        await asyncio.sleep(0.002)
+        return self.cut in (CutKind.REFUSE, CutKind.LIVE_ON)
+
+    async def can_connect(self, target: endpoints.Endpoint) -> bool:
+        """Return whether a connection to an endpoint opens."""
+        try:
+            await self._connect(target, CONNECT_TIMEOUT_S * 1000)
+        except calls.CallFailedError:
+            return False
+        return self.pool.endpoint_by_id[target.id].alive
+
+    def get_silent_ids(self, silent_ms: float) -> set[str]:
+        """Return the endpoints whose requests in flight are all silent."""
+        now = asyncio.get_running_loop().time()
+        return {
+            use.endpoint_id
+            for use in self.uses
+            if (now - use.heard_at) * 1000 >= silent_ms
+        }
+
+    def break_silent(
+        self, target: endpoints.Endpoint, silent_ms: float
+    ) -> None:
+        """Abort the repeatable requests that heard nothing for so long."""
+        now = asyncio.get_running_loop().time()
+        for use in self.uses:
+            is_silent = (now - use.heard_at) * 1000 >= silent_ms
+            if (
+                use.endpoint_id == target.id
+                and use.is_repeatable
+                and is_silent
+                and not use.broken.done()
+            ):
+                use.broken.set_result(None)
+        self.idle_ids.discard(target.id)
+
+    async def fetch_report(
+        self, target: endpoints.Endpoint
+    ) -> orders.Report | None:
+        """Return an engine's weight report, or None without an answer."""
+        if self.cut is not None:
+            await asyncio.sleep(CONNECT_TIMEOUT_S)
+            return None
+        return await self.pool.fetch_report(target)
+
+    async def order_version(
+        self, target: endpoints.Endpoint, order: orders.VersionOrder
+    ) -> orders.OrderOutcome:
+        """Order an endpoint to load a weight version."""
+        if self.cut is not None:
+            await asyncio.sleep(CONNECT_TIMEOUT_S)
+            return orders.OrderOutcome.UNKNOWN
+        return await self.pool.order_version(target, order)
+
+    def _hear(self, use: _Use) -> None:
+        use.heard_at = asyncio.get_running_loop().time()
+        self.last_heard_at = use.heard_at
+
+    async def _connect(
+        self, target: endpoints.Endpoint, timeout_ms: float
+    ) -> None:
+        self.connects.append(target.id)
+        if self.cut in (CutKind.REFUSE, CutKind.LIVE_ON):
+            await asyncio.sleep(0.002)
+            raise calls.CallFailedError('connect-failed', False)
+        if self.cut is not None:
+            await asyncio.sleep(min(CONNECT_TIMEOUT_S, timeout_ms / 1000))
+            raise calls.CallFailedError('connect-timeout', False)
+
+    async def _pass_cut(
+        self, use: _Use, timeout_ms: float, stall_ms: float | None
+    ) -> None:
+        """Fail as an open connection does if the links are cut."""
+        if self.cut in (None, CutKind.LIVE_ON):
+            return
+        if self.cut is not CutKind.HANG:
+            self.idle_ids.discard(use.endpoint_id)
+            raise message.ExchangeError('truncated', 1)
+        wait_ms = min(timeout_ms, stall_ms or timeout_ms)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(wait_ms / 1000):
+                await use.broken
+                raise message.ExchangeError('truncated', 1)
+        raise message.ExchangeError('timeout', 1)
+
+    async def _pass_chunks(
+        self,
+        use: _Use,
+        chunks: abc.AsyncGenerator[bytes, None],
+        stall_ms: float | None,
+    ) -> abc.AsyncGenerator[bytes, None]:
+        try:
+            async with contextlib.aclosing(chunks):
+                async for chunk in chunks:
+                    # A body without a stall limit ends with its request.
+                    await self._pass_cut(use, 10_000.0, stall_ms)
+                    self._hear(use)
+                    yield chunk
+        finally:
+            self.uses.remove(use)
