--- a/pomelopass/commands/logs.py
+++ b/pomelopass/commands/logs.py
@@ -11,6 +11,7 @@
 from ..reporting import clockskew
 from ..reporting import limitaudit
 from ..reporting import savedlogs
+from ..reporting import servedaudit
 from ..reporting import textaudit
 from ..reporting import timelinepage
 
@@ -81,8 +82,9 @@
 
 @cappa.command(
     name='audit',
-    help='Compare what endpoints got with their limits, and find texts that '
-    'several software versions wrote.',
+    help='Compare what endpoints got with their limits, find texts that '
+    'several software versions wrote, and compare how instances without links '
+    'to endpoints served their callers.',
 )
 @dataclasses.dataclass
 class AuditLogs:
@@ -94,29 +96,19 @@
     ]
 
     def run(self, access: command.Access | None) -> None:
-        """Print limited endpoints at their worst, and joined texts."""
+        """Print the findings; fail if there is a broken promise."""
         lines = _read_files(self.files)
-        uses = limitaudit.measure_limit_use(lines)
-        for use in uses:
-            state = 'EXCEEDED' if use.is_exceeded else 'kept'
-            print(
-                f'limit {state}: {use.endpoint} got {use.requests} requests '
-                f'of {use.instances} instances in 4 s, allowed '
-                f'{use.allowed:.1f}, {use.refused} refused'
-            )
-        texts = textaudit.find_joined_texts(lines)
-        print(f'{texts.resumed} texts resumed, {len(texts.joined)} joined')
-        for text in texts.joined:
-            print(
-                f'text JOINED: {text.id}, written by '
-                f'{", ".join(text.software) or "nobody"}, went on after '
-                f'event {text.resumed_after} at {text.continued_at} '
-                f'({text.continued_software})'
-            )
-        if texts.joined or any(use.is_exceeded for use in uses):
-            raise command.CommandError(
-                'A limit was exceeded or a text was joined.'
+        broken = [
+            promise
+            for promise, check in (
+                ('a limit was exceeded', _audit_limits),
+                ('a text was joined', _audit_texts),
+                ('callers were served unequally', _audit_served),
             )
+            if check(lines)
+        ]
+        if broken:
+            raise command.CommandError(f'Audit: {", ".join(broken)}.')
 
 
 @cappa.command(name='logs', help='Read saved logs of several instances.')
@@ -131,6 +123,47 @@
         self.action.run(access)
 
 
+def _audit_limits(lines: list[savedlogs.LogLine]) -> bool:
+    """Print limited endpoints at their worst; return whether one got more."""
+    uses = limitaudit.measure_limit_use(lines)
+    for use in uses:
+        state = 'EXCEEDED' if use.is_exceeded else 'kept'
+        print(
+            f'limit {state}: {use.endpoint} got {use.requests} requests '
+            f'of {use.instances} instances in 4 s, allowed '
+            f'{use.allowed:.1f}, {use.refused} refused'
+        )
+    return any(use.is_exceeded for use in uses)
+
+
+def _audit_texts(lines: list[savedlogs.LogLine]) -> bool:
+    """Print joined texts; return whether there is one."""
+    texts = textaudit.find_joined_texts(lines)
+    print(f'{texts.resumed} texts resumed, {len(texts.joined)} joined')
+    for text in texts.joined:
+        print(
+            f'text JOINED: {text.id}, written by '
+            f'{", ".join(text.software) or "nobody"}, went on after '
+            f'event {text.resumed_after} at {text.continued_at} '
+            f'({text.continued_software})'
+        )
+    return bool(texts.joined)
+
+
+def _audit_served(lines: list[savedlogs.LogLine]) -> bool:
+    """Print what cut instances served; return whether it was far less."""
+    counts = servedaudit.measure_served(lines)
+    for count in counts:
+        state = 'UNEQUAL' if count.is_unequal else 'equal'
+        print(
+            f'service {state}: {len(count.instances)} instances without '
+            f'links to endpoints served {count.served} of {count.total}, '
+            f'the others {count.served_elsewhere} of {count.total_elsewhere} '
+            f'({", ".join(count.instances)})'
+        )
+    return any(count.is_unequal for count in counts)
+
+
 def _read_files(names: list[str]) -> list[savedlogs.LogLine]:
     sources = []
     for name in names:
--- a/pomelopass/limits/observer.py
+++ b/pomelopass/limits/observer.py
@@ -51,7 +51,9 @@
             )
         except calls.CallFailedError as error:
             not_run = not error.may_have_run
-            self._log_answer(target, call, started_at, 0, not_run)
+            self._log_answer(
+                target, call, started_at, 0, not_run, reason=error.kind
+            )
             raise
         self._log_answer(
             target,
@@ -73,6 +75,7 @@
         status: int,
         not_run: bool,
         limit: float | None = None,
+        reason: str = '',
     ) -> None:
         now = asyncio.get_running_loop().time()
         self.write_event(
@@ -86,6 +89,7 @@
                 software=target.software,
                 resumed_after=call.last_event_id,
                 resumes=call.resumes,
+                reason=reason,
             )
         )
 
--- a/pomelopass/reporting/logevents.py
+++ b/pomelopass/reporting/logevents.py
@@ -228,6 +228,8 @@
     software: str
     resumed_after: str | None
     resumes: str | None
+    # Empty if an answer arrived.
+    reason: str = ''
 
 
 @_event
