Count requests that fail together as one failure of an endpoint

Cause: eight runs of one engine broke off together, and each doubled its backoff, to the limit of 4 s. Change: a failure within a backoff does not double it, as for refusals. Ruled out: slow peers (their runs took 100 to 1,100 ms) and full engines (none refused). The new test failed before and passes now.

--- a/pomelopass/registry/endpoint.py
+++ b/pomelopass/registry/endpoint.py
@@ -94,14 +94,20 @@
 
 
 def record_failure(state: EndpointState, now: float) -> None:
-    """Start a backoff that doubles with each consecutive failure."""
+    """Start a backoff that doubles with each consecutive failure.
+
+    Requests that were sent before the backoff and fail within it say nothing
+    new: a link that breaks fails all of them together.
+    """
+    if state.is_backing_off(now):
+        return
     backoff_ms = backoff.get_backoff_ms(
         MIN_FAILURE_BACKOFF_MS,
         state.consecutive_failures,
         MAX_FAILURE_BACKOFF_MS,
     )
     state.consecutive_failures += 1
-    state.backoff_until = max(state.backoff_until, now + backoff_ms / 1000)
+    state.backoff_until = now + backoff_ms / 1000
 
 
 def record_unreachable(state: EndpointState, now: float) -> None:
--- a/tests/registry/test_registry.py
+++ b/tests/registry/test_registry.py
@@ -16,6 +16,17 @@
     return registry
 
 
+# Eight runs that broke off together kept an engine away for 4 s.
+def test_requests_that_fail_together_count_as_one_failure():
+    state = make_registry(1).state_by_id['e0']
+    for _ in range(8):
+        endpoints.record_failure(state, 10.0)
+    assert not state.is_backing_off(10.31)
+    endpoints.record_failure(state, 10.31)
+    assert state.is_backing_off(10.9)
+    assert not state.is_backing_off(10.92)
+
+
 def get_ids(registry):
     return {state.endpoint.id for state in registry.get_by_service('engines')}
 
