Decode and log that an endpoint leaves, audit requests after that

The adapter decodes the header, but not from an answer to a misdirected request, which is another endpoint's; endpoint-answered (DEBUG) logs it, and logs audit lists requests sent more than 2 s after the same instance had heard it. Nothing decides by it yet.

--- a/pomelopass/commands/logs.py
+++ b/pomelopass/commands/logs.py
@@ -9,6 +9,7 @@
 
 from .. import command
 from ..reporting import clockskew
+from ..reporting import leavingaudit
 from ..reporting import limitaudit
 from ..reporting import savedlogs
 from ..reporting import servedaudit
@@ -83,8 +84,9 @@
 @cappa.command(
     name='audit',
     help='Compare what endpoints got with their limits, find texts that '
-    'several software versions wrote, and compare how instances without links '
-    'to endpoints served their callers.',
+    'several software versions wrote, compare how instances without links '
+    'to endpoints served their callers, and find requests to endpoints that '
+    'had said that they leave.',
 )
 @dataclasses.dataclass
 class AuditLogs:
@@ -104,6 +106,7 @@
                 ('a limit was exceeded', _audit_limits),
                 ('a text was joined', _audit_texts),
                 ('callers were served unequally', _audit_served),
+                ('requests reached leaving endpoints', _audit_leaving),
             )
             if check(lines)
         ]
@@ -164,6 +167,18 @@
     return any(count.is_unequal for count in counts)
 
 
+def _audit_leaving(lines: list[savedlogs.LogLine]) -> bool:
+    """Print late requests to leaving endpoints; return whether any came."""
+    found = leavingaudit.find_late_requests(lines)
+    for late in found:
+        print(
+            f'leaving IGNORED: {late.instance} sent {len(late.ids)} requests '
+            f'to {late.endpoint} more than 2 s after it said that it leaves, '
+            f'the first {late.ids[0]}'
+        )
+    return bool(found)
+
+
 def _read_files(names: list[str]) -> list[savedlogs.LogLine]:
     sources = []
     for name in names:
--- a/pomelopass/limits/observer.py
+++ b/pomelopass/limits/observer.py
@@ -63,6 +63,7 @@
             answer.not_run,
             answer.limit_per_s,
             peer=answer.peer,
+            leaving=answer.is_leaving,
         )
         self.book.observe(target.id, answer.limit_per_s, self.get_table_ms())
         self._log_limit(target.id, answer.limit_per_s or 0.0)
@@ -78,6 +79,7 @@
         limit: float | None = None,
         reason: str = '',
         peer: str = '',
+        leaving: bool = False,
     ) -> None:
         now = asyncio.get_running_loop().time()
         self.write_event(
@@ -93,6 +95,7 @@
                 resumes=call.resumes,
                 reason=reason,
                 peer=peer,
+                leaving=leaving,
             )
         )
 
--- a/pomelopass/platform/endpointclient.py
+++ b/pomelopass/platform/endpointclient.py
@@ -217,6 +217,15 @@
             message.find_header(headers, names.REQUEST_LIMIT)
         ),
         reply=reply,
+        is_leaving=_says_leaving(reply),
+    )
+
+
+def _says_leaving(reply: message.OpenReply) -> bool:
+    # The answer to a misdirected request is that of another endpoint.
+    return (
+        reply.status != MISDIRECTED_STATUS
+        and message.find_header(reply.headers, names.LEAVING) is not None
     )
 
 
--- a/pomelopass/platform/names.py
+++ b/pomelopass/platform/names.py
@@ -9,6 +9,8 @@
 ENDPOINT_LOAD = 'instance-load'
 # Requests per second that the endpoint takes from all instances together.
 REQUEST_LIMIT = 'server-limit'
+# The endpoint stops soon; in any of its answers.
+LEAVING = 'server-leaving'
 SIGNATURE = 'server-stamp'
 NOT_RUN = 'not-executed'
 LAST_EVENT_ID = 'last-event-id'
--- a/pomelopass/reporting/logevents.py
+++ b/pomelopass/reporting/logevents.py
@@ -85,6 +85,7 @@
     'job': 'id of a job',
     'key': 'key of a row',
     'last_event_id': 'id of the last event that a stream passed on',
+    'leaving': 'whether the endpoint says that it stops soon',
     'limit': 'requests per second that an endpoint takes from all instances',
     'listed': 'results that are already visible to readers',
     'may_have_run': 'number of endpoints that may have run it',
@@ -236,6 +237,7 @@
     reason: str = ''
     # The instance over which it went; empty for own links.
     peer: str = ''
+    leaving: bool = False
 
 
 @_event
--- a/pomelopass/requests/call.py
+++ b/pomelopass/requests/call.py
@@ -62,6 +62,8 @@
     load: endpoint.LoadReport | None
     reply: message.OpenReply
     limit_per_s: float | None = None
+    # Whether the endpoint says that it stops soon.
+    is_leaving: bool = False
     # Name of the instance over which it came; empty for own links.
     peer: str = ''
 
