Reproduce that endpoints that say they leave still get requests

An endpoint whose answers say that it leaves gets requests, streams, runs and orders as before. Cause: nothing decides by the word; the table is the only source.

--- a/standins/modelengines.py
+++ b/standins/modelengines.py
@@ -37,6 +37,8 @@
     load_s: float = LOAD_S
     alive: bool = True
     draining: bool = False
+    # Whether its answers say that it leaves, whatever its entry says.
+    says_leaving: bool = False
     slowness: float = 1.0
     running: int = 0
     # The model whose weights are being loaded; other models keep serving.
@@ -132,6 +134,7 @@
         self._count_arrival(endpoint)
         answer = await self._answer(endpoint, call, stall_ms)
         answer.limit_per_s = endpoint.limit_per_s
+        answer.is_leaving = endpoint.says_leaving
         return answer
 
     async def _answer(
--- a/standins/platformendpoints.py
+++ b/standins/platformendpoints.py
@@ -112,6 +112,8 @@
         except calls.CallFailedError as error:
             raise ConnectionResetError from error
         headers = [('attempt-id', call.id)]
+        if answer.is_leaving:
+            headers.append(('server-leaving', '1'))
         if answer.not_run:
             headers.append(('not-executed', '1'))
         if answer.limit_per_s is not None:
