Send nothing to endpoints that say they leave

Cause: the table was the only source of what leaves. Class: knowledge from one source where another states it. Change: the word is noted from the head of any answer, report or answer to an order, for the start of the endpoint; every choice leaves it out at one place, and plans of orders and tunnels ask the same property; a peer whose links carried the answer is told. An entry that says ready does not override it, a new start under the same id is new. Ruled out: late decisions (the excess began at once) and an entry that overrides (none changed).

--- a/pomelopass/entry/__main__.py
+++ b/pomelopass/entry/__main__.py
@@ -82,7 +82,7 @@
         table=rowclient.RowClient(http, settings.table_address),
         endpoints=endpointclient.EndpointClient(endpoint_http),
         peer_endpoints=tunnelclient.PeerEndpoints(
-            endpointclient.EndpointClient(tunnel_http)
+            endpointclient.EndpointClient(tunnel_http), write_event
         ),
         rng=rng,
         write_event=write_event,
--- a/pomelopass/entry/node.py
+++ b/pomelopass/entry/node.py
@@ -99,7 +99,7 @@
             ports.table,
             {
                 **self.limits.make_handlers(),
-                'open_tunnel': self.paths.tunnels.make_handler(),
+                **self.paths.tunnels.make_handlers(),
             },
         )
         self.jobs = jobview.JobView()
--- a/pomelopass/entry/pathparts.py
+++ b/pomelopass/entry/pathparts.py
@@ -47,7 +47,13 @@
 
     def find_endpoint(endpoint_id: str) -> endpoints.Endpoint | None:
         state = registry.state_by_id.get(endpoint_id)
-        return None if state is None else state.endpoint
+        return None if state is None or state.is_leaving else state.endpoint
+
+    def note_leaving(target: endpoints.Endpoint) -> None:
+        registry.record_leaving(target.id, target.started_at_ms)
+
+    direct.set_on_leaving(note_leaving)
+    peer_port.set_on_leaving(note_leaving)
 
     def doubt_link(endpoint_id: str) -> None:
         book.record_failure(endpoint_id)
@@ -60,6 +66,10 @@
             direct, peer_port, book, watch, get_peers, availability_zone
         ),
         tunnelserver.TunnelServer(
-            find_endpoint, is_stopping, book, doubt_link
+            find_endpoint,
+            is_stopping,
+            book,
+            doubt_link,
+            registry.record_leaving,
         ),
     )
--- a/pomelopass/paths/endpointpaths.py
+++ b/pomelopass/paths/endpointpaths.py
@@ -20,7 +20,7 @@
 # A peer that did not reach an endpoint is not asked for it again before.
 PEER_BACKOFF_MS = 500.0
 MIN_TIMEOUT_MS = 1.0
-MAX_BACKOFFS = 4096
+MAX_ENTRIES = 4096
 
 
 class EndpointPaths:
@@ -47,6 +47,8 @@
         self.availability_zone = availability_zone
         self.backoff_until_by_pair: dict[tuple[str, str], float] = {}
         self.read = direct.read
+        self.reported: set[tuple[str, str, int]] = set()
+        self.reports: set[asyncio.Task] = set()
 
     async def open(
         self,
@@ -88,6 +90,8 @@
                 self._back_off(peer, target)
                 continue
             answer.peer = peer.name
+            if answer.is_leaving:
+                self._report_leaving(peer, target)
             self.book.record_detour(target.id)
             return answer
         if self.book.is_cut_off:
@@ -150,11 +154,27 @@
         far = [peer for peer in peers if peer not in near]
         return [*near[:1], *far, *near[1:]][:MAX_PEERS]
 
+    def _report_leaving(
+        self, peer: member.Member, target: endpoints.Endpoint
+    ) -> None:
+        """Let the peer whose links carried the answer know of it, once."""
+        report = (peer.name, target.id, target.started_at_ms)
+        if report in self.reported:
+            return
+        if len(self.reported) >= MAX_ENTRIES:
+            self.reported.clear()
+        self.reported.add(report)
+        task = asyncio.ensure_future(
+            self.peer_port.report_leaving(peer, target)
+        )
+        self.reports.add(task)
+        task.add_done_callback(self.reports.discard)
+
     def _back_off(
         self, peer: member.Member, target: endpoints.Endpoint
     ) -> None:
         now = asyncio.get_running_loop().time()
-        if len(self.backoff_until_by_pair) >= MAX_BACKOFFS:
+        if len(self.backoff_until_by_pair) >= MAX_ENTRIES:
             self.backoff_until_by_pair.clear()
         until = now + PEER_BACKOFF_MS / 1000
         self.backoff_until_by_pair[peer.name, target.id] = until
--- a/pomelopass/paths/ports.py
+++ b/pomelopass/paths/ports.py
@@ -1,5 +1,6 @@
 """Define the clients for endpoints on both paths."""
 
+from collections import abc
 from typing import Protocol
 
 from ..fleet import member
@@ -13,6 +14,11 @@
 class DirectPort(calls.EndpointPort, versionmanagers.OrderPort, Protocol):
     """Client for calls to endpoints over the instance's own links."""
 
+    def set_on_leaving(
+        self, on_leaving: abc.Callable[[endpoints.Endpoint], None]
+    ) -> None:
+        """Set what is called for an endpoint that says that it leaves."""
+
     @property
     def heard_at(self) -> float:
         """Return when bytes came last from any endpoint, in loop seconds."""
@@ -32,6 +38,16 @@
 class PeerPort(Protocol):
     """Client for calls to endpoints over the links of a peer."""
 
+    def set_on_leaving(
+        self, on_leaving: abc.Callable[[endpoints.Endpoint], None]
+    ) -> None:
+        """Set what is called for an endpoint that says that it leaves."""
+
+    async def report_leaving(
+        self, peer: member.Member, target: endpoints.Endpoint
+    ) -> None:
+        """Report what an answer over a peer's links said of its endpoint."""
+
     async def open(
         self,
         peer: member.Member,
--- a/pomelopass/paths/tunnelclient.py
+++ b/pomelopass/paths/tunnelclient.py
@@ -1,6 +1,7 @@
 """Open connections to endpoints through peers."""
 
 import asyncio
+from collections import abc
 import contextlib
 import dataclasses
 from typing import Protocol
@@ -10,6 +11,7 @@
 from ..edges import peerframe
 from ..fleet import member
 from ..registry import endpoint as endpoints
+from ..reporting import logevents
 from ..requests import call as calls
 from ..wire.gen.tunnels import EndpointTunnel
 from ..wire.gen.tunnels import ttypes
@@ -123,6 +125,8 @@
 class TunnelledClient(Protocol):
     """Endpoint client whose connections are tunnels."""
 
+    on_leaving: abc.Callable[[endpoints.Endpoint], None]
+
     async def open(
         self,
         target: endpoints.Endpoint,
@@ -137,8 +141,17 @@
 class PeerEndpoints:
     """Client for calls to endpoints over the links of a peer."""
 
-    def __init__(self, client: TunnelledClient):
+    def __init__(
+        self, client: TunnelledClient, write_event: logevents.WriteEvent
+    ):
         self.client = client
+        self.write_event = write_event
+
+    def set_on_leaving(
+        self, on_leaving: abc.Callable[[endpoints.Endpoint], None]
+    ) -> None:
+        """Set what is called for an endpoint that says that it leaves."""
+        self.client.on_leaving = on_leaving
 
     async def open(
         self,
@@ -169,6 +182,30 @@
                 return True
         return False
 
+    async def report_leaving(
+        self, peer: member.Member, target: endpoints.Endpoint
+    ) -> None:
+        """Report what an answer over a peer's links said of its endpoint."""
+        try:
+            connection = await peercall.connect(
+                peer.relay_address, TUNNEL_TIMEOUT_MS
+            )
+            await peercall.call_peer(
+                connection,
+                EndpointTunnel.Client,
+                lambda client: client.send_report_leaving(
+                    target.id, target.started_at_ms
+                ),
+                lambda client: client.recv_report_leaving(),
+                TUNNEL_TIMEOUT_MS,
+            )
+        except peercall.CALL_ERRORS as error:
+            self.write_event(
+                logevents.LeavingNotReported(
+                    peer=peer.name, endpoint=target.id, detail=repr(error)
+                )
+            )
+
 
 def _make_address(peer: member.Member, target: endpoints.Endpoint) -> str:
     return f'{peer.relay_address}{SEPARATOR}{target.id}'
--- a/pomelopass/paths/tunnelserver.py
+++ b/pomelopass/paths/tunnelserver.py
@@ -47,7 +47,9 @@
         is_stopping: abc.Callable[[], bool],
         book: books.PathBook,
         on_unreachable: abc.Callable[[str], None],
+        on_leaving: abc.Callable[[str, int], None],
     ):
+        self.on_leaving = on_leaving
         self.book = book
         self.on_unreachable = on_unreachable
         self.find_endpoint = find_endpoint
@@ -55,9 +57,14 @@
         self.tunnels: set[_Tunnel] = set()
         self.opening = 0
 
-    def make_handler(self) -> relayserver.Handler:
-        """Return what answers the calls of peers."""
-        return relayserver.Handler(EndpointTunnel, self._handle)
+    def make_handlers(self) -> dict[str, relayserver.Handler]:
+        """Return what answers the calls of peers, by method."""
+        return {
+            'open_tunnel': relayserver.Handler(EndpointTunnel, self._open),
+            'report_leaving': relayserver.Handler(
+                EndpointTunnel, self._take_report
+            ),
+        }
 
     def is_busy(self) -> bool:
         """Return whether a tunnel may carry a request."""
@@ -75,13 +82,13 @@
             return ttypes.TunnelOutcome.BUSY
         target = self.find_endpoint(endpoint_id)
         if target is None:
-            return ttypes.TunnelOutcome.UNKNOWN_ENDPOINT
+            return ttypes.TunnelOutcome.NOT_OFFERED
         # Tunnels do not lead over a second peer.
         if self.book.needs_peer(endpoint_id):
             return ttypes.TunnelOutcome.UNREACHABLE
         return None
 
-    async def _handle(self, arguments: Any) -> relayserver.Takeover | int:
+    async def _open(self, arguments: Any) -> relayserver.Takeover | int:
         refusal = self.check(arguments.endpoint_id)
         if refusal is not None:
             return refusal
@@ -106,6 +113,10 @@
             ttypes.TunnelOutcome.OPEN, carry, stream[1].close
         )
 
+    async def _take_report(self, arguments: Any) -> bool:
+        self.on_leaving(arguments.endpoint_id, arguments.started_at_ms)
+        return True
+
     async def _carry(self, peer: Stream, endpoint: Stream) -> None:
         tunnel = _Tunnel(asyncio.get_running_loop().time())
         self.tunnels.add(tunnel)
--- a/pomelopass/platform/endpointclient.py
+++ b/pomelopass/platform/endpointclient.py
@@ -1,6 +1,7 @@
 """Call endpoints over the platform's HTTP protocol."""
 
 import asyncio
+from collections import abc
 import math
 
 import orjson
@@ -35,12 +36,20 @@
 MISDIRECTED_STATUS = 421
 
 
+OnLeaving = abc.Callable[[endpoint.Endpoint], None]
+
+
 class EndpointClient:
     """Send calls with identity and deadline, and check each reply."""
 
     def __init__(self, http: httpclient.HttpClient):
         self.http = http
         self.id_by_address: dict[str, str] = {}
+        self.on_leaving: OnLeaving = lambda target: None
+
+    def set_on_leaving(self, on_leaving: OnLeaving) -> None:
+        """Set what is called for an endpoint that says that it leaves."""
+        self.on_leaving = on_leaving
 
     @property
     def heard_at(self) -> float:
@@ -68,6 +77,7 @@
             raise calls.CallFailedError(
                 error.kind, error.bytes_written > 0
             ) from None
+        self._note_leaving(target, reply)
         answer = _decode_answer(reply)
         echoed_id = message.find_header(reply.headers, names.REQUEST_ID)
         if echoed_id != call.id and not answer.not_run:
@@ -117,6 +127,7 @@
             reply = await self.http.open(
                 target.address, request, ORDER_TIMEOUT_MS
             )
+            self._note_leaving(target, reply)
             body = await reply.read(MAX_REPORT_BYTES)
         except message.ExchangeError:
             return None
@@ -161,6 +172,7 @@
             reply = await self.http.open(
                 target.address, request, ORDER_TIMEOUT_MS
             )
+            self._note_leaving(target, reply)
             await reply.read(MAX_REPORT_BYTES)
         except message.ExchangeError:
             return orders.OrderOutcome.UNKNOWN
@@ -168,6 +180,12 @@
             reply.status, orders.OrderOutcome.REJECTED
         )
 
+    def _note_leaving(
+        self, target: endpoint.Endpoint, reply: message.OpenReply
+    ) -> None:
+        if _says_leaving(reply):
+            self.on_leaving(target)
+
 
 ORDER_OUTCOME_BY_STATUS = {
     200: orders.OrderOutcome.HOLDS,
--- a/pomelopass/registry/endpoint.py
+++ b/pomelopass/registry/endpoint.py
@@ -58,6 +58,8 @@
     """
 
     endpoint: Endpoint
+    # Whether its answers say that it stops soon.
+    said_leaving: bool = False
     in_flight: int = 0
     # Runs reported by other instances.
     in_flight_elsewhere: int = 0
@@ -69,6 +71,11 @@
     load_received_at: float = float('-inf')
     version_by_model: dict[str, int] = dataclasses.field(default_factory=dict)
 
+    @property
+    def is_leaving(self) -> bool:
+        """Return whether it said, or its entry says, that it stops soon."""
+        return self.said_leaving or self.endpoint.is_draining
+
     def is_backing_off(self, now: float) -> bool:
         """Return whether the endpoint is in backoff."""
         return self.backoff_until > now
--- a/pomelopass/registry/registry.py
+++ b/pomelopass/registry/registry.py
@@ -7,6 +7,7 @@
 
 # Live endpoints register again within this time after an outage.
 REREGISTRATION_TIMEOUT_MS = 2200
+MAX_LEAVING = 4096
 
 
 class Registry:
@@ -17,6 +18,9 @@
         self.state_by_id: dict[str, endpoints.EndpointState] = {}
         # Endpoints whose entries disappeared during or just after an outage.
         self.missing_since_by_id: dict[str, float] = {}
+        # Start of each endpoint that said itself that it leaves. Its entry
+        # may say otherwise, or come back, while the table is away.
+        self.leaving_start_by_id: dict[str, int] = {}
 
     def put(self, entry: endpoints.Endpoint) -> None:
         """Add or update an endpoint from its registry entry."""
@@ -30,6 +34,7 @@
             self.state_by_id[entry.id] = endpoints.EndpointState(
                 entry, version_by_model=dict(entry.version_by_model)
             )
+            self._update_leaving(entry.id)
             self._log_change(entry, 'restarted' if restarted else 'found')
             return
         if state.endpoint.is_draining != entry.is_draining:
@@ -40,6 +45,27 @@
             state.version_by_model.update(entry.version_by_model)
             self._log_change(entry, 'version')
         state.endpoint = entry
+        self._update_leaving(entry.id)
+
+    def record_leaving(self, endpoint_id: str, started_at_ms: int) -> None:
+        """Record that an endpoint said that it leaves; final for its start."""
+        if self.leaving_start_by_id.get(endpoint_id) == started_at_ms:
+            return
+        if len(self.leaving_start_by_id) >= MAX_LEAVING:
+            oldest = next(iter(self.leaving_start_by_id))
+            del self.leaving_start_by_id[oldest]
+        self.leaving_start_by_id[endpoint_id] = started_at_ms
+        self._update_leaving(endpoint_id)
+        state = self.state_by_id.get(endpoint_id)
+        if state is not None and state.said_leaving:
+            self._log_change(state.endpoint, 'leaving')
+
+    def _update_leaving(self, endpoint_id: str) -> None:
+        state = self.state_by_id.get(endpoint_id)
+        if state is None:
+            return
+        started_at_ms = self.leaving_start_by_id.get(endpoint_id)
+        state.said_leaving = started_at_ms == state.endpoint.started_at_ms
 
     def remove(self, endpoint_id: str, now: float, in_outage: bool) -> None:
         """Remove an endpoint; in an outage, only mark it as missing."""
@@ -70,8 +96,7 @@
         states = [
             state
             for state in self.state_by_id.values()
-            if state.endpoint.service == name
-            and not state.endpoint.is_draining
+            if state.endpoint.service == name and not state.is_leaving
         ]
         if not self.missing_since_by_id:
             return states
--- a/pomelopass/reporting/logevents.py
+++ b/pomelopass/reporting/logevents.py
@@ -36,6 +36,7 @@
     'JobStarted',
     'JobSubmitted',
     'JobUnreadable',
+    'LeavingNotReported',
     'LinesDropped',
     'ListenFailed',
     'MemberUnreadable',
@@ -66,8 +67,8 @@
     'applied': 'whether the table applied the write',
     'breaks': 'runs of an item that were cut off without progress',
     'carried': 'items that start with text from an earlier job',
-    'change': 'found, ready, draining, gone, restarted, version, lost or '
-    'regained',
+    'change': 'found, ready, draining, leaving, gone, restarted, version, '
+    'lost or regained',
     'count': 'number of dropped lines',
     'detail': 'message of the error',
     'endpoint': 'id of an endpoint',
@@ -533,6 +534,15 @@
     detail: str
 
 
+@_event
+class LeavingNotReported(Event):
+    """A peer did not hear that an endpoint leaves; it will by itself."""
+
+    peer: str
+    endpoint: str
+    detail: str
+
+
 @_event
 class LinesDropped(Event):
     """Standard output was not read in time; log lines were dropped."""
--- a/pomelopass/versions/assignment.py
+++ b/pomelopass/versions/assignment.py
@@ -81,7 +81,7 @@
     weights the next batch can't use load first, so that those with the
     previous version keep serving and about twice the quota serves a model.
     """
-    accepting = [state for state in engines if not state.endpoint.is_draining]
+    accepting = [state for state in engines if not state.is_leaving]
     loaded_models = {
         model for state in accepting for model in state.version_by_model
     }
--- a/pomelopass/versions/orders.py
+++ b/pomelopass/versions/orders.py
@@ -69,7 +69,7 @@
     serving batches of the previous version. An engine loads one version at
     a time, whatever models it serves.
     """
-    accepting = [state for state in engines if not state.endpoint.is_draining]
+    accepting = [state for state in engines if not state.is_leaving]
     max_loads = max(
         MIN_CONCURRENT_LOADS, len(accepting) // CONCURRENT_LOAD_DIVISOR
     )
--- a/pomelopass/wire/gen/tunnels/EndpointTunnel.py
+++ b/pomelopass/wire/gen/tunnels/EndpointTunnel.py
@@ -27,6 +27,15 @@
         """
         pass
 
+    def report_leaving(self, endpoint_id, started_at_ms):
+        """
+        Parameters:
+         - endpoint_id
+         - started_at_ms
+
+        """
+        pass
+
 
 class Client(Iface):
     def __init__(self, iprot, oprot=None):
@@ -67,12 +76,47 @@
             return result.success
         raise TApplicationException(TApplicationException.MISSING_RESULT, "open_tunnel failed: unknown result")
 
+    def report_leaving(self, endpoint_id, started_at_ms):
+        """
+        Parameters:
+         - endpoint_id
+         - started_at_ms
+
+        """
+        self.send_report_leaving(endpoint_id, started_at_ms)
+        return self.recv_report_leaving()
+
+    def send_report_leaving(self, endpoint_id, started_at_ms):
+        self._oprot.writeMessageBegin('report_leaving', TMessageType.CALL, self._seqid)
+        args = report_leaving_args()
+        args.endpoint_id = endpoint_id
+        args.started_at_ms = started_at_ms
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_report_leaving(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = report_leaving_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "report_leaving failed: unknown result")
+
 
 class Processor(Iface, TProcessor):
     def __init__(self, handler):
         self._handler = handler
         self._processMap = {}
         self._processMap["open_tunnel"] = Processor.process_open_tunnel
+        self._processMap["report_leaving"] = Processor.process_report_leaving
         self._on_message_begin = None
 
     def on_message_begin(self, func):
@@ -118,6 +162,29 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def process_report_leaving(self, seqid, iprot, oprot):
+        args = report_leaving_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = report_leaving_result()
+        try:
+            result.success = self._handler.report_leaving(args.endpoint_id, args.started_at_ms)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("report_leaving", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
 # HELPER FUNCTIONS AND STRUCTURES
 
 
@@ -264,5 +331,163 @@
 open_tunnel_result.thrift_spec = (
     (0, TType.I32, 'success', None, None, ),  # 0
 )
+
+
+class report_leaving_args(object):
+    """
+    Attributes:
+     - endpoint_id
+     - started_at_ms
+
+    """
+
+    __slots__ = (
+        'endpoint_id',
+        'started_at_ms',
+    )
+
+
+    def __init__(self, endpoint_id=None, started_at_ms=None,):
+        self.endpoint_id = endpoint_id
+        self.started_at_ms = started_at_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.endpoint_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.started_at_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('report_leaving_args')
+        if self.endpoint_id is not None:
+            oprot.writeFieldBegin('endpoint_id', TType.STRING, 1)
+            oprot.writeString(self.endpoint_id.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint_id)
+            oprot.writeFieldEnd()
+        if self.started_at_ms is not None:
+            oprot.writeFieldBegin('started_at_ms', TType.I64, 2)
+            oprot.writeI64(self.started_at_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(report_leaving_args)
+report_leaving_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'endpoint_id', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'started_at_ms', None, None, ),  # 2
+)
+
+
+class report_leaving_result(object):
+    """
+    Attributes:
+     - success
+
+    """
+
+    __slots__ = (
+        'success',
+    )
+
+
+    def __init__(self, success=None,):
+        self.success = success
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.BOOL:
+                    self.success = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('report_leaving_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.BOOL, 0)
+            oprot.writeBool(self.success)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(report_leaving_result)
+report_leaving_result.thrift_spec = (
+    (0, TType.BOOL, 'success', None, None, ),  # 0
+)
 fix_spec(all_structs)
 del all_structs
--- a/pomelopass/wire/gen/tunnels/ttypes.py
+++ b/pomelopass/wire/gen/tunnels/ttypes.py
@@ -20,20 +20,20 @@
     OPEN = 0
     UNREACHABLE = 1
     BUSY = 2
-    UNKNOWN_ENDPOINT = 3
+    NOT_OFFERED = 3
 
     _VALUES_TO_NAMES = {
         0: "OPEN",
         1: "UNREACHABLE",
         2: "BUSY",
-        3: "UNKNOWN_ENDPOINT",
+        3: "NOT_OFFERED",
     }
 
     _NAMES_TO_VALUES = {
         "OPEN": 0,
         "UNREACHABLE": 1,
         "BUSY": 2,
-        "UNKNOWN_ENDPOINT": 3,
+        "NOT_OFFERED": 3,
     }
 fix_spec(all_structs)
 del all_structs
--- a/standins/entries.py
+++ b/standins/entries.py
@@ -199,13 +199,31 @@
         if entry.node.paths.tunnels.check(target.id) is not None:
             raise calls.CallFailedError('connect-failed', False)
         try:
-            return await entry.links.open(
-                target, call, timeout_ms, stall_ms, fresh=True
+            answer = await entry.links.open_for_peer(
+                target, call, timeout_ms, stall_ms
             )
         except calls.CallFailedError as error:
             if not error.may_have_run:
                 entry.node.paths.tunnels.on_unreachable(target.id)
             raise
+        if answer.is_leaving:
+            self.on_leaving(target)
+        return answer
+
+    def set_on_leaving(
+        self, on_leaving: abc.Callable[[endpoints.Endpoint], None]
+    ) -> None:
+        """Set what is called for an endpoint that says that it leaves."""
+        self.on_leaving = on_leaving
+
+    async def report_leaving(
+        self, peer: member.Member, target: endpoints.Endpoint
+    ) -> None:
+        """Report what an answer over a peer's links said of its endpoint."""
+        await asyncio.sleep(PEER_ANSWER_S)
+        self.entry_by_name[peer.name].node.paths.tunnels.on_leaving(
+            target.id, target.started_at_ms
+        )
 
     async def can_connect(
         self, peer: member.Member, target: endpoints.Endpoint
--- a/standins/links.py
+++ b/standins/links.py
@@ -49,6 +49,15 @@
         self.uses: list[_Use] = []
         self.last_heard_at = float('-inf')
         self.connects: list[str] = []
+        self.on_leaving: abc.Callable[[endpoints.Endpoint], None] = (
+            lambda target: None
+        )
+
+    def set_on_leaving(
+        self, on_leaving: abc.Callable[[endpoints.Endpoint], None]
+    ) -> None:
+        """Set what is called for an endpoint that says that it leaves."""
+        self.on_leaving = on_leaving
 
     @property
     def heard_at(self) -> float:
@@ -85,11 +94,24 @@
             self.uses.remove(use)
             raise
         self._hear(use)
+        if answer.is_leaving:
+            self.on_leaving(target)
         self.idle_ids.add(target.id)
         chunks = answer.reply.chunks
         answer.reply.chunks = self._pass_chunks(use, chunks, stall_ms)
         return answer
 
+    async def open_for_peer(
+        self,
+        target: endpoints.Endpoint,
+        call: calls.Call,
+        timeout_ms: float,
+        stall_ms: float | None,
+    ) -> calls.Answer:
+        """Carry a call of a peer, without a look at its answer."""
+        await self._connect(target, timeout_ms)
+        return await self.pool.open(target, call, timeout_ms, stall_ms)
+
     async def read(self, answer: calls.Answer, limit: int) -> bytes:
         """Return the complete body; raise CallFailedError."""
         return await self.pool.read(answer, limit)
--- a/tests/paths/test_tunnels.py
+++ b/tests/paths/test_tunnels.py
@@ -8,6 +8,7 @@
 import pytest
 
 from pomelopass.edges import httpclient
+from pomelopass.fleet import member
 from pomelopass import message
 from pomelopass.paths import book as books
 from pomelopass.paths import tunnelclient
@@ -24,6 +25,12 @@
     return endpoints.Endpoint('e0', 'desk', address, 'north', 8, False, {}, 1)
 
 
+def make_member(relay_address):
+    return member.Member(
+        'peer', 'peer-1', 'north', '10.0.0.1:2', relay_address, True, 0, {}
+    )
+
+
 @contextlib.asynccontextmanager
 async def serve(handler):
     listener = await asyncio.start_server(handler, '127.0.0.1', 0)
@@ -39,6 +46,7 @@
 
     def __init__(self, endpoint_address, is_stopping=False):
         self.unreachable = []
+        self.leaving = []
         self.book = books.PathBook(lambda: 1, lambda event: None)
         entry = make_entry(endpoint_address)
         self.tunnels = tunnelserver.TunnelServer(
@@ -46,9 +54,12 @@
             lambda: is_stopping,
             self.book,
             self.unreachable.append,
+            lambda endpoint_id, started_at_ms: self.leaving.append(
+                endpoint_id
+            ),
         )
         self.server = relayserver.RelayServer(
-            None, {'open_tunnel': self.tunnels.make_handler()}
+            None, self.tunnels.make_handlers()
         )
 
 
@@ -203,3 +214,19 @@
     assert error_info.value.kind == 'connect-failed'
     assert error_info.value.bytes_written == 0
     assert peer.unreachable == ['e0']
+
+
+async def test_report_that_an_endpoint_leaves_reaches_the_peer():
+    events = []
+    async with run_tunnel(lambda r, w: None) as (_, address, peer):
+        sender = tunnelclient.PeerEndpoints(None, events.append)
+        relay_address = address.partition('/')[0]
+        await sender.report_leaving(
+            make_member(relay_address), make_entry('10.0.0.1:1')
+        )
+        assert peer.leaving == ['e0']
+    # A peer that is gone leaves a line in the log only.
+    await sender.report_leaving(
+        make_member(relay_address), make_entry('10.0.0.1:1')
+    )
+    assert [event.kind for event in events] == ['leaving-not-reported']
--- /dev/null
+++ b/tests/platform/test_endpointclient.py
@@ -0,0 +1,74 @@
+"""Test what the client takes from the heads of endpoints' answers."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from pomelopass.edges import httpclient
+from pomelopass.platform import endpointclient
+from pomelopass.registry import endpoint as endpoints
+from pomelopass.requests import call as calls
+from pomelopass.versions import orders
+
+ORDER = orders.VersionOrder('m', 2, True, 'holder', 1, 0)
+CALL = calls.Call('id-1', 'h', 'POST', '/', (), b'x', None)
+
+
+@contextlib.asynccontextmanager
+async def run_endpoint(status, body=b'{}'):
+    """Yield a client, an endpoint that answers all, and who said it leaves."""
+
+    async def answer(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        head = (
+            f'HTTP/1.1 {status} X\r\nattempt-id: id-1\r\n'
+            f'Server-Leaving: 1\r\ncontent-length: {len(body)}\r\n\r\n'
+        )
+        writer.write(head.encode() + body)
+        await writer.drain()
+        writer.close()
+
+    listener = await asyncio.start_server(answer, '127.0.0.1', 0)
+    port = listener.sockets[0].getsockname()[1]
+    target = endpoints.Endpoint(
+        'e0', 'desk', f'127.0.0.1:{port}', 'north', 8, False, {}, 7
+    )
+    leaving = []
+    client = endpointclient.EndpointClient(httpclient.HttpClient())
+    client.set_on_leaving(lambda target: leaving.append(target.id))
+    try:
+        yield client, target, leaving
+    finally:
+        listener.close()
+
+
+@pytest.mark.parametrize('status', [200, 429, 500, 503])
+async def test_any_answer_may_say_that_its_endpoint_leaves(status):
+    async with run_endpoint(status) as (client, target, leaving):
+        answer = await client.open(target, CALL, 1000)
+        assert answer.is_leaving
+        assert leaving == ['e0']
+        await answer.reply.close()
+
+
+# Another endpoint answers where an address was used again.
+async def test_answer_of_another_endpoint_says_nothing_of_this_one():
+    async with run_endpoint(421) as (client, target, leaving):
+        answer = await client.open(target, CALL, 1000)
+        assert not answer.is_leaving
+        assert leaving == []
+        await answer.reply.close()
+
+
+async def test_report_may_say_that_its_engine_leaves():
+    async with run_endpoint(200) as (client, target, leaving):
+        assert await client.fetch_report(target) is not None
+        assert leaving == ['e0']
+
+
+async def test_answer_to_an_order_may_say_that_its_engine_leaves():
+    async with run_endpoint(409) as (client, target, leaving):
+        outcome = await client.order_version(target, ORDER)
+        assert outcome is orders.OrderOutcome.BUSY
+        assert leaving == ['e0']
