Pass errors of streaming routes on whole, not as streams

Callers of a resumable route got the head of a 404 or 422 and a body that broke off; with two engines answering so, parts of both bodies could stand in one answer. Cause: any answer below 500 was relayed as a stream, so a body without an event counted as cut off and was resumed elsewhere. Change: only a 2xx is a stream; another answer is read whole within 500 ms and passed on with its length. Ruled out: a special parser for error bodies.

--- a/pomelopass/requests/streamopen.py
+++ b/pomelopass/requests/streamopen.py
@@ -19,6 +19,10 @@
 ERROR_BODY_TIMEOUT_MS = 500.0
 
 
+def _is_success(status: int) -> bool:
+    return 200 <= status < 300
+
+
 @dataclasses.dataclass(slots=True)
 class Stream:
     """A stream across the endpoints that run it."""
@@ -118,8 +122,13 @@
                     continue
                 break
             answer = await self._try_endpoint(stream, endpoint_state)
-            if answer is not None:
+            if answer is None:
+                continue
+            if _is_success(answer.status):
                 return OpenedStream(answer, endpoint_state)
+            await self._store_error(stream, answer)
+            if answer.status < 500:
+                break
         return callstate.get_final_outcome(state)
 
     async def _try_endpoint(
@@ -156,10 +165,7 @@
             await answer.reply.close()
             state.reason = 'other-status'
             return None
-        if answer.status < 500 or not routes.may_repeat(state.route):
-            return answer
-        await self._store_error(stream, answer)
-        return None
+        return answer
 
     async def _store_error(self, stream: Stream, answer: calls.Answer) -> None:
         try:
