Take a run without a length or an event for broken off

A resumed stream ended as whole, and a text could end short, when the next engine closed its connection in order before the first event, as a process does that dies. Cause: an answer without a length ends with its connection, and its end was trusted whenever no part of an event was left. Change: such a run with no event at all is one that broke off; it goes on elsewhere. One that marks its end, by a length or by chunks, still ends a stream of which the last event had arrived. The same cause stood in the runs of items and is mended there too. Ruled out: waiting for another engine's word on each such end (attempts).

--- a/pomelopass/jobs/itemstream.py
+++ b/pomelopass/jobs/itemstream.py
@@ -160,7 +160,9 @@
             slow_checks = slow_checks + 1 if is_slow else 0
             if slow_checks >= SLOW_CHECKS_TO_MOVE:
                 return 'moved'
-    if parser.unread.strip():
+    # A run without an event may have ended with the engine's connection.
+    may_be_cut = last_event_at is None and not calls.marks_its_end(answer)
+    if parser.unread.strip() or may_be_cut:
         raise message.ExchangeError('truncated', 1)
     run.progress.whole = True
     return 'done'
--- a/pomelopass/requests/call.py
+++ b/pomelopass/requests/call.py
@@ -15,6 +15,7 @@
     'Call',
     'CallFailedError',
     'EndpointPort',
+    'marks_its_end',
 ]
 
 # An endpoint reports that the content fails on every run.
@@ -68,6 +69,19 @@
     peer: str = ''
 
 
+def marks_its_end(answer: Answer) -> bool:
+    """Return whether the end of the answer differs from a lost connection.
+
+    An answer without a length ends with its connection, also if the endpoint
+    dies in order.
+    """
+    headers = answer.reply.headers
+    return (
+        message.find_header(headers, 'transfer-encoding') is not None
+        or message.find_header(headers, 'content-length') is not None
+    )
+
+
 class CallFailedError(Exception):
     """Raised when an endpoint gave no usable answer."""
 
--- a/pomelopass/requests/stream.py
+++ b/pomelopass/requests/stream.py
@@ -109,6 +109,7 @@
         parser = events.EventParser(self.version_field, stream.last_event_id)
         pending = b''
         is_complete = False
+        has_events = False
         stall_at = loop.time() + stream.stall_ms / 1000
         opened.endpoint_state.in_flight += 1
         try:
@@ -122,6 +123,7 @@
                 ).rpartition(EVENT_END)
                 parsed_events = parser.feed(chunk)
                 if parsed_events:
+                    has_events = True
                     stream.last_event_id = parsed_events[-1].id
                     stall_at = loop.time() + stream.stall_ms / 1000
                 elif loop.time() >= stall_at:
@@ -129,7 +131,10 @@
                     raise message.ExchangeError('timeout', 1)
                 if separator:
                     yield complete_events + separator
-            if pending:
+            may_be_cut = stream.state.route.resumable and not (
+                has_events or calls.marks_its_end(opened.answer)
+            )
+            if pending or may_be_cut:
                 raise message.ExchangeError('truncated', 1)
             is_complete = True
         finally:
--- a/standins/modelengines.py
+++ b/standins/modelengines.py
@@ -51,6 +51,8 @@
     break_share: float = 0.0
     # A broken stream ends without a transport error, but inside an event.
     breaks_cleanly: bool = False
+    # Share of runs whose connection closes in order before the first event.
+    ends_at_once_share: float = 0.0
     lose_share: float = 0.0
     # Requests a second that the endpoint names as its limit.
     limit_per_s: float | None = None
@@ -278,6 +280,11 @@
             )
             breaks = self.rng.random() < endpoint.break_share
             version = None
+            if (
+                endpoint.ends_at_once_share
+                and self.rng.random() < endpoint.ends_at_once_share
+            ):
+                return
             for number in range(first, total + 1):
                 pause_s = EVENT_S * endpoint.slowness
                 if stall_ms is not None and pause_s > stall_ms / 1000:
--- a/tests/entry/test_jobs.py
+++ b/tests/entry/test_jobs.py
@@ -271,3 +271,19 @@
         assert terminated == {item.id for item in submission.items}
 
     entrybuilders.run_cluster(scenario)
+
+
+# Such a run looked like the end of the text.
+@pytest.mark.parametrize('seed', range(3))
+def test_runs_that_close_before_their_first_event_end_no_text(seed):
+    async def scenario(cluster):
+        for number in range(3):
+            endpoint = cluster.pool.endpoint_by_id[f'engine-{number}']
+            endpoint.ends_at_once_share = 0.4
+            endpoint.break_share = 0.3
+        submission = entrybuilders.make_submission(groups=6)
+        await cluster.submit('entry-0', submission)
+        results = await cluster.read_all('job-1', 30)
+        check_results(cluster, submission, results)
+
+    entrybuilders.run_cluster(scenario, seed)
