Pass no stream on without its engine's signature

A 200 without a signature reached the caller of a stream, who must not take it for an engine's answer; answers that are no streams were checked. Cause: the check stood in the path of whole answers only. Change: a stream without a signature counts as a failed attempt before anything of it is passed on, and is opened elsewhere where the route allows. Ruled out: a check at the end, when events have left. Measured: the test failed before for routes that can't be resumed and passes now; tests of streams, resumed streams and cut instances pass.

--- a/pomelopass/requests/streamopen.py
+++ b/pomelopass/requests/streamopen.py
@@ -160,6 +160,12 @@
             return None
         state.may_have_run += 1
         state.tried.add(endpoint_state.endpoint.id)
+        if _is_success(answer.status) and answer.signature is None:
+            await answer.reply.close()
+            await self.record_break(
+                stream, endpoint_state, 'no-signature', False
+            )
+            return None
         if stream.status and answer.status != stream.status:
             # The caller has already received another status.
             await answer.reply.close()
