Reset the connection of a broken stream to an HTTP/1.0 caller

A caller of HTTP/1.0 took a stream that broke off for whole. Cause: such a reply has neither a length nor chunks, so an orderly close is its end, and a broken stream was closed in order. Change: the connection is reset then; HTTP/1.1 keeps the orderly close, where the missing last chunk tells, since a reset may drop events on the way. Measured: the test failed before (the read ended without an error) and passes now, as does the one for a stream that ends in order.

--- a/pomelopass/edges/httpserver.py
+++ b/pomelopass/edges/httpserver.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections import abc
 import contextlib
+import socket
+import struct
 
 import h11
 
@@ -17,6 +19,8 @@
 IDLE_TIMEOUT_MS = 60_000
 WRITE_STALL_TIMEOUT_MS = 30_000
 MAX_HEAD_BYTES = 32_768
+# SO_LINGER with a linger time of 0 s.
+RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
 Handler = abc.Callable[[message.Request], abc.Awaitable[message.Reply]]
 MakeRefusal = abc.Callable[[int, str], message.Reply]
@@ -77,7 +81,7 @@
         finally:
             self.connection_count -= 1
             self.idle_writers.discard(writer)
-            writer.close()
+            _close(request_reader.state, writer)
 
     async def _serve_request(
         self,
@@ -181,6 +185,20 @@
     return f'{host}:{bound_port}', listener
 
 
+def _close(state: h11.Connection, writer: asyncio.StreamWriter) -> None:
+    """Close a connection so that a broken reply does not look complete."""
+    is_broken = state.our_state is h11.SEND_BODY
+    if is_broken and state.their_http_version == b'1.0':
+        # Such a reply has neither a length nor chunks.
+        connected_socket = writer.get_extra_info('socket')
+        with contextlib.suppress(OSError):
+            connected_socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+            )
+        writer.transport.abort()
+    writer.close()
+
+
 async def _write_chunks(
     state: h11.Connection,
     writer: asyncio.StreamWriter,
--- a/tests/edges/test_httpserver.py
+++ b/tests/edges/test_httpserver.py
@@ -101,3 +101,33 @@
     assert len(yielded_chunks) < 500
     writer.close()
     await server.close()
+
+
+# Without chunks the close of the connection would look like the end.
+@pytest.mark.parametrize('breaks', [True, False])
+async def test_broken_stream_is_reset_for_a_caller_of_http_1_0(breaks):
+    async def handler(request):
+        async def chunks():
+            yield b'id: 1\n\n'
+            await asyncio.sleep(0.02)
+            if breaks:
+                raise ConnectionResetError
+
+        return message.Reply(200, (), chunks=chunks())
+
+    data = b'GET / HTTP/1.0\r\nhost: a\r\n\r\n'
+    server = httpserver.HttpServer(
+        handler, problemdetails.make_status_refusal, MAX_BODY_BYTES, 2
+    )
+    address, _ = await httpserver.start_server(server, '127.0.0.1:0')
+    port = int(address.rpartition(':')[2])
+    reader, writer = await asyncio.open_connection('127.0.0.1', port)
+    writer.write(data)
+    await reader.readuntil(b'id: 1\n\n')
+    if breaks:
+        with pytest.raises(ConnectionResetError):
+            await reader.read()
+    else:
+        assert await reader.read() == b''
+    writer.close()
+    await server.close()
