Refuse late in a planned stop what can't end before it

Callers that stayed until the end of the grace time of a stop had requests cut without an answer, orders among them that may not be sent again (LOST). Cause: the stop closed its servers at a fixed time whatever ran, and requests were taken until then. Class: work taken without a look at the time that is left. Submissions need the time of their write. Ruled out: a longer grace (the platform kills) and refusing all from SIGTERM on (callers with old addresses in calm would be turned away).

--- a/pomelopass/entry/__main__.py
+++ b/pomelopass/entry/__main__.py
@@ -201,7 +201,7 @@
         stopping_since + node.settings.stop_limit_s - STOP_MARGIN_MS / 1000
     )
     write_event(logevents.Stopping(owned=len(node.job_manager.task_by_id)))
-    node.begin_stop()
+    node.begin_stop(deadline)
     servers[0].stop_keep_alive()
     while loop.time() < min(
         stopping_since + DIRECTORY_DRAIN_MS / 1000, deadline
--- a/pomelopass/entry/node.py
+++ b/pomelopass/entry/node.py
@@ -27,6 +27,7 @@
 from ..requests import forward
 from ..requests import quarantine as quarantines
 from ..requests import routes
+from ..requests import stopgate
 from ..requests import stream as streams
 from . import settings as entrysettings
 from ..table import fallback
@@ -73,6 +74,7 @@
             self.membership, self.registry, ports.write_event
         )
         self.stopping = False
+        self.stop_gate = stopgate.StopGate()
         self.relayed = relay.RelayedTable(self._get_relay_addresses, ports.rng)
         self.fallback = fallback.FallbackTable(
             ports.table, self.relayed, ports.write_event
@@ -137,6 +139,7 @@
             is_ready=self.is_ready,
             directory_ttl_s=settings.directory_ttl_s,
             write_event=ports.write_event,
+            stop_gate=self.stop_gate,
         )
         self.watch = tablewatch.TableWatch(
             self.table, self._make_listeners(), ports.rng
@@ -257,9 +260,13 @@
         self.settings = settings
         self.ingress.directory_ttl_s = settings.directory_ttl_s
 
-    def begin_stop(self) -> None:
-        """Leave the directory and acquire no new duty."""
+    def begin_stop(self, closes_at: float) -> None:
+        """Leave the directory, acquire no new duty, refuse what can't end.
+
+        Connections close at a time of the event loop in seconds.
+        """
         self.stopping = True
+        self.stop_gate.begin(asyncio.get_running_loop().time(), closes_at)
         self.versions.stopping = True
         self.heartbeat.stop_accepting()
 
--- a/pomelopass/platform/ingress.py
+++ b/pomelopass/platform/ingress.py
@@ -18,6 +18,7 @@
 from ..requests import forward
 from ..requests import outcome as outcomes
 from ..requests import routes
+from ..requests import stopgate
 from ..requests import stream as streams
 from ..table import rows
 
@@ -72,6 +73,7 @@
     is_ready: abc.Callable[[], bool]
     directory_ttl_s: float
     write_event: logevents.WriteEvent
+    stop_gate: stopgate.StopGate
 
     async def handle_readiness(
         self, request: message.Request
@@ -101,6 +103,16 @@
 
     async def handle(self, request: message.Request) -> message.Reply:
         """Answer a request of a caller or a trainer."""
+        if not self.stop_gate.has_time(0.0):
+            return make_refusal(503, 'The instance stops.')
+        try:
+            async with self.stop_gate.limit():
+                return await self._handle(request)
+        except TimeoutError:
+            # It may have run: this status promises nothing.
+            return make_refusal(502, 'The instance stops.')
+
+    async def _handle(self, request: message.Request) -> message.Reply:
         path = _get_path(request)
         if path.startswith(names.JOB_PATH):
             return await self._handle_job(request, path)
@@ -128,6 +140,8 @@
         route: routes.Route,
     ) -> message.Reply:
         call = _make_call(request, request_id, host)
+        if not self.stop_gate.admits(route, _get_time_limit(call, route)):
+            return make_refusal(503, 'The instance stops before the deadline.')
         if route.route_type is routes.RouteType.STREAMING:
             outcome = await self.streams.open_stream(call, route)
             if isinstance(outcome, message.Reply):
@@ -155,6 +169,8 @@
                 logevents.JobRefused(job=job_id, why=decoded.failure())
             )
             return make_refusal(400, decoded.failure())
+        if not self.stop_gate.has_time(jobapi.WRITE_TIMEOUT_MS):
+            return make_refusal(503, 'The instance stops.')
         # Acceptance is completed even if the trainer disconnects.
         outcome = await asyncio.shield(
             asyncio.ensure_future(self.job_api.accept(submission))
@@ -206,6 +222,16 @@
         return message.Reply(200, headers, body)
 
 
+def _get_time_limit(call: calls.Call, route: routes.Route) -> float:
+    # The route's time bounds only the first event of a stream.
+    if (
+        route.route_type is routes.RouteType.STREAMING
+        and call.deadline_at is not None
+    ):
+        return call.deadline_at
+    return routes.get_time_limit(route, call.deadline_at)
+
+
 def make_refusal(
     status: int, detail: str, retry_after_s: float = RETRY_AFTER_S
 ) -> message.Reply:
