Refuse a request that arrives at the very end of a stop

Cause: the comparison allowed equality, so a request could be taken in the same step of the loop in which the others were ended. Change: the time must lie before the end.

--- a/pomelopass/requests/stopgate.py
+++ b/pomelopass/requests/stopgate.py
@@ -48,7 +48,7 @@
     def has_time(self, duration_ms: float) -> bool:
         """Return whether work of that duration ends before the instance."""
         now = asyncio.get_running_loop().time()
-        return now + duration_ms / 1000 <= self.ends_at
+        return now + duration_ms / 1000 < self.ends_at
 
     @contextlib.asynccontextmanager
     async def limit(self) -> abc.AsyncGenerator[None, None]:
