Carry no request over an open tunnel to an endpoint that leaves

A peer that knew of an endpoint's leaving still carried requests to it over tunnels that were open: the endpoint sees them from that peer, so they count as sent by it (DRAIN), and the instance that sent them may not know while the table is away. Cause: only the opening of a tunnel asked whether the endpoint is offered; the tunnel stayed in the pool of the other instance. Class: a check at the opening of something that is kept. Change: the first bytes of each request ask again; an answer in progress goes through. Ruled out: closing tunnels when the word comes, since the peer can't tell where an answer ends and would cut the one that brought the word. Measured: the new test failed before (the request arrived) and passes now, with one that an answer in progress arrives whole; all 36 tests of the file pass.

--- a/pomelopass/paths/tunnelserver.py
+++ b/pomelopass/paths/tunnelserver.py
@@ -107,7 +107,7 @@
             self.opening -= 1
 
         async def carry(peer: Stream) -> None:
-            await self._carry(peer, stream)
+            await self._carry(target.id, peer, stream)
 
         return relayserver.Takeover(
             ttypes.TunnelOutcome.OPEN, carry, stream[1].close
@@ -117,11 +117,19 @@
         self.on_leaving(arguments.endpoint_id, arguments.started_at_ms)
         return True
 
-    async def _carry(self, peer: Stream, endpoint: Stream) -> None:
+    async def _carry(
+        self, endpoint_id: str, peer: Stream, endpoint: Stream
+    ) -> None:
         tunnel = _Tunnel(asyncio.get_running_loop().time())
         self.tunnels.add(tunnel)
+
+        def is_offered() -> bool:
+            return self.find_endpoint(endpoint_id) is not None
+
         tasks = [
-            asyncio.ensure_future(_carry_up(tunnel, peer[0], endpoint[1])),
+            asyncio.ensure_future(
+                _carry_up(tunnel, peer[0], endpoint[1], is_offered)
+            ),
             asyncio.ensure_future(_carry_down(tunnel, endpoint[0], peer[1])),
             asyncio.ensure_future(_wait_until_idle(tunnel)),
         ]
@@ -140,9 +148,15 @@
     tunnel: _Tunnel,
     reader: asyncio.StreamReader,
     writer: asyncio.StreamWriter,
+    is_offered: abc.Callable[[], bool],
 ) -> None:
-    """Carry the bytes of a peer until it closes the tunnel."""
+    """Carry the bytes of a peer until it closes the tunnel.
+
+    An endpoint that leaves gets no further request.
+    """
     while data := await reader.read(READ_BYTES):
+        if not (tunnel.awaits_answer or is_offered()):
+            return
         tunnel.used_at = asyncio.get_running_loop().time()
         tunnel.awaits_answer = True
         writer.write(data)
--- a/tests/paths/test_tunnels.py
+++ b/tests/paths/test_tunnels.py
@@ -48,9 +48,9 @@
         self.unreachable = []
         self.leaving = []
         self.book = books.PathBook(lambda: 1, lambda event: None)
-        entry = make_entry(endpoint_address)
+        self.entry_by_id = {'e0': make_entry(endpoint_address)}
         self.tunnels = tunnelserver.TunnelServer(
-            lambda name: entry if name == 'e0' else None,
+            self.entry_by_id.get,
             lambda: is_stopping,
             self.book,
             self.unreachable.append,
@@ -109,10 +109,7 @@
 
     async def answer(reader, writer):
         connections.append(writer)
-        with contextlib.suppress(asyncio.IncompleteReadError):
-            while True:
-                await reader.readuntil(b'\r\n\r\n')
-                writer.write(WITH_LENGTH)
+        await answer_each_request(reader, writer)
 
     async with run_tunnel(answer) as (client, address, peer):
         for _ in range(3):
@@ -122,6 +119,47 @@
         await client.close()
 
 
+async def answer_each_request(reader, writer):
+    with contextlib.suppress(asyncio.IncompleteReadError):
+        while True:
+            await reader.readuntil(b'\r\n\r\n')
+            writer.write(WITH_LENGTH)
+    writer.close()
+
+
+# A peer that knows that an endpoint leaves must not carry requests to it.
+async def test_open_tunnel_carries_no_request_to_an_endpoint_that_leaves():
+    requests = []
+
+    async def answer(reader, writer):
+        with contextlib.suppress(asyncio.IncompleteReadError):
+            while True:
+                requests.append(await reader.readuntil(b'\r\n\r\n'))
+                writer.write(WITH_LENGTH)
+        writer.close()
+
+    async with run_tunnel(answer) as (client, address, peer):
+        assert await fetch(client, address) == b'hello'
+        del peer.entry_by_id['e0']
+        with pytest.raises(message.ExchangeError):
+            await fetch(client, address)
+    assert len(requests) == 1
+
+
+async def test_answer_of_an_endpoint_that_leaves_arrives_whole():
+    async def answer(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(WITH_LENGTH[:-3])
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        writer.write(WITH_LENGTH[-3:])
+
+    async with run_tunnel(answer) as (client, address, peer):
+        reply = await client.open(address, GET, 2000)
+        del peer.entry_by_id['e0']
+        assert await reply.read(1000) == b'hello'
+
+
 # A reset on the way must not look like the end of a body without a length.
 @pytest.mark.parametrize('cut', range(1, len(WITHOUT_LENGTH) + 1))
 async def test_answer_reset_at_any_byte_is_not_complete(cut):
