Let the soak cut instances off all endpoints

Cause: one proxy stood before each endpoint for all instances, and could not tell them apart. Change: the proxy finds out which process a connection belongs to; the soak cuts one instance, at times all, off every endpoint, in three ways: open connections hang, are reset, or live on, and new ones are reset. Ruled out: a proxy for each pair, which would need its own addresses in the entries.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -45,6 +45,7 @@
             self._inject_connection_fault,
             self._inject_table_fault,
             self._inject_endpoint_fault,
+            self._cut_off_endpoints,
             self._kill_many,
         )
         tasks = set()
@@ -126,6 +127,29 @@
         await asyncio.sleep(duration_s)
         faulty_proxy.clear_faults()
 
+    def _get_endpoint_proxies(self) -> list[proxy.Proxy]:
+        return [
+            endpoint_proxy
+            for name, endpoint_proxy in self.proxy_by_name.items()
+            if name not in self.fleet.settings_by_name
+        ]
+
+    async def _cut_off_endpoints(self) -> None:
+        """Cut one instance off all endpoints, or all instances at times."""
+        names = sorted(self.fleet.settings_by_name)
+        if self.rng.random() < 0.8:
+            names = [self.rng.choice(names)]
+        kind = self.rng.choice(proxy.CUT_KINDS)
+        duration_s = self.get_duration_s()
+        self.record(f'cut {names} off endpoints: {kind}, {duration_s:.1f} s')
+        for endpoint_proxy in self._get_endpoint_proxies():
+            for name in names:
+                endpoint_proxy.cut_owner(name, kind)
+        await asyncio.sleep(duration_s)
+        for endpoint_proxy in self._get_endpoint_proxies():
+            for name in names:
+                endpoint_proxy.heal_owner(name)
+
     async def _inject_table_fault(self) -> None:
         if 'table' in self.faulty_targets:
             return
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -1,19 +1,34 @@
 """Loopback TCP proxy with fault injection."""
 
 import asyncio
+from collections import abc
 import contextlib
 
-__all__ = ['Proxy']
+__all__ = ['CUT_KINDS', 'Proxy']
+
+# What happens to the connections of an owner that is cut off. New ones are
+# reset; the open ones hang, are reset, or live on.
+CUT_KINDS = ('hang', 'reset', 'live-on')
 
 READ_BYTES = 65_536
 POLL_S = 0.05
 
 
 class Proxy:
-    """Proxy to one target, with faults that apply to all connections."""
+    """Proxy to one target, with faults of all or of one owner's connections.
+
+    The owner is the process that connected, by name.
+    """
 
-    def __init__(self, target: str):
+    def __init__(
+        self,
+        target: str,
+        find_owner: abc.Callable[[int, int], str | None] | None = None,
+    ):
         self.target = target
+        self.find_owner = find_owner
+        self.cut_kind_by_owner: dict[str, str] = {}
+        self.owner_by_writer: dict[asyncio.StreamWriter, str | None] = {}
         self.address = ''
         self.delay_s = 0.0
         self.stall_requests = False
@@ -40,15 +55,33 @@
         for writer in list(self.writers):
             writer.transport.abort()
 
+    def cut_owner(self, owner: str, kind: str) -> None:
+        """Cut the connections of one owner."""
+        self.cut_kind_by_owner[owner] = kind
+        if kind == 'reset':
+            for writer, writer_owner in list(self.owner_by_writer.items()):
+                if writer_owner == owner:
+                    writer.transport.abort()
+
+    def heal_owner(self, owner: str) -> None:
+        """Let the connections of an owner pass; held data is delivered."""
+        self.cut_kind_by_owner.pop(owner, None)
+
     def clear_faults(self) -> None:
         """Clear all faults; stalled data is then delivered."""
+        self.cut_kind_by_owner.clear()
         self.delay_s = 0.0
         self.stall_requests = False
         self.stall_replies = False
         self.refuse = False
 
     async def _serve(self, reader, writer) -> None:
-        if self.refuse:
+        owner = None
+        if self.find_owner is not None:
+            port = writer.get_extra_info('peername')[1]
+            own_port = writer.get_extra_info('sockname')[1]
+            owner = self.find_owner(port, own_port)
+        if self.refuse or owner in self.cut_kind_by_owner:
             writer.transport.abort()
             return
         host, _, port = self.target.rpartition(':')
@@ -60,27 +93,36 @@
             writer.transport.abort()
             return
         self.writers |= {writer, target_writer}
+        self.owner_by_writer[writer] = owner
         # The event loop cancels open connections at its end: no error.
         with contextlib.suppress(asyncio.CancelledError):
-            await self._relay(reader, writer, target_reader, target_writer)
+            await self._relay(
+                reader, writer, target_reader, target_writer, owner
+            )
 
     async def _relay(
-        self, reader, writer, target_reader, target_writer
+        self, reader, writer, target_reader, target_writer, owner
     ) -> None:
         try:
             await asyncio.gather(
-                self._forward(reader, target_writer, 'stall_requests'),
-                self._forward(target_reader, writer, 'stall_replies'),
+                self._forward(reader, target_writer, 'stall_requests', owner),
+                self._forward(target_reader, writer, 'stall_replies', owner),
             )
         finally:
             self.writers -= {writer, target_writer}
+            self.owner_by_writer.pop(writer, None)
 
-    async def _forward(self, reader, writer, stall_flag: str) -> None:
+    async def _forward(
+        self, reader, writer, stall_flag: str, owner: str | None
+    ) -> None:
         with contextlib.suppress(OSError):
             while data := await reader.read(READ_BYTES):
                 if self.delay_s:
                     await asyncio.sleep(self.delay_s)
-                while getattr(self, stall_flag):
+                while (
+                    getattr(self, stall_flag)
+                    or self.cut_kind_by_owner.get(owner) == 'hang'
+                ):
                     await asyncio.sleep(POLL_S)
                 writer.write(data)
                 await writer.drain()
--- a/soak/run.py
+++ b/soak/run.py
@@ -12,6 +12,7 @@
 from soak import clients
 from soak import faults
 from soak import proxy
+from soak import sockets
 from tests import entrybuilders
 
 __all__ = ['run_soak']
@@ -99,7 +100,7 @@
         records = await asyncio.to_thread(self.fleet.get_endpoint_records)
         records.pop('events')
         for endpoint_id, record in records.items():
-            endpoint_proxy = proxy.Proxy(record['address'])
+            endpoint_proxy = proxy.Proxy(record['address'], self._find_owner)
             await endpoint_proxy.start()
             self.proxy_by_name[endpoint_id] = endpoint_proxy
             await self.post(
@@ -107,6 +108,12 @@
                 {'id': endpoint_id, 'address': endpoint_proxy.address},
             )
 
+    def _find_owner(self, port: int, peer_port: int) -> str | None:
+        pid_by_name = {
+            name: popen.pid for name, popen in self.fleet.popen_by_name.items()
+        }
+        return sockets.find_owner(port, peer_port, pid_by_name)
+
     async def _put_configuration(self, version: int) -> None:
         value = entrybuilders.make_configuration(version=version)
         row = {'table': 'op', 'key': 'config', 'value': value}
