Let the soak end replies within their heads

The soak broke connections by kills and resets at random moments only, so a cut inside the head of an answer was rare. Change: one reply of an endpoint ends in order after a random number of bytes, up to beyond its head; callers must not see it as an answer, and orders must not run twice for it. Ruled out: a reset as well, which tests/edges/test_cut_heads.py has at each byte.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -15,6 +15,8 @@
 PAUSE_MAX_S = 1.5
 FAULT_MIN_S = 0.3
 FAULT_MAX_S = 5.0
+# Longer than a head of the stand-ins.
+MAX_CUT_BYTES = 200
 
 
 @dataclasses.dataclass(slots=True)
@@ -46,6 +48,7 @@
             self._inject_table_fault,
             self._inject_endpoint_fault,
             self._cut_off_endpoints,
+            self._cut_reply,
             self._kill_many,
         )
         tasks = set()
@@ -150,6 +153,12 @@
             for name in names:
                 endpoint_proxy.heal_owner(name)
 
+    async def _cut_reply(self) -> None:
+        """End the connection of one reply within its head, or after it."""
+        endpoint_proxy = self.rng.choice(self._get_endpoint_proxies())
+        endpoint_proxy.cut_reply_after = self.rng.randrange(MAX_CUT_BYTES)
+        self.record(f'cut a reply after {endpoint_proxy.cut_reply_after} B')
+
     async def _inject_table_fault(self) -> None:
         if 'table' in self.faulty_targets:
             return
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -29,6 +29,8 @@
         self.find_owner = find_owner
         self.cut_kind_by_owner: dict[str, str] = {}
         self.owner_by_writer: dict[asyncio.StreamWriter, str | None] = {}
+        # Bytes of the next reply to pass on before its connection ends.
+        self.cut_reply_after: int | None = None
         self.address = ''
         self.delay_s = 0.0
         self.stall_requests = False
@@ -70,6 +72,7 @@
     def clear_faults(self) -> None:
         """Clear all faults; stalled data is then delivered."""
         self.cut_kind_by_owner.clear()
+        self.cut_reply_after = None
         self.delay_s = 0.0
         self.stall_requests = False
         self.stall_replies = False
@@ -124,6 +127,11 @@
                     or self.cut_kind_by_owner.get(owner) == 'hang'
                 ):
                     await asyncio.sleep(POLL_S)
+                cut_after = self.cut_reply_after
+                if cut_after is not None and stall_flag == 'stall_replies':
+                    self.cut_reply_after = None
+                    writer.write(data[:cut_after])
+                    break
                 writer.write(data)
                 await writer.drain()
         writer.close()
