Let endpoints of the soak say that they leave

Endpoints of the soak left by their entries only, so what their answers say had no test beside other faults. Change: an engine or a plain service says in its answers that it leaves, for a while, and starts again under its id; the audit of the logs (level DEBUG) fails the run if an instance sends it requests later than 2 s after it heard that. Ruled out: a second count in the stand-ins, since only the logs show which instance had heard it.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -1,7 +1,10 @@
 """Compare the endpoints' records with the replies that callers got."""
 
 from collections import abc
+import pathlib
 
+from pomelopass.reporting import leavingaudit
+from pomelopass.reporting import savedlogs
 from soak import clients
 from standins import modelengines
 
@@ -9,6 +12,7 @@
     'check_jobs',
     'check_orders',
     'check_engine_orders',
+    'check_leaving',
     'check_streams',
 ]
 
@@ -101,6 +105,20 @@
                 fail(f'{name}: two holders with fence {fence}')
 
 
+def check_leaving(
+    log_files: abc.Iterable[pathlib.Path], fail: abc.Callable[[str], None]
+) -> None:
+    """Check that what said that it leaves gets no more requests."""
+    lines = savedlogs.read_lines(
+        path.read_text(errors='replace').splitlines() for path in log_files
+    )
+    for late in leavingaudit.find_late_requests(lines):
+        fail(
+            f'{late.instance} sent {len(late.ids)} requests to '
+            f'{late.endpoint} after it said that it leaves: {late.ids[:3]}'
+        )
+
+
 def _count_runs(records: dict) -> dict[str, int]:
     run_counts: dict[str, int] = {}
     for name, record in records.items():
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -49,6 +49,7 @@
             self._inject_endpoint_fault,
             self._cut_off_endpoints,
             self._cut_reply,
+            self._leave,
             self._kill_many,
         )
         tasks = set()
@@ -159,6 +160,24 @@
         endpoint_proxy.cut_reply_after = self.rng.randrange(MAX_CUT_BYTES)
         self.record(f'cut a reply after {endpoint_proxy.cut_reply_after} B')
 
+    async def _leave(self) -> None:
+        """Let an endpoint say that it leaves, then start it again."""
+        endpoint = self.rng.choice(('engine-2', 'desk-1'))
+        if endpoint in self.faulty_targets:
+            return
+        self.faulty_targets.add(endpoint)
+        duration_s = self.get_duration_s()
+        self.record(f'{endpoint} says that it leaves for {duration_s:.1f} s')
+        await self.post('/endpoint', {'id': endpoint, 'says_leaving': True})
+        await asyncio.sleep(duration_s)
+        changes = {
+            'id': endpoint,
+            'says_leaving': False,
+            'started_at_ms': self.rng.randrange(2, 10**9),
+        }
+        await self.post('/endpoint', changes)
+        self.faulty_targets.discard(endpoint)
+
     async def _inject_table_fault(self) -> None:
         if 'table' in self.faulty_targets:
             return
--- a/soak/run.py
+++ b/soak/run.py
@@ -92,7 +92,12 @@
             table_proxy = proxy.Proxy(self.fleet.platform.address)
             await table_proxy.start()
             self.proxy_by_name[name] = table_proxy
-            self.fleet.start_entry(name, table_address=table_proxy.address)
+            self.fleet.start_entry(
+                name,
+                table_address=table_proxy.address,
+                # For the audit of the logs.
+                log_level='DEBUG',
+            )
         await self._insert_endpoint_proxies()
         await asyncio.to_thread(self.fleet.wait_ready)
 
@@ -153,6 +158,7 @@
         checks.check_orders(callers.status_by_order, records, self.fail)
         checks.check_streams(callers, records, self.fail)
         checks.check_engine_orders(records, self.fail)
+        checks.check_leaving(self.fleet.folder.glob('*.log'), self.fail)
         accepted = sum(job.accepted for job in callers.job_by_id.values())
         served = sum(
             status == 200 for status in callers.status_by_order.values()
