--- a/pomelopass/commands/logs.py
+++ b/pomelopass/commands/logs.py
@@ -146,7 +146,7 @@
     for text in texts.joined:
         print(
             f'text JOINED: {text.id}, written by '
-            f'{", ".join(text.software) or "nobody"}, went on after '
+            f'{", ".join(text.software) or "unknown"}, resumed after '
             f'event {text.resumed_after} at {text.continued_at} '
             f'({text.continued_software})'
         )
--- a/pomelopass/jobs/events.py
+++ b/pomelopass/jobs/events.py
@@ -43,7 +43,7 @@
     def __init__(self, version_field: str, last_id: str | None = None):
         self.version_field = version_field
         self.unread = b''
-        # Of the event after which the text goes on.
+        # Of the event after which the text is resumed.
         self.last_id = last_id if (last_id or '').isdecimal() else ''
 
     def feed(self, data: bytes) -> list[Event]:
--- a/pomelopass/jobs/itemstream.py
+++ b/pomelopass/jobs/itemstream.py
@@ -34,7 +34,7 @@
     """
     loop = asyncio.get_running_loop()
     remaining_ms = (context.expires_at - loop.time()) * 1000
-    # The entry may change while the run goes on.
+    # The entry may change during the run.
     software = state.endpoint.software
     answer = await context.port.open(
         state.endpoint,
--- a/pomelopass/jobs/progress.py
+++ b/pomelopass/jobs/progress.py
@@ -28,5 +28,5 @@
         self.software = None
 
     def can_resume_at(self, software: str) -> bool:
-        """Return whether an endpoint of this software may go on."""
+        """Return whether an endpoint of this software may resume the text."""
         return not self.texts or self.software == software
--- a/pomelopass/jobs/schedule.py
+++ b/pomelopass/jobs/schedule.py
@@ -31,7 +31,7 @@
     group_index: int
     avoid: set[str]
     granted: asyncio.Future
-    # Whether an endpoint of a software version may go on with the text.
+    # Whether an endpoint of a software version may resume the text.
     can_resume_at: abc.Callable[[str], bool] = lambda software: True
 
 
--- a/pomelopass/limits/book.py
+++ b/pomelopass/limits/book.py
@@ -12,7 +12,7 @@
     'encode_limits',
 ]
 
-# An endpoint that nobody asked for this long may have lifted its limit.
+# An endpoint without a request for this long may have lifted its limit.
 LIMIT_TTL_MS = 15_000
 # Lower limits still let an instance ask whether the limit is in force.
 MIN_RATE_PER_S = 0.25
--- a/pomelopass/origins/bases.py
+++ b/pomelopass/origins/bases.py
@@ -87,7 +87,7 @@
         )
 
     def could_be_other(self, origin: origins.Origin) -> bool:
-        """Return whether a stream without a row could go on elsewhere.
+        """Return whether a stream without a row could be resumed elsewhere.
 
         That is, at endpoints whose software did not begin it.
         """
--- a/pomelopass/origins/recorder.py
+++ b/pomelopass/origins/recorder.py
@@ -24,15 +24,15 @@
 
 
 class OriginUnknownError(Exception):
-    """Raised when it can't be told which software began a stream."""
+    """Raised when the software that began a stream is unknown."""
 
 
 class OriginRecorder:
     """Origins by the id of the request that brought the first event.
 
     Streams that the base of their service began need no row. Any other
-    stream has one before its caller gets an event, so that all instances can
-    tell its origin, also after the loss of the one that served it.
+    stream has one before its caller gets an event, so that all instances know
+    its origin, also after the loss of the one that served it.
     """
 
     def __init__(
@@ -60,7 +60,7 @@
     def get_required_software(self, service: str) -> str | None:
         """Return the software that new streams must use, or None for any.
 
-        While rows can't be written only the base can be told later.
+        While rows can't be written only the base is known later.
         """
         now = asyncio.get_running_loop().time()
         failure_age_ms = (now - self.failed_at) * 1000
@@ -73,7 +73,7 @@
     async def record(
         self, request_id: str, origin: origins.Origin, is_only_service: bool
     ) -> bool:
-        """Return whether the origin of a new stream can be told from now on.
+        """Return whether the origin of a new stream stays known.
 
         It is also accepted without a row if no instance could take the stream
         for one that the base began.
--- a/pomelopass/paths/watch.py
+++ b/pomelopass/paths/watch.py
@@ -19,7 +19,7 @@
 LOST_PROBE_INTERVAL_MS = 300.0
 MAX_SILENT_PROBES = 2
 MAX_LOST_PROBES = 8
-# Endpoints that did not fail, to tell a lost link from lost endpoints.
+# Endpoints that did not fail, to distinguish a lost link from lost endpoints.
 MAX_OTHER_PROBES = 2
 
 
--- a/pomelopass/reporting/logevents.py
+++ b/pomelopass/reporting/logevents.py
@@ -101,7 +101,7 @@
     'process': 'process id',
     'reason': 'why the last attempt failed',
     'refused_by': 'ids of the endpoints that reported that they ran nothing',
-    'resumed_after': 'id of the event after which a text was to go on',
+    'resumed_after': 'id of the event after which a text was to be resumed',
     'resumes': 'id of the request that brought the first event of a stream',
     'route': 'name of the route',
     'rows': 'number of removed rows',
--- a/pomelopass/reporting/textaudit.py
+++ b/pomelopass/reporting/textaudit.py
@@ -31,7 +31,7 @@
 class _Writers:
     """Software versions that began a text, and how far each came.
 
-    A text may begin again at another version, and a new owner may go on with
+    A text may begin again at another version, and a new owner may resume
     the part that an earlier one had stored.
     """
 
--- a/pomelopass/requests/call.py
+++ b/pomelopass/requests/call.py
@@ -22,7 +22,7 @@
 UNPROCESSABLE_STATUS = 422
 # Kind of failure if no path leads to an endpoint.
 UNREACHABLE = 'unreachable'
-# Longer bodies that nobody needs cost more to read than a new connection.
+# Longer bodies that are not needed cost more to read than a new connection.
 MAX_DISCARDED_BYTES = 65_536
 DISCARD_TIMEOUT_MS = 100.0
 
--- a/pomelopass/requests/streamopen.py
+++ b/pomelopass/requests/streamopen.py
@@ -55,7 +55,7 @@
     async def begin(
         self, stream: Stream, open_deadline_at: float
     ) -> outcomes.Outcome | OpenedStream:
-        """Open a stream at an endpoint that may begin it, or go on with it."""
+        """Open a stream at an endpoint that may begin or resume it."""
         state = stream.state
         if not state.route.resumable:
             return await self.open(stream, open_deadline_at)
@@ -88,7 +88,7 @@
         return callstate.get_final_outcome(state)
 
     async def _bind_origin(self, state: callstate.CallState) -> None:
-        """Let only the software that began a stream go on with it."""
+        """Let only the software that began a stream resume it."""
         began = await self.origins.find(
             state.call.resumes,
             [share.service for share in state.route.shares],
--- a/pomelopass/versions/manager.py
+++ b/pomelopass/versions/manager.py
@@ -162,7 +162,7 @@
     async def _release_if_cut_off(self, service: str) -> bool:
         """Give the duty up if others reach endpoints; return whether done.
 
-        An order must not go over a peer: engines tell holders apart by
+        An order must not go over a peer: engines distinguish holders by
         their fencing tokens only.
         """
         row = self._get_leadership(service).row
--- a/scripts/probe.py
+++ b/scripts/probe.py
@@ -51,7 +51,7 @@
     """Reserve free ports until closed.
 
     Each port is bound without listening: a server that sets SO_REUSEADDR, as
-    asyncio does, can listen on it, and the system assigns it to nobody else.
+    asyncio does, can listen on it, and no other socket gets it.
     """
 
     def __init__(self) -> None:
--- a/scripts/sharedmutants.py
+++ b/scripts/sharedmutants.py
@@ -44,7 +44,7 @@
         (SHARING,),
     ),
     mutant.Mutant(
-        'who-reaches-nobody-has-the-whole-limit',
+        'isolated-instance-has-the-whole-limit',
         'pomelopass/limits/sharing.py',
         'own_per_s = per_s * SECONDARY_SHARE / max(len(ranked), 1)',
         'own_per_s = per_s',
--- a/tests/limits/test_book.py
+++ b/tests/limits/test_book.py
@@ -16,7 +16,7 @@
     assert book.get_rate('e', 1500) is None
 
 
-def test_limit_that_nobody_confirms_expires():
+def test_limit_without_a_confirmation_expires():
     book = books.LimitBook()
     book.observe('e', 2.0, 1000)
     assert book.get_rate('e', 1000 + books.LIMIT_TTL_MS) == 2.0
--- a/tests/limits/test_sharing.py
+++ b/tests/limits/test_sharing.py
@@ -106,7 +106,7 @@
     assert len(sent) >= 0.95 * RATE * 20
 
 
-def test_instances_that_reach_nobody_stay_within_the_bound():
+def test_instances_without_peers_stay_within_the_bound():
     cut = [(name, other) for name in NAMES for other in NAMES]
     sent = run(cut)
     assert count_worst_window(sent) <= ALLOWED
