Count requests over a peer's links as that peer's in the audit

An endpoint sees a request over a tunnel as one of the peer that carries it, so that the audit of leaving endpoints missed what a peer sent after it had carried the word. Cause: the audit counted by the instance that logs. Change: instance and peer both count as senders, for what was heard and for what is late. Ruled out: counting by the peer alone, as the instance passed the answer on to its caller. Measured: the new test failed before (no late request found) and passes now, with the four others.

--- a/pomelopass/reporting/leavingaudit.py
+++ b/pomelopass/reporting/leavingaudit.py
@@ -71,13 +71,17 @@
     heard_ms_by_pair: dict[tuple[str, str], float],
     late_by_pair: dict[tuple[str, str], list[tuple[str, float]]],
 ) -> None:
-    pair = (line.instance, str(line.fields['endpoint']))
     sent_ms = line.utc_ms - float(str(line.fields['took_ms']))
-    heard_ms = heard_ms_by_pair.get(pair)
     # Without a status and not run, nothing reached the endpoint.
     reached = line.fields['status'] or not line.fields['not_run']
-    if heard_ms is not None and reached and sent_ms > heard_ms + ALLOWED_MS:
-        late = late_by_pair.setdefault(pair, [])
-        late.append((str(line.fields['id']), sent_ms))
-    if line.fields.get('leaving') and heard_ms is None:
-        heard_ms_by_pair[pair] = line.utc_ms
+    # To the endpoint, a request over a peer's links is one of that peer.
+    senders = {line.instance, str(line.fields.get('peer') or line.instance)}
+    for sender in sorted(senders):
+        pair = (sender, str(line.fields['endpoint']))
+        heard_ms = heard_ms_by_pair.get(pair)
+        is_late = heard_ms is not None and sent_ms > heard_ms + ALLOWED_MS
+        if is_late and reached:
+            late = late_by_pair.setdefault(pair, [])
+            late.append((str(line.fields['id']), sent_ms))
+        if line.fields.get('leaving') and heard_ms is None:
+            heard_ms_by_pair[pair] = line.utc_ms
--- a/tests/test_leavingaudit.py
+++ b/tests/test_leavingaudit.py
@@ -50,3 +50,13 @@
 def test_connection_that_never_opened_reaches_nothing():
     failed = make_answer(4.0, 'b', status=0, not_run=True)
     assert find_ids(HEARD, failed) == []
+
+
+# The endpoint sees the peer, whoever asked.
+def test_request_over_a_peer_that_heard_it_is_late():
+    carried = make_answer(1.0, 'a', peer='entry-2', leaving=True)
+    own = make_answer(4.0, 'b', 'entry-2')
+    other = make_answer(4.0, 'c', 'entry-1', peer='entry-2')
+    assert find_ids(carried, own) == ['b']
+    assert find_ids(carried, other) == ['c']
+    assert find_ids(HEARD, make_answer(4.0, 'd', 'entry-2')) == []
