--- a/scripts/jobmutants.py
+++ b/scripts/jobmutants.py
@@ -170,8 +170,8 @@
     mutant.Mutant(
         'resumable-streams-take-errors',
         'pomelopass/requests/streamopen.py',
-        'if answer.status < 500 or not routes.may_repeat(state.route):',
-        'if True:',
+        '            if answer.status < 500:\n                break\n',
+        '            break\n',
         (STREAM,),
     ),
     mutant.Mutant(
--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -9,9 +9,11 @@
 import sys
 import tempfile
 
+from scripts import endmutants
 from scripts import fleetmutants
 from scripts import jobmutants
 from scripts import mutant
+from scripts import pathmutants
 from scripts import requestmutants
 from scripts import sharedmutants
 
@@ -49,6 +51,8 @@
         *fleetmutants.MUTANTS,
         *jobmutants.MUTANTS,
         *sharedmutants.MUTANTS,
+        *pathmutants.MUTANTS,
+        *endmutants.MUTANTS,
     )
     selected = [mutation for mutation in mutants if name_part in mutation.name]
     with concurrent.futures.ThreadPoolExecutor(WORKERS) as pool:
--- /dev/null
+++ b/scripts/pathmutants.py
@@ -0,0 +1,256 @@
+"""Mutants of paths over peers and of endpoints that say they leave."""
+
+from scripts import mutant
+
+__all__ = ['MUTANTS']
+
+PATHS = 'pomelopass/paths'
+CUTS = 'tests/entry/test_cut_instances.py'
+LEAVING = 'tests/entry/test_leaving.py'
+TUNNELS = 'tests/paths/test_tunnels.py'
+BOOK = 'tests/paths/test_book.py'
+CLIENT = 'tests/platform/test_endpointclient.py'
+ADOPTION = 'tests/jobs/test_adoption.py'
+SERVED = 'tests/test_servedaudit.py'
+LEAVING_AUDIT = 'tests/test_leavingaudit.py'
+
+MUTANTS = (
+    mutant.Mutant(
+        'cut-instances-ask-no-peer',
+        f'{PATHS}/endpointpaths.py',
+        'for peer in self._choose_peers(target):\n            remaining_ms',
+        'for peer in ():\n            remaining_ms',
+        (CUTS,),
+    ),
+    mutant.Mutant(
+        'cut-calls-that-were-sent-go-to-peers',
+        f'{PATHS}/endpointpaths.py',
+        'if error.kind not in CONNECT_KINDS or error.may_have_run:\n',
+        'if False:\n',
+        ('tests/paths/test_endpointpaths.py',),
+    ),
+    mutant.Mutant(
+        'cut-zones-ask-only-their-own-peers',
+        f'{PATHS}/endpointpaths.py',
+        'return [*near[:1], *far, *near[1:]][:MAX_PEERS]',
+        'return [*near, *far][:MAX_PEERS]',
+        ('tests/paths/test_endpointpaths.py',),
+    ),
+    mutant.Mutant(
+        'cut-links-blame-contents',
+        f'{PATHS}/endpointpaths.py',
+        'return not self.book.needs_peer(target.id)',
+        'return True',
+        ('tests/paths/test_endpointpaths.py',),
+    ),
+    mutant.Mutant(
+        'cut-links-that-hang-are-not-probed',
+        f'{PATHS}/watch.py',
+        'ids = self._choose_silent(now) | self._choose_lost(now)',
+        'ids = self._choose_lost(now)',
+        (CUTS,),
+    ),
+    mutant.Mutant(
+        'cut-links-keep-silent-requests',
+        f'{PATHS}/watch.py',
+        '        self.book.record_failure(endpoint_id)\n'
+        '        self._break_silent(endpoint_id)',
+        '        self.book.record_failure(endpoint_id)',
+        ('tests/paths/test_watch.py',),
+    ),
+    mutant.Mutant(
+        'cut-links-never-work-again',
+        f'{PATHS}/book.py',
+        '            self.is_cut_off = False\n',
+        '            pass\n',
+        (BOOK,),
+    ),
+    mutant.Mutant(
+        'one-lost-endpoint-counts-as-cut-links',
+        f'{PATHS}/book.py',
+        'if len(self.failed_ids) >= required:',
+        'if self.failed_ids:',
+        (BOOK,),
+    ),
+    mutant.Mutant(
+        'cut-peers-ask-a-second-peer',
+        f'{PATHS}/tunnelserver.py',
+        'if self.book.needs_peer(endpoint_id):',
+        'if False:',
+        (TUNNELS,),
+    ),
+    mutant.Mutant(
+        'broken-tunnel-looks-like-an-end',
+        f'{PATHS}/tunnelclient.py',
+        '            self.reader.set_exception(ConnectionResetError())',
+        '            self.reader.feed_eof()',
+        (TUNNELS,),
+    ),
+    mutant.Mutant(
+        'full-peer-opens-tunnels',
+        f'{PATHS}/tunnelserver.py',
+        'if len(self.tunnels) + self.opening >= MAX_TUNNELS:',
+        'if False:',
+        (TUNNELS,),
+    ),
+    mutant.Mutant(
+        'stopping-peer-opens-tunnels',
+        f'{PATHS}/tunnelserver.py',
+        'if self.is_stopping():',
+        'if False:',
+        (TUNNELS,),
+    ),
+    mutant.Mutant(
+        'cut-instances-are-asked-as-peers',
+        'pomelopass/fleet/member.py',
+        '            and not self.is_cut_off(member.name)\n',
+        '',
+        ('tests/fleet/test_member.py',),
+    ),
+    mutant.Mutant(
+        'cut-row-of-an-earlier-start-counts',
+        'pomelopass/fleet/member.py',
+        'and self.cut_off_by_name.get(name) == member.incarnation',
+        'and name in self.cut_off_by_name',
+        ('tests/fleet/test_member.py',),
+    ),
+    mutant.Mutant(
+        'cut-instances-own-new-jobs',
+        'pomelopass/jobs/adoption.py',
+        '            is_cut_off(name),\n',
+        '',
+        (ADOPTION,),
+    ),
+    mutant.Mutant(
+        'cut-leader-keeps-the-duty',
+        'pomelopass/versions/manager.py',
+        'if await self._release_if_cut_off(service):',
+        'if False:',
+        (CUTS,),
+    ),
+    mutant.Mutant(
+        'cut-instances-take-the-duty',
+        'pomelopass/versions/manager.py',
+        'return linked or [peer.name for peer in alive]',
+        'return [peer.name for peer in alive]',
+        (CUTS,),
+    ),
+    mutant.Mutant(
+        'cut-requests-wait-for-no-path',
+        'pomelopass/requests/forward.py',
+        'if attempt.reason == calls.UNREACHABLE:',
+        'if False:',
+        (CUTS,),
+    ),
+    mutant.Mutant(
+        'failures-of-one-moment-add-up',
+        'pomelopass/registry/endpoint.py',
+        '    if state.is_backing_off(now):\n'
+        '        return\n'
+        '    backoff_ms = backoff.get_backoff_ms(\n'
+        '        MIN_FAILURE_BACKOFF_MS,',
+        '    backoff_ms = backoff.get_backoff_ms(\n'
+        '        MIN_FAILURE_BACKOFF_MS,',
+        ('tests/registry/test_registry.py',),
+    ),
+    mutant.Mutant(
+        'backoff-doubles-without-an-end',
+        'pomelopass/core/backoff.py',
+        'factor = 2.0 ** min(doublings, MAX_DOUBLINGS)',
+        'factor = 2.0**doublings',
+        ('tests/core/test_backoff.py',),
+    ),
+    mutant.Mutant(
+        'audit-lets-cut-instances-serve-less',
+        'pomelopass/reporting/servedaudit.py',
+        'MIN_SHARE_OF_OTHERS = 2 / 3',
+        'MIN_SHARE_OF_OTHERS = 1 / 3',
+        (SERVED,),
+    ),
+    mutant.Mutant(
+        'word-of-leaving-is-not-decoded',
+        'pomelopass/platform/endpointclient.py',
+        'message.find_header(reply.headers, names.LEAVING) is not None',
+        'False',
+        (CLIENT,),
+    ),
+    mutant.Mutant(
+        'word-of-leaving-of-another-endpoint-counts',
+        'pomelopass/platform/endpointclient.py',
+        'reply.status != MISDIRECTED_STATUS\n        and ',
+        '',
+        (CLIENT,),
+    ),
+    mutant.Mutant(
+        'word-of-leaving-in-an-order-is-lost',
+        'pomelopass/platform/endpointclient.py',
+        '            self._note_leaving(target, reply)\n'
+        '            await reply.read(MAX_REPORT_BYTES)',
+        '            await reply.read(MAX_REPORT_BYTES)',
+        (CLIENT,),
+    ),
+    mutant.Mutant(
+        'leaving-endpoints-are-chosen',
+        'pomelopass/registry/registry.py',
+        'if state.endpoint.service == name and not state.is_leaving',
+        'if state.endpoint.service == name and not state.endpoint.is_draining',
+        (LEAVING,),
+    ),
+    mutant.Mutant(
+        'entry-overrides-the-word-of-leaving',
+        'pomelopass/registry/registry.py',
+        '            self._update_leaving(entry.id)\n'
+        '            self._log_change(entry, ',
+        '            self._log_change(entry, ',
+        (LEAVING,),
+    ),
+    mutant.Mutant(
+        'word-of-leaving-outlasts-the-start',
+        'pomelopass/registry/registry.py',
+        'state.said_leaving = started_at_ms == state.endpoint.started_at_ms',
+        'state.said_leaving = started_at_ms is not None',
+        (LEAVING,),
+    ),
+    mutant.Mutant(
+        'leaving-engines-get-orders',
+        'pomelopass/versions/orders.py',
+        'accepting = [state for state in engines if not state.is_leaving]',
+        'accepting = list(engines)',
+        ('tests/versions/test_orders.py',),
+    ),
+    mutant.Mutant(
+        'leaving-engines-are-assigned',
+        'pomelopass/versions/assignment.py',
+        'accepting = [state for state in engines if not state.is_leaving]',
+        'accepting = list(engines)',
+        ('tests/versions/test_assignment.py',),
+    ),
+    mutant.Mutant(
+        'peer-does-not-hear-of-leaving',
+        f'{PATHS}/endpointpaths.py',
+        '                self._report_leaving(peer, target)',
+        '                pass',
+        (LEAVING,),
+    ),
+    mutant.Mutant(
+        'open-tunnels-lead-to-leaving-endpoints',
+        f'{PATHS}/tunnelserver.py',
+        'if not (tunnel.awaits_answer or is_offered()):',
+        'if False:',
+        (TUNNELS,),
+    ),
+    mutant.Mutant(
+        'new-tunnels-lead-to-leaving-endpoints',
+        'pomelopass/entry/pathparts.py',
+        'return None if state is None or state.is_leaving else state.endpoint',
+        'return None if state is None else state.endpoint',
+        ('tests/entry/test_pathparts.py',),
+    ),
+    mutant.Mutant(
+        'audit-allows-late-requests',
+        'pomelopass/reporting/leavingaudit.py',
+        'ALLOWED_MS = 2000.0',
+        'ALLOWED_MS = 4000.0',
+        (LEAVING_AUDIT,),
+    ),
+)
--- a/tests/jobs/test_adoption.py
+++ b/tests/jobs/test_adoption.py
@@ -56,6 +56,17 @@
     assert adoption.choose_owner('t', relayed, 'x') in ('m0', 'm1')
 
 
+def test_instance_without_endpoints_runs_jobs_only_as_last_resort():
+    members = [make_member(f'm{number}') for number in range(4)]
+    cut_off = {'m0', 'm1', 'm2'}
+    for number in range(30):
+        order = adoption.get_order(
+            f'trainer-{number}', members, cut_off.__contains__
+        )
+        assert order[0] == 'm3'
+    assert adoption.choose_owner('t', members[:1], 'x', bool) == 'm0'
+
+
 def test_callers_are_sent_to_instances_with_direct_table_access():
     membership = member.Membership('m0')
     for number in range(5):
--- a/tests/paths/test_tunnels.py
+++ b/tests/paths/test_tunnels.py
@@ -2,19 +2,19 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import socket
 import struct
 
 import pytest
 
 from pomelopass.edges import httpclient
-from pomelopass.fleet import member
 from pomelopass import message
 from pomelopass.paths import book as books
 from pomelopass.paths import tunnelclient
 from pomelopass.paths import tunnelserver
-from pomelopass.registry import endpoint as endpoints
 from pomelopass.table import relayserver
+from tests import pathbuilders
 
 GET = message.Request('GET', '/')
 WITH_LENGTH = b'HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello'
@@ -22,22 +22,26 @@
 
 
 def make_entry(address):
-    return endpoints.Endpoint('e0', 'desk', address, 'north', 8, False, {}, 1)
-
-
-def make_member(relay_address):
-    return member.Member(
-        'peer', 'peer-1', 'north', '10.0.0.1:2', relay_address, True, 0, {}
+    return dataclasses.replace(
+        pathbuilders.make_endpoint('e0'), address=address
     )
 
 
 @contextlib.asynccontextmanager
 async def serve(handler):
-    listener = await asyncio.start_server(handler, '127.0.0.1', 0)
+    writers = []
+
+    async def serve_connection(reader, writer):
+        writers.append(writer)
+        await handler(reader, writer)
+
+    listener = await asyncio.start_server(serve_connection, '127.0.0.1', 0)
     port = listener.sockets[0].getsockname()[1]
     try:
         yield f'127.0.0.1:{port}'
     finally:
+        for writer in writers:
+            writer.close()
         listener.close()
 
 
@@ -86,8 +90,12 @@
     """Yield a client, the address of the endpoint behind a peer, the peer."""
     async with serve(answer) as endpoint_address:
         peer = Peer(endpoint_address, **options)
+        client = make_client()
         async with serve(peer.server.serve) as peer_address:
-            yield make_client(), f'{peer_address}/e0', peer
+            try:
+                yield client, f'{peer_address}/e0', peer
+            finally:
+                await client.close()
 
 
 async def test_answers_with_and_without_a_length_arrive_whole():
@@ -116,7 +124,6 @@
             assert await fetch(client, address) == b'hello'
         assert len(connections) == 1
         assert len(peer.tunnels.tunnels) == 1
-        await client.close()
 
 
 async def answer_each_request(reader, writer):
@@ -259,12 +266,12 @@
     async with run_tunnel(lambda r, w: None) as (_, address, peer):
         sender = tunnelclient.PeerEndpoints(None, events.append)
         relay_address = address.partition('/')[0]
-        await sender.report_leaving(
-            make_member(relay_address), make_entry('10.0.0.1:1')
+        carrier = dataclasses.replace(
+            pathbuilders.make_member('peer'), relay_address=relay_address
         )
+        target = pathbuilders.make_endpoint('e0')
+        await sender.report_leaving(carrier, target)
         assert peer.leaving == ['e0']
     # A peer that is gone leaves a line in the log only.
-    await sender.report_leaving(
-        make_member(relay_address), make_entry('10.0.0.1:1')
-    )
+    await sender.report_leaving(carrier, target)
     assert [event.kind for event in events] == ['leaving-not-reported']
--- a/tests/platform/test_endpointclient.py
+++ b/tests/platform/test_endpointclient.py
@@ -40,6 +40,7 @@
     try:
         yield client, target, leaving
     finally:
+        await client.http.close()
         listener.close()
 
 
--- a/tests/processes/test_stop.py
+++ b/tests/processes/test_stop.py
@@ -115,4 +115,7 @@
     assert refused & ran == set()
     # Late requests are refused while their callers can still go elsewhere.
     assert refused
+    if path == '/orders/1':
+        # Their callers may not send them again.
+        assert {outcomes[request_id] for request_id in ran} == {200}
     assert 200 in outcomes.values() or path == '/scores/1'
--- a/tests/test_mutants.py
+++ b/tests/test_mutants.py
@@ -4,8 +4,10 @@
 
 import pytest
 
+from scripts import endmutants
 from scripts import fleetmutants
 from scripts import jobmutants
+from scripts import pathmutants
 from scripts import requestmutants
 from scripts import sharedmutants
 
@@ -15,6 +17,8 @@
     *fleetmutants.MUTANTS,
     *jobmutants.MUTANTS,
     *sharedmutants.MUTANTS,
+    *pathmutants.MUTANTS,
+    *endmutants.MUTANTS,
 )
 
 
--- a/tests/test_servedaudit.py
+++ b/tests/test_servedaudit.py
@@ -74,6 +74,15 @@
     assert not count.is_unequal
 
 
+# The bound of the users' rule is two thirds.
+def test_half_of_what_the_others_serve_is_unequal():
+    (count,) = servedaudit.measure_served(
+        make_lines(lambda at_ms: at_ms % 800 == 200, declared=True)
+    )
+    assert 0.4 < count.served / count.total < 0.6
+    assert count.is_unequal
+
+
 def test_an_endpoint_that_failed_twice_is_no_lost_link():
     lines = [
         make_attempt(1000, 'a', 'connect-failed'),
--- a/tests/versions/test_assignment.py
+++ b/tests/versions/test_assignment.py
@@ -151,3 +151,12 @@
         engines, {'a': 2, 'b': 2}, demand, loads
     )
     assert assigned_by_model == {'a': {'e1'}, 'b': {'e0'}}
+
+
+def test_engine_that_leaves_is_assigned_to_no_model():
+    engines = [make_state(f'e{number}', a=1) for number in range(3)]
+    engines[0].said_leaving = True
+    assigned_by_model = assignment.assign_engines(
+        engines, {'a': 2}, {'a': assignment.Demand(900.0)}
+    )
+    assert assigned_by_model['a'] == {'e1', 'e2'}
