Split what grew with the paths over peers

Change: platform/answerdecode.py decodes heads; entry/clients.py makes the clients and ports of a start; the own link and a peer's are functions of their own; the addresses that a client knows have a limit. No decision changes. Ruled out: a class for the ports, which are data. Checked: make check clean; tests of edges, paths, platform, entry, mutants and of processes pass.

--- a/pomelopass/entry/__main__.py
+++ b/pomelopass/entry/__main__.py
@@ -4,25 +4,19 @@
 import contextlib
 import logging
 import os
-import random
 import signal
 import sys
-import time
 
 from returns import result
 
 from .. import exitstatus
+from . import clients
 from ..configuring import problem
-from ..edges import httpclient
 from ..edges import httpserver
 from ..edges import requestreader
 from . import eventlog
-from ..limits import peers
 from . import node as nodes
-from ..paths import tunnelclient
-from ..platform import endpointclient
 from ..platform import ingress
-from ..platform import rowclient
 from . import reload
 from ..reporting import logevents
 from . import settings as entrysettings
@@ -70,26 +64,8 @@
         eventlog.make_write_event(logger, settings.name)
     )
     log_task = asyncio.ensure_future(log.run())
-    rng = random.SystemRandom()
-    http = httpclient.HttpClient()
-    endpoint_http = httpclient.HttpClient(
-        connect_timeout_ms=endpointclient.CONNECT_TIMEOUT_MS
-    )
-    tunnel_http = httpclient.HttpClient(
-        tunnelclient.open_tunnel, tunnelclient.TUNNEL_TIMEOUT_MS
-    )
-    ports = nodes.NodePorts(
-        table=rowclient.RowClient(http, settings.table_address),
-        endpoints=endpointclient.EndpointClient(endpoint_http),
-        peer_endpoints=tunnelclient.PeerEndpoints(
-            endpointclient.EndpointClient(tunnel_http), write_event
-        ),
-        rng=rng,
-        write_event=write_event,
-        get_lease_now=lambda: time.clock_gettime(time.CLOCK_BOOTTIME),
-        incarnation=f'{settings.name}-{rng.getrandbits(48):012x}',
-        permit_peers=peers.ThriftPeers(),
-    )
+    http_clients = clients.HttpClients()
+    ports = clients.make_ports(settings, http_clients, write_event)
     node = nodes.build_node(settings, ports)
     stop_requested = asyncio.Event()
     loop = asyncio.get_running_loop()
@@ -112,8 +88,7 @@
     )
     await stop_requested.wait()
     await _stop(node, servers, write_event)
-    for client in (http, endpoint_http, tunnel_http):
-        await client.close()
+    await http_clients.close()
     watch_task.cancel()
     log_task.cancel()
     with contextlib.suppress(asyncio.CancelledError):
--- /dev/null
+++ b/pomelopass/entry/clients.py
@@ -0,0 +1,61 @@
+"""Assemble the clients of an instance for what lies outside it."""
+
+import dataclasses
+import random
+import time
+
+from ..edges import httpclient
+from ..limits import peers
+from . import node as nodes
+from ..paths import tunnelclient
+from ..platform import endpointclient
+from ..platform import rowclient
+from ..reporting import logevents
+from . import settings as entrysettings
+
+__all__ = ['HttpClients', 'make_ports']
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HttpClients:
+    """HTTP clients, each with its own pool of connections."""
+
+    table: httpclient.HttpClient = dataclasses.field(
+        default_factory=httpclient.HttpClient
+    )
+    endpoints: httpclient.HttpClient = dataclasses.field(
+        default_factory=lambda: httpclient.HttpClient(
+            connect_timeout_ms=endpointclient.CONNECT_TIMEOUT_MS
+        )
+    )
+    tunnels: httpclient.HttpClient = dataclasses.field(
+        default_factory=lambda: httpclient.HttpClient(
+            tunnelclient.open_tunnel, tunnelclient.TUNNEL_TIMEOUT_MS
+        )
+    )
+
+    async def close(self) -> None:
+        """Close the idle connections."""
+        for client in (self.table, self.endpoints, self.tunnels):
+            await client.close()
+
+
+def make_ports(
+    settings: entrysettings.EntrySettings,
+    clients: HttpClients,
+    write_event: logevents.WriteEvent,
+) -> nodes.NodePorts:
+    """Return the ports of a new start of an instance."""
+    rng = random.SystemRandom()
+    return nodes.NodePorts(
+        table=rowclient.RowClient(clients.table, settings.table_address),
+        endpoints=endpointclient.EndpointClient(clients.endpoints),
+        peer_endpoints=tunnelclient.PeerEndpoints(
+            endpointclient.EndpointClient(clients.tunnels), write_event
+        ),
+        rng=rng,
+        write_event=write_event,
+        get_lease_now=lambda: time.clock_gettime(time.CLOCK_BOOTTIME),
+        incarnation=f'{settings.name}-{rng.getrandbits(48):012x}',
+        permit_peers=peers.ThriftPeers(),
+    )
--- a/pomelopass/paths/endpointpaths.py
+++ b/pomelopass/paths/endpointpaths.py
@@ -59,45 +59,75 @@
         fresh: bool = False,
     ) -> calls.Answer:
         """Return the answer once its head arrived; raise CallFailedError."""
-        loop = asyncio.get_running_loop()
-        deadline = loop.time() + timeout_ms / 1000
+        deadline = asyncio.get_running_loop().time() + timeout_ms / 1000
         kind = calls.UNREACHABLE
         self.watch.wake()
         if not self.book.needs_peer(target.id):
             try:
-                answer = await self.direct.open(
+                return await self._open_directly(
                     target, call, timeout_ms, stall_ms, fresh
                 )
             except calls.CallFailedError as error:
                 if error.kind not in CONNECT_KINDS or error.may_have_run:
                     raise
                 kind = error.kind
-                self.book.record_failure(target.id)
-            else:
-                self.book.record_reached(target.id)
-                return answer
         for peer in self._choose_peers(target):
-            remaining_ms = (deadline - loop.time()) * 1000
-            if remaining_ms < MIN_TIMEOUT_MS:
-                break
-            try:
-                answer = await self.peer_port.open(
-                    peer, target, call, remaining_ms, stall_ms, fresh
-                )
-            except calls.CallFailedError as error:
-                if error.may_have_run:
-                    raise
-                self._back_off(peer, target)
-                continue
-            answer.peer = peer.name
-            if answer.is_leaving:
-                self._report_leaving(peer, target)
-            self.book.record_detour(target.id)
-            return answer
+            answer = await self._open_over_peer(
+                peer, target, call, deadline, stall_ms, fresh
+            )
+            if answer is not None:
+                return answer
         if self.book.is_cut_off:
             kind = calls.UNREACHABLE
         raise calls.CallFailedError(kind, False)
 
+    async def _open_directly(
+        self,
+        target: endpoints.Endpoint,
+        call: calls.Call,
+        timeout_ms: float,
+        stall_ms: float | None,
+        fresh: bool,
+    ) -> calls.Answer:
+        try:
+            answer = await self.direct.open(
+                target, call, timeout_ms, stall_ms, fresh
+            )
+        except calls.CallFailedError as error:
+            if error.kind in CONNECT_KINDS and not error.may_have_run:
+                self.book.record_failure(target.id)
+            raise
+        self.book.record_reached(target.id)
+        return answer
+
+    async def _open_over_peer(
+        self,
+        peer: member.Member,
+        target: endpoints.Endpoint,
+        call: calls.Call,
+        deadline: float,
+        stall_ms: float | None,
+        fresh: bool,
+    ) -> calls.Answer | None:
+        """Return the answer, or None if nothing reached the endpoint."""
+        remaining_ms = (deadline - asyncio.get_running_loop().time()) * 1000
+        if remaining_ms < MIN_TIMEOUT_MS:
+            return None
+        try:
+            answer = await self.peer_port.open(
+                peer, target, call, remaining_ms, stall_ms, fresh
+            )
+        except calls.CallFailedError as error:
+            if error.may_have_run:
+                raise
+            self._back_off(peer, target)
+            return None
+        answer.peer = peer.name
+        if answer.is_leaving:
+            self._report_leaving(peer, target)
+        self.book.record_detour(target.id)
+        return answer
+
     async def is_refused(self, target: endpoints.Endpoint) -> bool:
         """Return whether an endpoint refuses connections on all paths."""
         if not await self.direct.is_refused(target):
--- a/pomelopass/platform/endpointclient.py
+++ b/pomelopass/platform/endpointclient.py
@@ -2,11 +2,11 @@
 
 import asyncio
 from collections import abc
-import math
 
 import orjson
 
 from .. import message
+from . import answerdecode
 from ..edges import httpclient
 from . import endpointdecode
 from . import names
@@ -19,22 +19,7 @@
 MAX_REPORT_BYTES = 1_048_576
 ORDER_TIMEOUT_MS = 700
 CONNECT_TIMEOUT_MS = 150
-CONNECTION_HEADERS = frozenset(
-    (
-        'connection',
-        'content-length',
-        'keep-alive',
-        'transfer-encoding',
-        'te',
-        'trailer',
-        'upgrade',
-        'proxy-connection',
-        names.ENDPOINT_LOAD,
-    )
-)
-# This status means that nothing ran, even without the header.
-MISDIRECTED_STATUS = 421
-
+MAX_ADDRESSES = 4096
 
 OnLeaving = abc.Callable[[endpoint.Endpoint], None]
 
@@ -65,6 +50,8 @@
         fresh: bool = False,
     ) -> calls.Answer:
         """Return the answer once its head arrived; raise CallFailedError."""
+        if len(self.id_by_address) >= MAX_ADDRESSES:
+            self.id_by_address.clear()
         self.id_by_address[target.address] = target.id
         request = message.Request(
             call.method, call.target, _make_headers(target, call), call.body
@@ -78,7 +65,7 @@
                 error.kind, error.bytes_written > 0
             ) from None
         self._note_leaving(target, reply)
-        answer = _decode_answer(reply)
+        answer = answerdecode.decode_answer(reply)
         echoed_id = message.find_header(reply.headers, names.REQUEST_ID)
         if echoed_id != call.id and not answer.not_run:
             await reply.close()
@@ -183,7 +170,7 @@
     def _note_leaving(
         self, target: endpoint.Endpoint, reply: message.OpenReply
     ) -> None:
-        if _says_leaving(reply):
+        if answerdecode.says_leaving(reply):
             self.on_leaving(target)
 
 
@@ -212,57 +199,3 @@
     if call.last_event_id is not None:
         headers.append((names.LAST_EVENT_ID, call.last_event_id))
     return tuple(headers)
-
-
-def _decode_answer(reply: message.OpenReply) -> calls.Answer:
-    headers = reply.headers
-    not_run = message.find_header(headers, names.NOT_RUN) is not None
-    is_encoded = message.find_header(headers, 'content-encoding') is not None
-    signature = message.find_header(headers, names.SIGNATURE)
-    return calls.Answer(
-        status=reply.status,
-        headers=tuple(
-            header for header in headers if header[0] not in CONNECTION_HEADERS
-        ),
-        not_run=not_run or reply.status == MISDIRECTED_STATUS,
-        # No encoding was requested: an encoded body isn't the signed one.
-        signature=None if is_encoded else signature,
-        weight_version=_parse_int(
-            message.find_header(headers, names.WEIGHT_VERSION)
-        ),
-        load=_decode_load(message.find_header(headers, names.ENDPOINT_LOAD)),
-        limit_per_s=_parse_rate(
-            message.find_header(headers, names.REQUEST_LIMIT)
-        ),
-        reply=reply,
-        is_leaving=_says_leaving(reply),
-    )
-
-
-def _says_leaving(reply: message.OpenReply) -> bool:
-    # The answer to a misdirected request is that of another endpoint.
-    return (
-        reply.status != MISDIRECTED_STATUS
-        and message.find_header(reply.headers, names.LEAVING) is not None
-    )
-
-
-def _parse_int(text: str | None) -> int | None:
-    return int(text) if text is not None and text.isdecimal() else None
-
-
-def _parse_rate(text: str | None) -> float | None:
-    try:
-        rate = float(text or 'nan')
-    except ValueError:
-        return None
-    return rate if math.isfinite(rate) and rate >= 0.0 else None
-
-
-def _decode_load(text: str | None) -> endpoint.LoadReport | None:
-    parts = (text or '').split(',')
-    if len(parts) < 3 or not all(part.strip().isdecimal() for part in parts):
-        return None
-    running, waiting, slots, *rest = (int(part) for part in parts)
-    slowness = rest[0] / 100 if rest else 1.0
-    return endpoint.LoadReport(running, waiting, slots, slowness)
--- a/scripts/fleetmutants.py
+++ b/scripts/fleetmutants.py
@@ -107,14 +107,14 @@
     ),
     mutant.Mutant(
         'connection-is-kept-after-a-cut-reply',
-        'pomelopass/edges/httpclient.py',
+        'pomelopass/edges/connectionpool.py',
         'done = connection.state.their_state is h11.DONE',
         'done = True',
         ('tests/edges/test_httpclient.py',),
     ),
     mutant.Mutant(
         'surplus-bytes-are-kept',
-        'pomelopass/edges/httpclient.py',
+        'pomelopass/edges/connectionpool.py',
         'if not done or leftover or',
         'if not done or',
         ('tests/edges/test_httpclient.py',),
--- a/scripts/pathmutants.py
+++ b/scripts/pathmutants.py
@@ -18,8 +18,8 @@
     mutant.Mutant(
         'cut-instances-ask-no-peer',
         f'{PATHS}/endpointpaths.py',
-        'for peer in self._choose_peers(target):\n            remaining_ms',
-        'for peer in ():\n            remaining_ms',
+        'for peer in self._choose_peers(target):\n            answer',
+        'for peer in ():\n            answer',
         (CUTS,),
     ),
     mutant.Mutant(
@@ -169,14 +169,14 @@
     ),
     mutant.Mutant(
         'word-of-leaving-is-not-decoded',
-        'pomelopass/platform/endpointclient.py',
+        'pomelopass/platform/answerdecode.py',
         'message.find_header(reply.headers, names.LEAVING) is not None',
         'False',
         (CLIENT,),
     ),
     mutant.Mutant(
         'word-of-leaving-of-another-endpoint-counts',
-        'pomelopass/platform/endpointclient.py',
+        'pomelopass/platform/answerdecode.py',
         'reply.status != MISDIRECTED_STATUS\n        and ',
         '',
         (CLIENT,),
@@ -228,8 +228,8 @@
     mutant.Mutant(
         'peer-does-not-hear-of-leaving',
         f'{PATHS}/endpointpaths.py',
-        '                self._report_leaving(peer, target)',
-        '                pass',
+        '            self._report_leaving(peer, target)',
+        '            pass',
         (LEAVING,),
     ),
     mutant.Mutant(
