Measure what a call over a tunnel costs

docs/CAPACITY.md had no figure for paths over peers. Change: make capacity measures the processor time of calls over the own link and over a tunnel, on open and new connections, all sides in one process. Ruled out: a process for each side, whose figures vary with the machine.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -8,6 +8,7 @@
 from bench import documents
 from bench import slope
 from bench import training
+from bench import tunnels
 from pomelopass.callers import reservation
 from pomelopass.core import attemptend
 from pomelopass.core import endpoint
@@ -45,6 +46,7 @@
         documents.measure_configuration,
         documents.measure_claims,
         measure_idle_time,
+        tunnels.measure_tunnels,
     )
     for measure in measures:
         for point in measure():
