Keep orders of leaders that are cut off in turn a lease apart

A leader without links gives the duty up, and the next one ordered the same engines at once: two live leaders within a lease, which breaks ONE, since an instance without links stays in touch. Cause: only the takeover from a dead leader had a wait, and none where engines check fencing tokens; a release by a live one was new. Class: a rule for the only way that a state could be left, and a second way was added. Change: a released duty names its last holder, each instance notes when it saw the row as another's, and orders only a lease later; the decisions about the duty stand in versions/duty.py, apart from the loads of versions/manager.py. Ruled out: a wait after any takeover, which delays weights after each crash.

--- a/pomelopass/entry/node.py
+++ b/pomelopass/entry/node.py
@@ -37,6 +37,7 @@
 from . import tableclock
 from . import tablewatch
 from ..versions import assignment
+from ..versions import duty
 from ..versions import manager as versionmanagers
 from . import view as views
 
@@ -184,21 +185,27 @@
         )
 
     def _build_duties(self) -> None:
-        must_wait = not self.settings.engines_check_fences
-        self.versions = versionmanagers.VersionManager(
+        order_duty = duty.OrderDuty(
             self.settings.name,
             self.ports.incarnation,
+            duty.DutySettings(
+                self.settings.takeover_wait_ms,
+                self.settings.engines_check_fences,
+            ),
             self.table,
-            self.registry,
             self.membership,
+            self.ports.write_event,
+            self.ports.get_lease_now,
+            lambda: self.paths.book.is_cut_off,
+        )
+        self.versions = versionmanagers.VersionManager(
+            self.registry,
             self.limits.endpoints,
-            self.settings.takeover_wait_ms if must_wait else 0.0,
+            order_duty,
             self.view.needs_single_version,
             self.limits.permits.is_limited,
             self._get_demand,
             self.ports.write_event,
-            self.ports.get_lease_now,
-            lambda: self.paths.book.is_cut_off,
         )
         self.heartbeat = heartbeat.Heartbeat(
             self.table,
--- a/pomelopass/entry/tablewatch.py
+++ b/pomelopass/entry/tablewatch.py
@@ -146,7 +146,7 @@
         listeners = self.listeners
         key = row.name.key
         if key.startswith(leader.LEADER_KEY_PREFIX):
-            listeners.versions.apply_leader_row(row)
+            listeners.versions.duty.apply_row(row)
             return
         if key.startswith(origins.BASE_KEY_PREFIX):
             listeners.bases.apply_row(row)
--- a/pomelopass/versions/leader.py
+++ b/pomelopass/versions/leader.py
@@ -16,6 +16,7 @@
 class LeaderRow:
     """Row that names the leader and the fencing token of its orders."""
 
+    # Empty after a release; the name is then that of the last holder.
     holder: str
     holder_name: str
     fence: int
@@ -30,8 +31,13 @@
     service: str
     row: LeaderRow | None = None
     version: int = 0
+    # On the lease clock, in seconds.
     leader_since: float = 0.0
     took_over: bool = False
+    # Whether the leader before gave the duty up and still lives.
+    was_released: bool = False
+    # When the row was last seen as that of another instance.
+    held_elsewhere_at: float = float('-inf')
 
     @property
     def key(self) -> rows.Key:
@@ -57,7 +63,7 @@
 
     Return False if another write came first. Raise TableError.
     """
-    row = dataclasses.replace(leadership.row, holder='', holder_name='')
+    row = dataclasses.replace(leadership.row, holder='')
     outcome = await table.transact(
         rows.Transaction(
             expected=((leadership.key, leadership.version),),
@@ -113,4 +119,5 @@
     if not already_held:
         leadership.leader_since = now
         leadership.took_over = previous.fence > 0
+        leadership.was_released = leadership.took_over and not previous.holder
     return True
--- a/pomelopass/versions/manager.py
+++ b/pomelopass/versions/manager.py
@@ -6,9 +6,7 @@
 from typing import Protocol
 
 from . import assignment
-from ..core import rendezvous
-from ..fleet import member
-from . import leader
+from . import duty
 from . import orders
 from ..registry import endpoint as endpoints
 from ..registry import registry as registries
@@ -26,8 +24,6 @@
 RETRY_DELAY_MS = 400.0
 # Reports and orders count against the limit of an engine.
 LIMITED_INTERVAL_MS = 1500.0
-# Orders are sent only within this time after the duty was confirmed.
-CONFIRMATION_TTL_MS = 800.0
 
 
 class OrderPort(Protocol):
@@ -57,40 +53,24 @@
 
     def __init__(
         self,
-        name: str,
-        incarnation: str,
-        table: rows.RowTable,
         registry: registries.Registry,
-        membership: member.Membership,
         port: OrderPort,
-        takeover_wait_ms: float,
+        order_duty: duty.OrderDuty,
         needs_single_version: abc.Callable[[str], bool],
         is_limited: abc.Callable[[str], bool],
         get_demand: abc.Callable[[], dict[str, assignment.Demand]],
         write_event: logevents.WriteEvent,
-        get_lease_now: abc.Callable[[], float],
-        is_cut_off: abc.Callable[[], bool] = lambda: False,
     ):
-        # Whether this instance reaches no endpoint over its own links.
-        self.is_cut_off = is_cut_off
-        self.name = name
-        self.incarnation = incarnation
-        self.table = table
         self.registry = registry
-        self.membership = membership
         self.port = port
-        self.takeover_wait_ms = takeover_wait_ms
+        self.duty = order_duty
         self.needs_single_version = needs_single_version
         self.is_limited = is_limited
         self.get_demand = get_demand
         self.write_event = write_event
-        # This clock also advances while the machine is suspended.
-        self.get_lease_now = get_lease_now
         self.target_version_by_model: dict[str, int] = {}
-        self.leadership_by_service: dict[str, leader.Leadership] = {}
         self.pending_load_by_id: dict[str, _PendingLoad] = {}
         self.retry_at_by_id: dict[str, float] = {}
-        self.confirmed_at = float('-inf')
         self.stopping = False
 
     def set_target_version(self, model: str, version: int) -> None:
@@ -101,13 +81,6 @@
                 logevents.VersionNamed(model=model, version=version)
             )
 
-    def apply_leader_row(self, row: rows.Row) -> None:
-        """Update the leader of a service from its changed row."""
-        service = row.name.key.removeprefix(leader.LEADER_KEY_PREFIX)
-        leadership = self._get_leadership(service)
-        if row.version > leadership.version:
-            leadership.put(row)
-
     async def run(self) -> None:
         """Order engines at intervals while this instance holds the duty."""
         while True:
@@ -125,62 +98,10 @@
                         )
                     )
 
-    def _get_leadership(self, service: str) -> leader.Leadership:
-        return self.leadership_by_service.setdefault(
-            service, leader.Leadership(service)
-        )
-
-    def _may_lead(self, service: str) -> bool:
-        leadership = self._get_leadership(service)
-        row = leadership.row
-        if row is not None and row.holder == self.incarnation:
-            return True
-        now = asyncio.get_running_loop().time()
-        has_holder = row is not None and row.holder
-        if has_holder and self.membership.is_incarnation_alive(
-            row.holder_name, row.holder, now
-        ):
-            return False
-        names = self._get_candidate_names(now)
-        if self.name not in names:
-            return False
-        return rendezvous.rank(leadership.key.key, names)[0] == self.name
-
-    def _get_candidate_names(self, now: float) -> list[str]:
-        """Return the instances that may order, those with links if any."""
-        alive = self.membership.get_alive(now)
-        linked = [
-            peer.name for peer in alive if not self._is_cut_off(peer.name)
-        ]
-        return linked or [peer.name for peer in alive]
-
-    def _is_cut_off(self, name: str) -> bool:
-        if name == self.name:
-            return self.is_cut_off()
-        return self.membership.is_cut_off(name)
-
-    async def _release_if_cut_off(self, service: str) -> bool:
-        """Give the duty up if others reach endpoints; return whether done.
-
-        An order must not go over a peer: engines distinguish holders by
-        their fencing tokens only.
-        """
-        row = self._get_leadership(service).row
-        if row is None or row.holder != self.incarnation:
-            return False
-        now = asyncio.get_running_loop().time()
-        if self.name in self._get_candidate_names(now):
-            return False
-        is_released = await leader.release(
-            self.table, self._get_leadership(service)
-        )
-        self.write_event(logevents.DutyLost(service=service))
-        return is_released
-
     async def _check(self, service: str) -> None:
-        if await self._release_if_cut_off(service):
+        if await self.duty.release_if_cut_off(service):
             return
-        if not self._may_lead(service):
+        if not self.duty.may_lead(service):
             return
         await self._poll_loads()
         now = asyncio.get_running_loop().time()
@@ -208,25 +129,12 @@
             )
             if self.retry_at_by_id.get(load.state.endpoint.id, now) <= now
         ]
-        if not due_loads or not await self._confirm(service):
+        if not due_loads or not await self.duty.confirm(service):
             return
         await asyncio.gather(
             *(self._order(service, load) for load in due_loads)
         )
 
-    async def _confirm(self, service: str) -> bool:
-        leadership = self._get_leadership(service)
-        requested_at = self.get_lease_now()
-        is_confirmed = await leader.confirm(
-            self.table, leadership, self.incarnation, self.name, requested_at
-        )
-        if not is_confirmed:
-            self.write_event(logevents.DutyLost(service=service))
-            return False
-        self.confirmed_at = requested_at
-        held_ms = (requested_at - leadership.leader_since) * 1000
-        return not (leadership.took_over and held_ms < self.takeover_wait_ms)
-
     async def _order(self, service: str, load: orders.VersionLoad) -> None:
         state = load.state
         model = load.model
@@ -242,8 +150,7 @@
         endpoints.record_version(state, model, reported_version)
         if reported_version >= version or report.busy:
             return
-        age_ms = (self.get_lease_now() - self.confirmed_at) * 1000
-        if age_ms > CONFIRMATION_TTL_MS:
+        if not self.duty.is_confirmed():
             return
         order = self._make_order(service, load, report)
         outcome = await self.port.order_version(target, order)
@@ -272,8 +179,8 @@
             model=load.model,
             version=load.version,
             finish_runs_first=self.needs_single_version(load.model),
-            holder=self.incarnation,
-            fence=self._get_leadership(service).row.fence,
+            holder=self.duty.incarnation,
+            fence=self.duty.get_fence(service),
             expected_count=report.order_count,
         )
 
--- a/scripts/pathmutants.py
+++ b/scripts/pathmutants.py
@@ -124,17 +124,24 @@
     mutant.Mutant(
         'cut-leader-keeps-the-duty',
         'pomelopass/versions/manager.py',
-        'if await self._release_if_cut_off(service):',
+        'if await self.duty.release_if_cut_off(service):',
         'if False:',
         (CUTS,),
     ),
     mutant.Mutant(
         'cut-instances-take-the-duty',
-        'pomelopass/versions/manager.py',
+        'pomelopass/versions/duty.py',
         'return linked or [peer.name for peer in alive]',
         'return [peer.name for peer in alive]',
         (CUTS,),
     ),
+    mutant.Mutant(
+        'leaders-that-are-cut-order-in-turn',
+        'pomelopass/versions/duty.py',
+        'since = leadership.held_elsewhere_at',
+        "since = float('-inf')",
+        (CUTS,),
+    ),
     mutant.Mutant(
         'cut-requests-wait-for-no-path',
         'pomelopass/requests/forward.py',
--- a/standins/modelengines.py
+++ b/standins/modelengines.py
@@ -62,6 +62,8 @@
     accepted_orders: list[orders.VersionOrder] = dataclasses.field(
         default_factory=list
     )
+    # Event loop times of the accepted orders, in seconds.
+    ordered_at: list[float] = dataclasses.field(default_factory=list)
     started_at_ms: int = 1
     address: str = '10.0.0.1:8000'
     # Version of the software, which marks the events that it writes.
@@ -225,6 +227,7 @@
         endpoint.accepted_orders.append(order)
         endpoint.loading = order.model
         loop = asyncio.get_running_loop()
+        endpoint.ordered_at.append(loop.time())
         loop.call_later(endpoint.load_s, self._end_load, endpoint, order)
         return orders.OrderOutcome.ACCEPTED
 
--- a/tests/entry/test_cut_instances.py
+++ b/tests/entry/test_cut_instances.py
@@ -13,6 +13,7 @@
 CUT_KINDS = list(links.CutKind)
 # The bound from which on the users' rule counts requests.
 SETTLE_S = 3.0
+LEASE_S = 3.0
 SHORT_PATHS = ('/scores/1', '/orders/1')
 STREAM_PATHS = ('/chats/1', '/talks/1')
 
@@ -163,7 +164,7 @@
         cluster.set_target_version(entrybuilders.MODEL, 2)
         await asyncio.sleep(4)
         leader_row = next(
-            entry.node.versions.leadership_by_service['engines'].row
+            entry.node.versions.duty.leadership_by_service['engines'].row
             for entry in cluster.entry_by_name.values()
         )
         cut(cluster, [leader_row.holder_name], kind)
@@ -179,6 +180,45 @@
     entrybuilders.run_cluster(scenario)
 
 
+def get_leader_name(cluster):
+    leaders = [
+        entry.node.versions.duty.leadership_by_service['engines'].row
+        for entry in cluster.entry_by_name.values()
+        if entry.node.versions.duty.leadership_by_service
+    ]
+    known = [row for row in leaders if row is not None]
+    newest = max(known, key=lambda row: row.confirmations)
+    return newest.holder_name
+
+
+# Both stay in touch, so turns within a lease count as two leaders at once.
+@pytest.mark.parametrize('kind', CUT_KINDS)
+def test_leaders_that_are_cut_in_turn_do_not_order_within_a_lease(kind):
+    async def scenario(cluster):
+        for version in range(2, 18, 2):
+            cluster.set_target_version(entrybuilders.MODEL, version)
+            await asyncio.sleep(0.2)
+            name = get_leader_name(cluster)
+            cut(cluster, [name], kind)
+            await asyncio.sleep(1.0)
+            cluster.set_target_version(entrybuilders.MODEL, version + 1)
+            await asyncio.sleep(1.5)
+            cut(cluster, [name], None)
+            await asyncio.sleep(2.0)
+        holders = set()
+        for endpoint in cluster.pool.endpoint_by_id.values():
+            orders = list(
+                zip(endpoint.ordered_at, endpoint.accepted_orders, strict=True)
+            )
+            holders.update(order.holder for _, order in orders)
+            for (before_at, before), (at, order) in itertools.pairwise(orders):
+                if before.holder != order.holder:
+                    assert at - before_at >= LEASE_S
+        assert len(holders) > 1
+
+    entrybuilders.run_cluster(scenario)
+
+
 @pytest.mark.parametrize('kind', CUT_KINDS)
 def test_contents_are_not_blamed_for_links_that_are_cut(kind):
     async def scenario(cluster):
