Name received bytes and leaving notices in the usual terms

Change: received_at, leaving notice, learned; names, comments, docs and mutants only. Ruled out: fields of events and rows, which stay as they are. No behaviour changes.

--- a/pomelopass/edges/clientconnection.py
+++ b/pomelopass/edges/clientconnection.py
@@ -24,14 +24,14 @@
         self.unread = 0
         self.deadline = math.inf
         self.timer: asyncio.TimerHandle | None = None
-        # Event loop time at which the server was last heard, in seconds.
-        self.heard_at = loop.time()
+        # Event loop time at which bytes came last, in seconds.
+        self.received_at = loop.time()
         self.on_unexpected_data: abc.Callable[[], None] | None = None
 
     def feed_data(self, data: bytes) -> None:
         """Take received bytes."""
         self.unread += len(data)
-        self.heard_at = self.loop.time()
+        self.received_at = self.loop.time()
         super().feed_data(data)
         if self.on_unexpected_data is not None:
             self.on_unexpected_data()
@@ -99,8 +99,10 @@
         self.writer.close()
 
     def get_silent_ms(self, now: float) -> float:
-        """Return for how long the current request heard nothing."""
-        return (now - max(self.reader.heard_at, self.request_sent_at)) * 1000
+        """Return for how long the current request received nothing."""
+        return (
+            now - max(self.reader.received_at, self.request_sent_at)
+        ) * 1000
 
     def break_off(self) -> None:
         """Close the connection; what waits for bytes fails."""
@@ -161,6 +163,6 @@
     transport, _ = await loop.create_connection(
         lambda: protocol, host.strip('[]'), int(port)
     )
-    reader.heard_at = loop.time()
+    reader.received_at = loop.time()
     writer = asyncio.StreamWriter(transport, protocol, reader, loop)
     return Connection(reader, writer)
--- a/pomelopass/edges/connectionpool.py
+++ b/pomelopass/edges/connectionpool.py
@@ -17,20 +17,20 @@
     def __init__(self) -> None:
         self.idle_by_address: dict[str, list[clientconnection.Connection]] = {}
         self.busy_by_address: dict[str, set[clientconnection.Connection]] = {}
-        self.last_heard_at = float('-inf')
+        self.last_received_at = float('-inf')
 
     @property
-    def heard_at(self) -> float:
+    def received_at(self) -> float:
         """Return the event loop time at which bytes came last, in seconds."""
-        busy_heard_at = max(
+        busy_received_at = max(
             (
-                connection.reader.heard_at
+                connection.reader.received_at
                 for connections in self.busy_by_address.values()
                 for connection in connections
             ),
-            default=self.last_heard_at,
+            default=self.last_received_at,
         )
-        return max(busy_heard_at, self.last_heard_at)
+        return max(busy_received_at, self.last_received_at)
 
     def take_idle(self, address: str) -> clientconnection.Connection | None:
         """Return an idle connection that can carry a request, or None."""
@@ -64,8 +64,8 @@
         connections.discard(connection)
         if not connections:
             self.busy_by_address.pop(address, None)
-        self.last_heard_at = max(
-            self.last_heard_at, connection.reader.heard_at
+        self.last_received_at = max(
+            self.last_received_at, connection.reader.received_at
         )
 
     def release(
@@ -91,7 +91,7 @@
         connections.append(connection)
 
     def get_silent_addresses(self, silent_ms: float) -> set[str]:
-        """Return the addresses with a request that heard nothing so long."""
+        """Return the addresses with a request that is silent for so long."""
         now = asyncio.get_running_loop().time()
         return {
             address
@@ -103,7 +103,7 @@
         }
 
     def break_silent(self, address: str, silent_ms: float) -> None:
-        """Abort repeatable requests that heard nothing for so long.
+        """Abort repeatable requests that received nothing for so long.
 
         Idle connections to the address are closed as well.
         """
--- a/pomelopass/paths/ports.py
+++ b/pomelopass/paths/ports.py
@@ -20,19 +20,19 @@
         """Set what is called for an endpoint that says that it leaves."""
 
     @property
-    def heard_at(self) -> float:
+    def received_at(self) -> float:
         """Return when bytes came last from any endpoint, in loop seconds."""
 
     async def can_connect(self, target: endpoints.Endpoint) -> bool:
         """Return whether a connection to an endpoint opens."""
 
     def get_silent_ids(self, silent_ms: float) -> set[str]:
-        """Return the endpoints with a request that heard nothing so long."""
+        """Return the endpoints with a request that is silent for so long."""
 
     def break_silent(
         self, target: endpoints.Endpoint, silent_ms: float
     ) -> None:
-        """Abort the repeatable requests that heard nothing for so long."""
+        """Abort the repeatable requests that received nothing for so long."""
 
 
 class PeerPort(Protocol):
--- a/pomelopass/paths/tunnelclient.py
+++ b/pomelopass/paths/tunnelclient.py
@@ -101,7 +101,7 @@
     finally:
         if not is_open:
             transport.abort()
-    reader.heard_at = loop.time()
+    reader.received_at = loop.time()
     return clientconnection.Connection(reader, writer)
 
 
--- a/pomelopass/paths/watch.py
+++ b/pomelopass/paths/watch.py
@@ -77,8 +77,8 @@
             self._break_silent(endpoint_id)
 
     def _choose_silent(self, now: float) -> set[str]:
-        heard_ms_ago = (now - self.direct.heard_at) * 1000
-        if heard_ms_ago < SILENCE_MS or now < self.next_silence_probe_at:
+        received_ms_ago = (now - self.direct.received_at) * 1000
+        if received_ms_ago < SILENCE_MS or now < self.next_silence_probe_at:
             return set()
         silent_ids = sorted(self.direct.get_silent_ids(SILENCE_MS))
         return set(silent_ids[:MAX_SILENT_PROBES])
--- a/pomelopass/platform/endpointclient.py
+++ b/pomelopass/platform/endpointclient.py
@@ -37,9 +37,9 @@
         self.on_leaving = on_leaving
 
     @property
-    def heard_at(self) -> float:
+    def received_at(self) -> float:
         """Return when bytes came last from any endpoint."""
-        return self.http.pool.heard_at
+        return self.http.pool.received_at
 
     async def open(
         self,
@@ -88,7 +88,7 @@
         return await self.http.can_connect(target.address)
 
     def get_silent_ids(self, silent_ms: float) -> set[str]:
-        """Return the endpoints with a request that heard nothing so long."""
+        """Return the endpoints with a request that is silent for so long."""
         return {
             self.id_by_address[address]
             for address in self.http.pool.get_silent_addresses(silent_ms)
@@ -98,7 +98,7 @@
     def break_silent(
         self, target: endpoint.Endpoint, silent_ms: float
     ) -> None:
-        """Abort the repeatable requests that heard nothing for so long."""
+        """Abort the repeatable requests that received nothing for so long."""
         self.http.pool.break_silent(target.address, silent_ms)
 
     async def fetch_report(
--- a/pomelopass/reporting/leavingaudit.py
+++ b/pomelopass/reporting/leavingaudit.py
@@ -7,7 +7,7 @@
 
 __all__ = ['LateRequests', 'find_late_requests']
 
-# An instance may send to an endpoint for this long after it heard of it.
+# An instance may send to an endpoint for this long after it learned of it.
 ALLOWED_MS = 2000.0
 
 
@@ -28,22 +28,22 @@
     """Return late requests by instance and endpoint.
 
     The lines of the event endpoint-answered are needed, which instances log
-    at the level DEBUG. A restart of either side ends what was heard.
+    at the level DEBUG. A restart of either side ends what was learned.
     """
-    heard_ms_by_pair: dict[tuple[str, str], float] = {}
+    learned_ms_by_pair: dict[tuple[str, str], float] = {}
     late_by_pair: dict[tuple[str, str], list[tuple[str, float]]] = {}
     for line in lines:
         if line.utc_ms is None:
             continue
         if line.event == 'started':
-            _forget(heard_ms_by_pair, instance=line.instance)
+            _forget(learned_ms_by_pair, instance=line.instance)
         elif (
             line.event == 'endpoint-changed'
             and line.fields['change'] == 'restarted'
         ):
-            _forget(heard_ms_by_pair, endpoint=str(line.fields['endpoint']))
+            _forget(learned_ms_by_pair, endpoint=str(line.fields['endpoint']))
         elif line.event == 'endpoint-answered':
-            _apply_answer(line, heard_ms_by_pair, late_by_pair)
+            _apply_answer(line, learned_ms_by_pair, late_by_pair)
     return [
         LateRequests(
             instance,
@@ -57,18 +57,18 @@
 
 
 def _forget(
-    heard_ms_by_pair: dict[tuple[str, str], float],
+    learned_ms_by_pair: dict[tuple[str, str], float],
     instance: str | None = None,
     endpoint: str | None = None,
 ) -> None:
-    for pair in list(heard_ms_by_pair):
+    for pair in list(learned_ms_by_pair):
         if pair[0] == instance or pair[1] == endpoint:
-            del heard_ms_by_pair[pair]
+            del learned_ms_by_pair[pair]
 
 
 def _apply_answer(
     line: savedlogs.LogLine,
-    heard_ms_by_pair: dict[tuple[str, str], float],
+    learned_ms_by_pair: dict[tuple[str, str], float],
     late_by_pair: dict[tuple[str, str], list[tuple[str, float]]],
 ) -> None:
     sent_ms = line.utc_ms - float(str(line.fields['took_ms']))
@@ -78,10 +78,10 @@
     senders = {line.instance, str(line.fields.get('peer') or line.instance)}
     for sender in sorted(senders):
         pair = (sender, str(line.fields['endpoint']))
-        heard_ms = heard_ms_by_pair.get(pair)
-        is_late = heard_ms is not None and sent_ms > heard_ms + ALLOWED_MS
+        learned_ms = learned_ms_by_pair.get(pair)
+        is_late = learned_ms is not None and sent_ms > learned_ms + ALLOWED_MS
         if is_late and reached:
             late = late_by_pair.setdefault(pair, [])
             late.append((str(line.fields['id']), sent_ms))
-        if line.fields.get('leaving') and heard_ms is None:
-            heard_ms_by_pair[pair] = line.utc_ms
+        if line.fields.get('leaving') and learned_ms is None:
+            learned_ms_by_pair[pair] = line.utc_ms
--- a/scripts/pathmutants.py
+++ b/scripts/pathmutants.py
@@ -175,21 +175,21 @@
         (SERVED,),
     ),
     mutant.Mutant(
-        'word-of-leaving-is-not-decoded',
+        'leaving-notice-is-not-decoded',
         'pomelopass/platform/answerdecode.py',
         'message.find_header(reply.headers, names.LEAVING) is not None',
         'False',
         (CLIENT,),
     ),
     mutant.Mutant(
-        'word-of-leaving-of-another-endpoint-counts',
+        'leaving-notice-of-another-endpoint-counts',
         'pomelopass/platform/answerdecode.py',
         'reply.status != MISDIRECTED_STATUS\n        and ',
         '',
         (CLIENT,),
     ),
     mutant.Mutant(
-        'word-of-leaving-in-an-order-is-lost',
+        'leaving-notice-in-an-order-is-lost',
         'pomelopass/platform/endpointclient.py',
         '            self._note_leaving(target, reply)\n'
         '            await reply.read(MAX_REPORT_BYTES)',
@@ -204,7 +204,7 @@
         (LEAVING,),
     ),
     mutant.Mutant(
-        'entry-overrides-the-word-of-leaving',
+        'entry-overrides-a-leaving-notice',
         'pomelopass/registry/registry.py',
         '            self._update_leaving(entry.id)\n'
         '            self._log_change(entry, ',
@@ -212,7 +212,7 @@
         (LEAVING,),
     ),
     mutant.Mutant(
-        'word-of-leaving-outlasts-the-start',
+        'leaving-notice-outlasts-the-start',
         'pomelopass/registry/registry.py',
         'state.said_leaving = started_at_ms == state.endpoint.started_at_ms',
         'state.said_leaving = started_at_ms is not None',
@@ -233,7 +233,7 @@
         ('tests/versions/test_assignment.py',),
     ),
     mutant.Mutant(
-        'peer-does-not-hear-of-leaving',
+        'peer-gets-no-leaving-notice',
         f'{PATHS}/endpointpaths.py',
         '            self._report_leaving(peer, target)',
         '            pass',
--- a/standins/links.py
+++ b/standins/links.py
@@ -34,7 +34,7 @@
 
     endpoint_id: str
     is_repeatable: bool
-    heard_at: float
+    received_at: float
     broken: asyncio.Future
 
 
@@ -47,7 +47,7 @@
         # Endpoints with an idle connection.
         self.idle_ids: set[str] = set()
         self.uses: list[_Use] = []
-        self.last_heard_at = float('-inf')
+        self.last_received_at = float('-inf')
         self.connects: list[str] = []
         self.on_leaving: abc.Callable[[endpoints.Endpoint], None] = (
             lambda target: None
@@ -60,9 +60,9 @@
         self.on_leaving = on_leaving
 
     @property
-    def heard_at(self) -> float:
+    def received_at(self) -> float:
         """Return when bytes came last from any endpoint."""
-        return self.last_heard_at
+        return self.last_received_at
 
     async def open(
         self,
@@ -93,7 +93,7 @@
         except BaseException:
             self.uses.remove(use)
             raise
-        self._hear(use)
+        self._record_received(use)
         if answer.is_leaving:
             self.on_leaving(target)
         self.idle_ids.add(target.id)
@@ -137,16 +137,16 @@
         return {
             use.endpoint_id
             for use in self.uses
-            if (now - use.heard_at) * 1000 >= silent_ms
+            if (now - use.received_at) * 1000 >= silent_ms
         }
 
     def break_silent(
         self, target: endpoints.Endpoint, silent_ms: float
     ) -> None:
-        """Abort the repeatable requests that heard nothing for so long."""
+        """Abort the repeatable requests that received nothing for so long."""
         now = asyncio.get_running_loop().time()
         for use in self.uses:
-            is_silent = (now - use.heard_at) * 1000 >= silent_ms
+            is_silent = (now - use.received_at) * 1000 >= silent_ms
             if (
                 use.endpoint_id == target.id
                 and use.is_repeatable
@@ -174,9 +174,9 @@
             return orders.OrderOutcome.UNKNOWN
         return await self.pool.order_version(target, order)
 
-    def _hear(self, use: _Use) -> None:
-        use.heard_at = asyncio.get_running_loop().time()
-        self.last_heard_at = use.heard_at
+    def _record_received(self, use: _Use) -> None:
+        use.received_at = asyncio.get_running_loop().time()
+        self.last_received_at = use.received_at
 
     async def _connect(
         self, target: endpoints.Endpoint, timeout_ms: float
@@ -216,7 +216,7 @@
                 async for chunk in chunks:
                     # A body without a stall limit ends with its request.
                     await self._pass_cut(use, 10_000.0, stall_ms)
-                    self._hear(use)
+                    self._record_received(use)
                     yield chunk
         finally:
             self.uses.remove(use)
--- a/tests/entry/test_leaving.py
+++ b/tests/entry/test_leaving.py
@@ -70,11 +70,11 @@
     entrybuilders.run_cluster(scenario)
 
 
-@pytest.mark.parametrize('word', ['refusal', 'error'])
-def test_word_in_a_refusal_or_an_error_counts(word):
+@pytest.mark.parametrize('kind', ['refusal', 'error'])
+def test_notice_in_a_refusal_or_an_error_counts(kind):
     async def scenario(cluster):
         endpoint = cluster.pool.endpoint_by_id['desk-0']
-        if word == 'refusal':
+        if kind == 'refusal':
             endpoint.slots = 0
         else:
             endpoint.error_share = 1.0
@@ -90,7 +90,7 @@
     entrybuilders.run_cluster(scenario)
 
 
-def test_word_outlasts_an_entry_that_still_says_ready():
+def test_notice_outlasts_an_entry_that_still_says_ready():
     async def scenario(cluster):
         leave(cluster, 'desk-0')
         names = list(cluster.entry_by_name)
@@ -130,7 +130,7 @@
     entrybuilders.run_cluster(scenario)
 
 
-def test_peer_whose_links_carried_the_word_heeds_it_too():
+def test_peer_whose_links_carried_the_notice_follows_it_too():
     async def scenario(cluster):
         leave(cluster, 'desk-0', 'desk-1')
         cuts.cut(cluster, ['entry-0'], cuts.CUT_KINDS[0])
@@ -148,11 +148,11 @@
         assert before == {
             name: count_ran(cluster, name) for name in ('desk-0', 'desk-1')
         }
-        heard = [
+        informed = [
             name
             for name in names
             if cluster.entry_by_name[name].node.registry.leaving_start_by_id
         ]
-        assert len(heard) > 1
+        assert len(informed) > 1
 
     entrybuilders.run_cluster(scenario)
--- a/tests/paths/test_watch.py
+++ b/tests/paths/test_watch.py
@@ -15,7 +15,7 @@
 
     def __init__(self, is_cut):
         self.is_cut = is_cut
-        self.heard_at = 0.0
+        self.received_at = 0.0
         self.broken = []
 
     async def can_connect(self, target):
--- a/tests/test_leavingaudit.py
+++ b/tests/test_leavingaudit.py
@@ -26,37 +26,37 @@
     return [request_id for late in found for request_id in late.ids]
 
 
-HEARD = make_answer(1.0, 'a', leaving=True)
+NOTICE = make_answer(1.0, 'a', leaving=True)
 
 
-def test_request_more_than_two_seconds_after_the_word_is_late():
-    lines = (HEARD, make_answer(3.0, 'b'), make_answer(3.2, 'c'))
+def test_request_more_than_two_seconds_after_the_notice_is_late():
+    lines = (NOTICE, make_answer(3.0, 'b'), make_answer(3.2, 'c'))
     assert find_ids(*lines) == ['c']
 
 
-def test_request_of_an_instance_that_heard_nothing_is_not_late():
-    assert find_ids(HEARD, make_answer(4.0, 'b', 'entry-1')) == []
+def test_request_of_an_instance_that_received_no_notice_is_not_late():
+    assert find_ids(NOTICE, make_answer(4.0, 'b', 'entry-1')) == []
 
 
-def test_restart_of_either_side_ends_what_was_heard():
+def test_restart_of_either_side_ends_what_was_learned():
     restarted = make_line(
         2.0, 'endpoint-changed', endpoint='e0', change='restarted'
     )
-    assert find_ids(HEARD, restarted, make_answer(4.0, 'b')) == []
+    assert find_ids(NOTICE, restarted, make_answer(4.0, 'b')) == []
     started = make_line(2.0, 'started')
-    assert find_ids(HEARD, started, make_answer(4.0, 'b')) == []
+    assert find_ids(NOTICE, started, make_answer(4.0, 'b')) == []
 
 
 def test_connection_that_never_opened_reaches_nothing():
     failed = make_answer(4.0, 'b', status=0, not_run=True)
-    assert find_ids(HEARD, failed) == []
+    assert find_ids(NOTICE, failed) == []
 
 
 # The endpoint sees the peer, whoever asked.
-def test_request_over_a_peer_that_heard_it_is_late():
+def test_request_over_a_peer_that_carried_the_notice_is_late():
     carried = make_answer(1.0, 'a', peer='entry-2', leaving=True)
     own = make_answer(4.0, 'b', 'entry-2')
     other = make_answer(4.0, 'c', 'entry-1', peer='entry-2')
     assert find_ids(carried, own) == ['b']
     assert find_ids(carried, other) == ['c']
-    assert find_ids(HEARD, make_answer(4.0, 'd', 'entry-2')) == []
+    assert find_ids(NOTICE, make_answer(4.0, 'd', 'entry-2')) == []
