End a poll through a peer once the own link to the table works

Read again: an instance that polls through a peer stays with that call for up to 2.5 s, also if the peer loses its own link just as the instance's own comes back; a configuration is then late on an instance that is in touch. Change: such a poll ends once a direct call succeeds, and is sent directly; probes are made while it waits. Ruled out: a shorter timeout through peers, which must outlast the long poll of 1.5 s. Measured: the new test failed before (the relayed call's own end) and passes now; its mutant is caught; tests of table, entry and processes pass.

--- a/pomelopass/table/fallback.py
+++ b/pomelopass/table/fallback.py
@@ -32,6 +32,8 @@
         self.consecutive_failures = 0
         self.next_probe_at = 0.0
         self.probe: asyncio.Task | None = None
+        # Set while calls go to the service directly.
+        self.direct_again = asyncio.Event()
 
     def is_direct(self) -> bool:
         """Return whether calls go to the service without a peer."""
@@ -55,9 +57,37 @@
         self, table: str, after: int, wait_ms: int
     ) -> rows.Changes:
         """Wait for changes; raise HistoryLostError for an old version."""
-        return await self._call(
-            lambda client: client.follow(table, after, wait_ms)
-        )
+
+        def send(client: rows.RowTable) -> abc.Awaitable[rows.Changes]:
+            return client.follow(table, after, wait_ms)
+
+        if not self.is_direct():
+            changes = await self._follow_through_peer(send(self.relayed))
+            if changes is not None:
+                return changes
+        return await self._call_directly(send)
+
+    async def _follow_through_peer(
+        self, call: abc.Awaitable[rows.Changes]
+    ) -> rows.Changes | None:
+        """Return the changes, or None once the service answers directly.
+
+        The peer may have lost its own link, and its call then hangs.
+        """
+        relayed = asyncio.ensure_future(call)
+        regained = asyncio.ensure_future(self.direct_again.wait())
+        try:
+            while not (relayed.done() or regained.done()):
+                self._schedule_probe()
+                await asyncio.wait(
+                    (relayed, regained),
+                    timeout=PROBE_INTERVAL_MS / 1000,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+            return relayed.result() if relayed.done() else None
+        finally:
+            for task in (relayed, regained):
+                task.cancel()
 
     async def _call(
         self, send: abc.Callable[[rows.RowTable], abc.Awaitable[Any]]
@@ -103,8 +133,10 @@
         if not self.is_direct():
             self.write_event(logevents.TableRegained())
         self.consecutive_failures = 0
+        self.direct_again.set()
 
     def _record_failure(self, error: rows.TableError) -> None:
         self.consecutive_failures += 1
         if self.consecutive_failures == FAILURES_BEFORE_FALLBACK:
+            self.direct_again.clear()
             self.write_event(logevents.TableLost(detail=error.detail))
--- a/scripts/sharedmutants.py
+++ b/scripts/sharedmutants.py
@@ -211,4 +211,11 @@
         'return states',
         ('tests/registry/test_registry.py',),
     ),
+    mutant.Mutant(
+        'poll-waits-for-a-peer-that-hangs',
+        'pomelopass/table/fallback.py',
+        'while not (relayed.done() or regained.done()):',
+        'while not relayed.done():',
+        ('tests/table/test_fallback.py',),
+    ),
 )
--- a/tests/table/test_fallback.py
+++ b/tests/table/test_fallback.py
@@ -11,6 +11,10 @@
 from standins import virtualloop
 
 KEY = rows.Key('t', '', 'k')
+# A call through a peer that hangs.
+HANG_S = 2.5
+# A changed configuration must be in force everywhere by then.
+CONFIGURATION_S = 2.0
 WRITE = rows.Transaction(puts=((KEY, b'v'),))
 
 
@@ -67,3 +71,29 @@
         assert page.version == 1
 
     virtualloop.run(scenario())
+
+
+# The peer may have lost its own link just as this one works again.
+def test_poll_through_a_peer_that_hangs_ends_once_the_own_link_works():
+    async def scenario():
+        table, direct, relayed, events = make_table()
+        direct.faults.silent = True
+        await fail_twice(table)
+
+        async def hang(*arguments):
+            await asyncio.sleep(HANG_S)
+            raise rows.TableError('timeout', False)
+
+        relayed.follow = hang
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        poll = asyncio.ensure_future(table.follow('t', 0, 1500))
+        await asyncio.sleep(0.2)
+        direct.faults.silent = False
+        await direct.transact(WRITE)
+        changes = await poll
+        assert [row.name for row in changes.rows] == [KEY]
+        assert loop.time() - started_at < CONFIGURATION_S
+        assert events == ['table-lost', 'table-regained']
+
+    virtualloop.run(scenario())
