Probe a single silent endpoint only after half a second

Change: one silent endpoint is probed after 500 ms of its request's silence, several after 200 as before, which is what a link that hangs looks like once a request is hedged. The new test failed before and passes now.

--- a/pomelopass/paths/watch.py
+++ b/pomelopass/paths/watch.py
@@ -10,8 +10,10 @@
 __all__ = ['PathWatch']
 
 INTERVAL_MS = 150.0
-# Time without a byte from any endpoint while requests wait for answers.
+# Time without a byte from any endpoint while requests to several wait.
 SILENCE_MS = 200.0
+# The same for a single endpoint, which may just be slow.
+SINGLE_SILENCE_MS = 500.0
 # Requests over a lost link are aborted after so much silence.
 BREAK_MS = 400.0
 # No probes for silence for this time after one that succeeded.
@@ -80,8 +82,10 @@
         received_ms_ago = (now - self.direct.received_at) * 1000
         if received_ms_ago < SILENCE_MS or now < self.next_silence_probe_at:
             return set()
-        silent_ids = sorted(self.direct.get_silent_ids(SILENCE_MS))
-        return set(silent_ids[:MAX_SILENT_PROBES])
+        silent_ids = self.direct.get_silent_ids(SILENCE_MS)
+        if len(silent_ids) == 1:
+            silent_ids = self.direct.get_silent_ids(SINGLE_SILENCE_MS)
+        return set(sorted(silent_ids)[:MAX_SILENT_PROBES])
 
     def _choose_lost(self, now: float) -> set[str]:
         book = self.book
--- a/scripts/pathmutants.py
+++ b/scripts/pathmutants.py
@@ -50,6 +50,13 @@
         'ids = self._choose_lost(now)',
         (CUTS,),
     ),
+    mutant.Mutant(
+        'slow-endpoints-are-probed-for-links-that-hang',
+        f'{PATHS}/watch.py',
+        'if len(silent_ids) == 1:',
+        'if False:',
+        ('tests/paths/test_watch.py',),
+    ),
     mutant.Mutant(
         'cut-links-keep-silent-requests',
         f'{PATHS}/watch.py',
--- a/tests/paths/test_watch.py
+++ b/tests/paths/test_watch.py
@@ -1,6 +1,7 @@
 """Test probes of links that are silent or lost."""
 
 import asyncio
+import math
 import random
 
 from pomelopass.paths import book as books
@@ -11,29 +12,37 @@
 
 
 class Links:
-    """Own links with a silent request to one endpoint."""
+    """Own links with requests that are silent from a time on."""
 
-    def __init__(self, is_cut):
+    def __init__(self, is_cut, silent_ids=('e0',), answered_at=math.inf):
         self.is_cut = is_cut
+        self.silent_ids = set(silent_ids)
+        self.answered_at = answered_at
         self.received_at = 0.0
         self.broken = []
+        self.probed = []
 
     async def can_connect(self, target):
+        self.probed.append(target.id)
         return not self.is_cut
 
     def get_silent_ids(self, silent_ms):
-        return set() if self.broken else {'e0'}
+        now = asyncio.get_running_loop().time()
+        if self.broken or now >= self.answered_at:
+            return set()
+        return self.silent_ids if now * 1000 >= silent_ms else set()
 
     def break_silent(self, target, silent_ms):
         self.broken.append(target.id)
 
 
-def watch_silence(is_cut):
-    links = Links(is_cut)
+def watch_silence(is_cut, **options):
+    links = Links(is_cut, **options)
     # Too many endpoints for one failure to count as lost links.
     book = books.PathBook(lambda: 8, lambda event: None)
     registry = registries.Registry(lambda event: None)
-    registry.put(pathbuilders.make_endpoint('e0'))
+    for endpoint_id in ('e0', 'e1'):
+        registry.put(pathbuilders.make_endpoint(endpoint_id))
     watch = watches.PathWatch(book, links, registry, random.Random(1))
 
     async def run():
@@ -56,3 +65,16 @@
     links, book = watch_silence(is_cut=False)
     assert links.broken == []
     assert not book.failed_ids
+
+
+# Each probe is a new connection, which costs the endpoint.
+def test_endpoint_that_is_alone_and_slow_is_not_probed_at_once():
+    links, _ = watch_silence(is_cut=False, answered_at=0.45)
+    assert links.probed == []
+
+
+def test_silence_of_several_endpoints_is_probed_at_once():
+    links, _ = watch_silence(
+        is_cut=False, silent_ids=('e0', 'e1'), answered_at=0.45
+    )
+    assert sorted(links.probed) == ['e0', 'e1']
