Close the connections of the HTTP client's tests

Cause: a failing test of the client left connections to the garbage collector, which made pytest end with a SystemError while it printed the failure, so that a mutant (surplus-bytes-are-kept) counted as not caught. Change: the client of these tests is a fixture that is closed, and the server closes what it took. Ruled out: a filter for pytest's warnings, which would hide others.

--- a/tests/edges/test_httpclient.py
+++ b/tests/edges/test_httpclient.py
@@ -6,6 +6,7 @@
 import time
 
 import pytest
+import pytest_asyncio
 
 from pomelopass.core import verdict
 from pomelopass.edges import httpclient
@@ -22,21 +23,39 @@
 @contextlib.asynccontextmanager
 async def serve(handler):
     """Serve connections with a raw handler; yield the address."""
-    listener = await asyncio.start_server(handler, '127.0.0.1', 0)
+    writers = []
+
+    async def serve_connection(reader, writer):
+        writers.append(writer)
+        result = handler(reader, writer)
+        if asyncio.iscoroutine(result):
+            await result
+
+    listener = await asyncio.start_server(serve_connection, '127.0.0.1', 0)
     port = listener.sockets[0].getsockname()[1]
     try:
         yield f'127.0.0.1:{port}'
     finally:
+        for writer in writers:
+            writer.close()
         listener.close()
 
 
+@pytest_asyncio.fixture
+async def client():
+    """Yield a client whose connections are closed after the test."""
+    client = httpclient.HttpClient()
+    yield client
+    await client.close()
+
+
 async def fetch(client, address: str, timeout_ms: float = 3000) -> bytes:
     """Send a GET request and return the complete body."""
     reply = await client.open(address, GET, timeout_ms)
     return await reply.read(1 << 20)
 
 
-async def test_reply_truncated_at_any_byte_is_an_error():
+async def test_reply_truncated_at_any_byte_is_an_error(client):
     for cut in range(len(REPLY)):
 
         async def answer(reader, writer, cut=cut):
@@ -45,7 +64,6 @@
             writer.close()
 
         async with serve(answer) as address:
-            client = httpclient.HttpClient()
             with pytest.raises(message.ExchangeError) as error_info:
                 await fetch(client, address)
             bytes_written = error_info.value.bytes_written
@@ -54,8 +72,7 @@
             assert not client.pool.idle_by_address.get(address)
 
 
-async def test_refused_connection_sends_no_bytes():
-    client = httpclient.HttpClient()
+async def test_refused_connection_sends_no_bytes(client):
     async with serve(lambda r, w: None) as address:
         pass
     with pytest.raises(message.ExchangeError) as error_info:
@@ -63,7 +80,7 @@
     assert error_info.value.bytes_written == 0
 
 
-async def test_late_reply_is_not_returned_to_the_next_request():
+async def test_late_reply_is_not_returned_to_the_next_request(client):
     writers = []
 
     async def answer(reader, writer):
@@ -80,7 +97,6 @@
             await reader.read()
 
     async with serve(answer) as address:
-        client = httpclient.HttpClient()
         with pytest.raises(message.ExchangeError):
             await fetch(client, address, 50)
         await asyncio.sleep(0.4)
@@ -89,7 +105,7 @@
         await client.close()
 
 
-async def test_connection_is_reused_after_a_complete_reply():
+async def test_connection_is_reused_after_a_complete_reply(client):
     connections = []
 
     async def answer(reader, writer):
@@ -101,14 +117,13 @@
         writer.close()
 
     async with serve(answer) as address:
-        client = httpclient.HttpClient()
         for _ in range(5):
             assert await fetch(client, address) == b'hello world'
         await client.close()
         assert len(connections) == 1
 
 
-async def test_connection_with_surplus_bytes_after_a_reply_is_closed():
+async def test_connection_with_surplus_bytes_after_a_reply_is_closed(client):
     async def answer(reader, writer):
         await reader.readuntil(b'\r\n\r\n')
         writer.write(REPLY + REPLY)
@@ -116,12 +131,13 @@
             await reader.read()
 
     async with serve(answer) as address:
-        client = httpclient.HttpClient()
         assert await fetch(client, address) == b'hello world'
         assert not client.pool.idle_by_address.get(address)
 
 
-async def test_address_of_a_terminating_process_is_refused_after_a_reset():
+async def test_address_of_a_terminating_process_is_refused_after_a_reset(
+    client,
+):
     listeners = []
 
     def reset_and_stop(reader, writer):
@@ -131,7 +147,6 @@
     listener = await asyncio.start_server(reset_and_stop, '127.0.0.1', 0)
     listeners.append(listener)
     port = listener.sockets[0].getsockname()[1]
-    client = httpclient.HttpClient()
     assert await client.is_refused(f'127.0.0.1:{port}', 1000)
 
 
@@ -161,9 +176,8 @@
     return handle
 
 
-async def test_stalled_body_times_out_after_the_stall_time():
+async def test_stalled_body_times_out_after_the_stall_time(client):
     async with serve(send_chunks([REPLY[:-5]], 0)) as address:
-        client = httpclient.HttpClient()
         reply = await client.open(address, GET, 60_000, stall_ms=50)
         with pytest.raises(message.ExchangeError) as error_info:
             await reply.read(1 << 20)
@@ -171,23 +185,25 @@
         assert not client.pool.idle_by_address.get(address)
 
 
-async def test_steady_chunks_may_take_longer_in_total_than_the_stall_time():
+async def test_steady_chunks_may_take_longer_in_total_than_the_stall_time(
+    client,
+):
     chunks = [REPLY[index : index + 8] for index in range(0, len(REPLY), 8)]
     async with serve(send_chunks(chunks, 0.03)) as address:
-        client = httpclient.HttpClient()
         reply = await client.open(address, GET, 60_000, stall_ms=200)
         assert await reply.read(1 << 20) == b'hello world'
 
 
-async def test_slow_reader_does_not_cause_a_stall_timeout():
+async def test_slow_reader_does_not_cause_a_stall_timeout(client):
     async with serve(send_chunks([REPLY], 0)) as address:
-        client = httpclient.HttpClient()
         reply = await client.open(address, GET, 60_000, stall_ms=50)
         await asyncio.sleep(0.2)
         assert await reply.read(1 << 20) == b'hello world'
 
 
-async def test_reused_connection_applies_the_timeout_of_its_next_request():
+async def test_reused_connection_applies_the_timeout_of_its_next_request(
+    client,
+):
     is_silent = asyncio.Event()
 
     async def handle(reader, writer):
@@ -197,7 +213,6 @@
             writer.write(REPLY)
 
     async with serve(handle) as address:
-        client = httpclient.HttpClient()
         assert await fetch(client, address, 60_000) == b'hello world'
         assert client.pool.idle_by_address[address]
         is_silent.set()
@@ -206,21 +221,19 @@
         assert error_info.value.kind == 'timeout'
 
 
-async def test_request_with_an_invalid_header_sends_no_bytes():
+async def test_request_with_an_invalid_header_sends_no_bytes(client):
     async with serve(lambda r, w: None) as address:
-        client = httpclient.HttpClient()
         request = message.Request('GET', '/', (('x', 'a\nb'),))
         with pytest.raises(message.ExchangeError) as error_info:
             await client.open(address, request, 3000)
         assert error_info.value.bytes_written == 0
 
 
-async def test_bytes_received_at_the_deadline_cause_no_timeout():
+async def test_bytes_received_at_the_deadline_cause_no_timeout(client):
     loop = asyncio.get_running_loop()
     with socket.create_server(('127.0.0.1', 0)) as listener:
         listener.setblocking(False)
         address = f'127.0.0.1:{listener.getsockname()[1]}'
-        client = httpclient.HttpClient()
         opening = asyncio.create_task(
             client.open(address, GET, 60_000, stall_ms=100)
         )
