Find the peers that help where most instances are cut off

Cause: without the table no row says which peers are cut off too. Each instance asked the same three peers for an endpoint, by rank of the endpoint's id alone, and again after half a second, so peers that rank later were never asked. A peer that reaches no endpoint answered as if that endpoint were unreachable, so it was asked again for each other endpoint.

Change: a peer says that it is cut off itself (a new outcome of a tunnel), and is then left alone for all endpoints. An instance without links that knows no such peer asks four each 150 ms by itself. An event at DEBUG names each peer that did not help and why.

Ruled out: more peers for each call (the caller would wait for each, 150 ms where peers have not noticed yet); a hint of a peer in the refusal (it can't know either, without the table).

The new test with one of 24 instances left served 0 of 17 callers before, in all four kinds of cuts, and all of them now.

--- a/pomelopass/entry/clients.py
+++ b/pomelopass/entry/clients.py
@@ -7,6 +7,7 @@
 from ..edges import httpclient
 from ..limits import peers
 from . import node as nodes
+from ..paths import ports as pathports
 from ..paths import tunnelclient
 from ..platform import endpointclient
 from ..platform import rowclient
@@ -30,7 +31,7 @@
     )
     tunnels: httpclient.HttpClient = dataclasses.field(
         default_factory=lambda: httpclient.HttpClient(
-            tunnelclient.open_tunnel, tunnelclient.TUNNEL_TIMEOUT_MS
+            tunnelclient.open_tunnel, pathports.PEER_TIMEOUT_MS
         )
     )
 
--- a/pomelopass/entry/pathparts.py
+++ b/pomelopass/entry/pathparts.py
@@ -8,7 +8,9 @@
 from ..fleet import member
 from ..paths import book as books
 from ..paths import endpointpaths
+from ..paths import peers as peerbooks
 from ..paths import ports
+from ..paths import search as searches
 from ..paths import tunnelserver
 from ..paths import watch as watches
 from ..registry import endpoint as endpoints
@@ -40,11 +42,21 @@
 ) -> PathParts:
     """Return the parts of an instance."""
     book = books.PathBook(lambda: len(registry.state_by_id), write_event)
-    watch = watches.PathWatch(book, direct, registry, rng)
 
     def get_peers() -> list[member.Member]:
         return membership.get_helpers(asyncio.get_running_loop().time())
 
+    search = searches.PeerSearch(
+        peer_port,
+        peerbooks.PeerBook(
+            membership.own_name, availability_zone, write_event
+        ),
+        get_peers,
+        registry,
+        rng,
+    )
+    watch = watches.PathWatch(book, direct, registry, search, rng)
+
     def find_endpoint(endpoint_id: str) -> endpoints.Endpoint | None:
         state = registry.state_by_id.get(endpoint_id)
         return None if state is None or state.is_leaving else state.endpoint
@@ -63,7 +75,7 @@
         book,
         watch,
         endpointpaths.EndpointPaths(
-            direct, peer_port, book, watch, get_peers, availability_zone
+            direct, peer_port, book, watch, search, get_peers
         ),
         tunnelserver.TunnelServer(
             find_endpoint,
--- a/pomelopass/paths/endpointpaths.py
+++ b/pomelopass/paths/endpointpaths.py
@@ -4,23 +4,20 @@
 from collections import abc
 
 from . import book as books
-from ..core import rendezvous
 from ..fleet import member
+from . import peers as peerbooks
 from . import ports
 from ..registry import endpoint as endpoints
 from ..requests import call as calls
+from . import search as searches
 from ..versions import orders
 from . import watch as watches
 
 __all__ = ['EndpointPaths']
 
 CONNECT_KINDS = ('connect-timeout', 'connect-failed')
-# Peers that are asked for one call.
-MAX_PEERS = 3
-# A peer that did not reach an endpoint is not asked for it again before.
-PEER_BACKOFF_MS = 500.0
 MIN_TIMEOUT_MS = 1.0
-MAX_ENTRIES = 4096
+MAX_REPORTED = 4096
 
 
 class EndpointPaths:
@@ -36,16 +33,16 @@
         peer_port: ports.PeerPort,
         book: books.PathBook,
         watch: watches.PathWatch,
+        search: searches.PeerSearch,
         get_peers: abc.Callable[[], list[member.Member]],
-        availability_zone: str,
     ):
         self.direct = direct
         self.peer_port = peer_port
         self.book = book
         self.watch = watch
+        self.search = search
+        self.peer_book = search.peer_book
         self.get_peers = get_peers
-        self.availability_zone = availability_zone
-        self.backoff_until_by_pair: dict[tuple[str, str], float] = {}
         self.read = direct.read
         self.reported: set[tuple[str, str, int]] = set()
         self.reports: set[asyncio.Task] = set()
@@ -120,8 +117,10 @@
         except calls.CallFailedError as error:
             if error.may_have_run:
                 raise
-            self._back_off(peer, target)
+            self._record_failure(peer, target, error.kind, remaining_ms)
             return None
+        now = asyncio.get_running_loop().time()
+        self.peer_book.record_served(peer.name, target.id, now)
         answer.peer = peer.name
         if answer.is_leaving:
             self._report_leaving(peer, target)
@@ -135,10 +134,9 @@
         self.book.record_failure(target.id)
         self.watch.wake()
         for peer in self._choose_peers(target)[:1]:
-            if await self.peer_port.can_connect(peer, target):
+            if await self.search.ask(peer, target):
                 self.book.record_detour(target.id)
                 return False
-            self._back_off(peer, target)
         # The refusal of a lost link says nothing about the endpoint.
         return not self.book.needs_peer(target.id)
 
@@ -162,27 +160,21 @@
         return await self.direct.order_version(target, order)
 
     def _choose_peers(self, target: endpoints.Endpoint) -> list[member.Member]:
-        """Return the peers to ask: one of the own zone, then of the others.
+        now = asyncio.get_running_loop().time()
+        return self.peer_book.choose(target.id, self.get_peers(), now)
 
-        A zone may be cut off as a whole. The same peer is asked for the same
-        endpoint, so that connections are reused.
-        """
+    def _record_failure(
+        self,
+        peer: member.Member,
+        target: endpoints.Endpoint,
+        kind: str,
+        waited_ms: float,
+    ) -> None:
+        if kind == 'connect-timeout' and waited_ms < ports.PEER_TIMEOUT_MS:
+            # The call ended before the peer could have answered.
+            kind = peerbooks.ENDPOINT_UNREACHABLE
         now = asyncio.get_running_loop().time()
-        peer_by_name = {
-            peer.name: peer
-            for peer in self.get_peers()
-            if self.backoff_until_by_pair.get((peer.name, target.id), now)
-            <= now
-        }
-        ranked = rendezvous.rank(target.id, list(peer_by_name))
-        peers = [peer_by_name[name] for name in ranked]
-        near = [
-            peer
-            for peer in peers
-            if peer.availability_zone == self.availability_zone
-        ]
-        far = [peer for peer in peers if peer not in near]
-        return [*near[:1], *far, *near[1:]][:MAX_PEERS]
+        self.peer_book.record_failure(peer.name, target.id, kind, now)
 
     def _report_leaving(
         self, peer: member.Member, target: endpoints.Endpoint
@@ -191,7 +183,7 @@
         report = (peer.name, target.id, target.started_at_ms)
         if report in self.reported:
             return
-        if len(self.reported) >= MAX_ENTRIES:
+        if len(self.reported) >= MAX_REPORTED:
             self.reported.clear()
         self.reported.add(report)
         task = asyncio.ensure_future(
@@ -199,12 +191,3 @@
         )
         self.reports.add(task)
         task.add_done_callback(self.reports.discard)
-
-    def _back_off(
-        self, peer: member.Member, target: endpoints.Endpoint
-    ) -> None:
-        now = asyncio.get_running_loop().time()
-        if len(self.backoff_until_by_pair) >= MAX_ENTRIES:
-            self.backoff_until_by_pair.clear()
-        until = now + PEER_BACKOFF_MS / 1000
-        self.backoff_until_by_pair[peer.name, target.id] = until
--- a/pomelopass/paths/ports.py
+++ b/pomelopass/paths/ports.py
@@ -8,7 +8,10 @@
 from ..requests import call as calls
 from ..versions import manager as versionmanagers
 
-__all__ = ['DirectPort', 'PeerPort']
+__all__ = ['PEER_TIMEOUT_MS', 'DirectPort', 'PeerPort']
+
+# Time for a peer's own connection to the endpoint and its answer.
+PEER_TIMEOUT_MS = 400.0
 
 
 class DirectPort(calls.EndpointPort, versionmanagers.OrderPort, Protocol):
@@ -59,10 +62,14 @@
     ) -> calls.Answer:
         """Send the call and return the head of the answer.
 
-        Raise CallFailedError.
+        Raise CallFailedError, with a kind of peers.py if the peer opened no
+        connection to the endpoint.
         """
 
-    async def can_connect(
+    async def connect(
         self, peer: member.Member, target: endpoints.Endpoint
-    ) -> bool:
-        """Return whether a peer opens a connection to an endpoint."""
+    ) -> None:
+        """Open and close a connection to an endpoint over a peer.
+
+        Raise CallFailedError.
+        """
--- a/pomelopass/paths/tunnelclient.py
+++ b/pomelopass/paths/tunnelclient.py
@@ -2,29 +2,33 @@
 
 import asyncio
 from collections import abc
-import contextlib
 import dataclasses
 from typing import Protocol
 
+from .. import message
 from ..edges import clientconnection
 from ..edges import peercall
 from ..edges import peerframe
 from ..fleet import member
+from . import peers as peerbooks
+from . import ports
 from ..registry import endpoint as endpoints
 from ..reporting import logevents
 from ..requests import call as calls
 from ..wire.gen.tunnels import EndpointTunnel
 from ..wire.gen.tunnels import ttypes
 
-__all__ = ['TUNNEL_TIMEOUT_MS', 'PeerEndpoints', 'open_tunnel']
+__all__ = ['PeerEndpoints', 'open_tunnel']
 
-# Includes the peer's own connection to the endpoint.
-TUNNEL_TIMEOUT_MS = 400.0
 SEPARATOR = '/'
 
 
-class TunnelError(ConnectionError):
-    """Raised when a peer opened no connection to an endpoint."""
+KIND_BY_OUTCOME = {
+    ttypes.TunnelOutcome.UNREACHABLE: peerbooks.ENDPOINT_UNREACHABLE,
+    ttypes.TunnelOutcome.NOT_OFFERED: peerbooks.ENDPOINT_UNREACHABLE,
+    ttypes.TunnelOutcome.BUSY: peerbooks.PEER_BUSY,
+    ttypes.TunnelOutcome.CUT_OFF: peerbooks.PEER_CUT_OFF,
+}
 
 
 class _TunnelProtocol(asyncio.StreamReaderProtocol):
@@ -85,7 +89,11 @@
 
 
 async def open_tunnel(address: str) -> clientconnection.Connection:
-    """Open a connection to PEER_ADDRESS/ENDPOINT_ID; raise OSError."""
+    """Open a connection to PEER_ADDRESS/ENDPOINT_ID.
+
+    Raise OSError if the peer is not reached, and ExchangeError if it opens
+    no connection to the endpoint.
+    """
     loop = asyncio.get_running_loop()
     peer_address, _, endpoint_id = address.partition(SEPARATOR)
     host, _, port = peer_address.rpartition(':')
@@ -116,9 +124,11 @@
         client = EndpointTunnel.Client(peerframe.make_reader(frame))
         outcome = client.recv_open_tunnel()
     except peercall.CALL_ERRORS as error:
-        raise TunnelError(repr(error)) from None
+        raise ConnectionResetError(repr(error)) from None
     if outcome != ttypes.TunnelOutcome.OPEN:
-        raise TunnelError(f'outcome {outcome}')
+        # A later version of the peer may know further outcomes.
+        kind = KIND_BY_OUTCOME.get(outcome, peerbooks.PEER_BUSY)
+        raise message.ExchangeError(kind, 0)
     return True
 
 
@@ -171,16 +181,20 @@
             fresh,
         )
 
-    async def can_connect(
+    async def connect(
         self, peer: member.Member, target: endpoints.Endpoint
-    ) -> bool:
-        """Return whether a peer opens a connection to an endpoint."""
-        with contextlib.suppress(OSError, TimeoutError):
-            async with asyncio.timeout(TUNNEL_TIMEOUT_MS / 1000):
+    ) -> None:
+        """Open and close a connection; raise CallFailedError."""
+        try:
+            async with asyncio.timeout(ports.PEER_TIMEOUT_MS / 1000):
                 connection = await open_tunnel(_make_address(peer, target))
-                connection.close()
-                return True
-        return False
+        except message.ExchangeError as error:
+            raise calls.CallFailedError(error.kind, False) from None
+        except TimeoutError:
+            raise calls.CallFailedError('connect-timeout', False) from None
+        except OSError:
+            raise calls.CallFailedError('connect-failed', False) from None
+        connection.close()
 
     async def report_leaving(
         self, peer: member.Member, target: endpoints.Endpoint
@@ -188,7 +202,7 @@
         """Report what an answer over a peer's links said of its endpoint."""
         try:
             connection = await peercall.connect(
-                peer.relay_address, TUNNEL_TIMEOUT_MS
+                peer.relay_address, ports.PEER_TIMEOUT_MS
             )
             await peercall.call_peer(
                 connection,
@@ -197,7 +211,7 @@
                     target.id, target.started_at_ms
                 ),
                 lambda client: client.recv_report_leaving(),
-                TUNNEL_TIMEOUT_MS,
+                ports.PEER_TIMEOUT_MS,
             )
         except peercall.CALL_ERRORS as error:
             self.write_event(
--- a/pomelopass/paths/tunnelserver.py
+++ b/pomelopass/paths/tunnelserver.py
@@ -84,6 +84,8 @@
         if target is None:
             return ttypes.TunnelOutcome.NOT_OFFERED
         # Tunnels do not lead over a second peer.
+        if self.book.is_cut_off:
+            return ttypes.TunnelOutcome.CUT_OFF
         if self.book.needs_peer(endpoint_id):
             return ttypes.TunnelOutcome.UNREACHABLE
         return None
--- a/pomelopass/paths/watch.py
+++ b/pomelopass/paths/watch.py
@@ -6,6 +6,7 @@
 from . import book as books
 from . import ports
 from ..registry import registry as registries
+from . import search as searches
 
 __all__ = ['PathWatch']
 
@@ -36,10 +37,12 @@
         book: books.PathBook,
         direct: ports.DirectPort,
         registry: registries.Registry,
+        search: searches.PeerSearch,
         rng: random.Random,
     ):
         self.book = book
         self.direct = direct
+        self.search = search
         self.registry = registry
         self.rng = rng
         self.needed = asyncio.Event()
@@ -77,6 +80,7 @@
             return
         for endpoint_id in self.direct.get_silent_ids(BREAK_MS):
             self._break_silent(endpoint_id)
+        await self.search.run()
 
     def _choose_silent(self, now: float) -> set[str]:
         received_ms_ago = (now - self.direct.received_at) * 1000
--- a/pomelopass/reporting/logevents.py
+++ b/pomelopass/reporting/logevents.py
@@ -257,6 +257,17 @@
     change: str
 
 
+@_event
+class PeerOpenedNoPath(Event):
+    """A peer opened no connection to an endpoint; logged when debugging."""
+
+    level: ClassVar[int] = logging.DEBUG
+
+    peer: str
+    endpoint: str
+    reason: str
+
+
 @_event
 class EndpointsLost(Event):
     """The links to all endpoints are lost; peers pass requests on."""
--- a/pomelopass/wire/gen/tunnels/ttypes.py
+++ b/pomelopass/wire/gen/tunnels/ttypes.py
@@ -21,12 +21,14 @@
     UNREACHABLE = 1
     BUSY = 2
     NOT_OFFERED = 3
+    CUT_OFF = 4
 
     _VALUES_TO_NAMES = {
         0: "OPEN",
         1: "UNREACHABLE",
         2: "BUSY",
         3: "NOT_OFFERED",
+        4: "CUT_OFF",
     }
 
     _NAMES_TO_VALUES = {
@@ -34,6 +36,7 @@
         "UNREACHABLE": 1,
         "BUSY": 2,
         "NOT_OFFERED": 3,
+        "CUT_OFF": 4,
     }
 fix_spec(all_structs)
 del all_structs
--- a/pomelopass/wire/tunnels.thrift
+++ b/pomelopass/wire/tunnels.thrift
@@ -5,6 +5,8 @@
   UNREACHABLE = 1
   BUSY = 2
   NOT_OFFERED = 3
+  // The peer reaches no endpoint over its own links.
+  CUT_OFF = 4
 }
 
 service EndpointTunnel {
--- a/scripts/pathmutants.py
+++ b/scripts/pathmutants.py
@@ -8,6 +8,7 @@
 CUTS = 'tests/entry/test_cut_instances.py'
 LEAVING = 'tests/entry/test_leaving.py'
 TUNNELS = 'tests/paths/test_tunnels.py'
+PEERS = 'tests/paths/test_peers.py'
 BOOK = 'tests/paths/test_book.py'
 CLIENT = 'tests/platform/test_endpointclient.py'
 ADOPTION = 'tests/jobs/test_adoption.py'
@@ -31,11 +32,53 @@
     ),
     mutant.Mutant(
         'cut-zones-ask-only-their-own-peers',
-        f'{PATHS}/endpointpaths.py',
-        'return [*near[:1], *far, *near[1:]][:MAX_PEERS]',
-        'return [*near, *far][:MAX_PEERS]',
+        f'{PATHS}/peers.py',
+        'return [*near[:1], *far, *near[1:]]',
+        'return [*near, *far]',
         ('tests/paths/test_endpointpaths.py',),
     ),
+    mutant.Mutant(
+        'peers-that-help-are-not-preferred',
+        f'{PATHS}/peers.py',
+        'if helper is None or helper is order[0]:',
+        'if True:',
+        (PEERS,),
+    ),
+    mutant.Mutant(
+        'peers-that-failed-are-asked-first-again',
+        f'{PATHS}/peers.py',
+        'order = [*self._alternate_zones(sound), *failed]',
+        'order = [*failed, *self._alternate_zones(sound)]',
+        (PEERS,),
+    ),
+    mutant.Mutant(
+        'peers-that-are-cut-off-are-asked-for-each-endpoint',
+        f'{PATHS}/peers.py',
+        'if kind == ENDPOINT_UNREACHABLE:',
+        'if True:',
+        (PEERS,),
+    ),
+    mutant.Mutant(
+        'instances-ask-the-same-peer-for-an-endpoint',
+        f'{PATHS}/peers.py',
+        "key = f'{self.own_name}\\0{endpoint_id}'",
+        'key = endpoint_id',
+        (PEERS,),
+    ),
+    mutant.Mutant(
+        'search-continues-though-a-peer-helps',
+        f'{PATHS}/search.py',
+        'if not endpoint_ids or self.peer_book.has_helper(now):',
+        'if not endpoint_ids:',
+        ('tests/paths/test_search.py',),
+    ),
+    mutant.Mutant(
+        'no-search-while-no-peer-is-known-to-help',
+        f'{PATHS}/watch.py',
+        '        await self.search.run()\n',
+        '',
+        ('tests/paths/test_watch.py',),
+    ),
     mutant.Mutant(
         'cut-links-blame-contents',
         f'{PATHS}/endpointpaths.py',
@@ -86,6 +129,13 @@
         'if False:',
         (TUNNELS,),
     ),
+    mutant.Mutant(
+        'peers-do-not-say-that-they-are-cut-off',
+        f'{PATHS}/tunnelserver.py',
+        'if self.book.is_cut_off:',
+        'if False:',
+        (TUNNELS,),
+    ),
     mutant.Mutant(
         'broken-tunnel-looks-like-an-end',
         f'{PATHS}/tunnelclient.py',
--- a/tests/entry/test_cut_instances.py
+++ b/tests/entry/test_cut_instances.py
@@ -93,6 +93,25 @@
     entrybuilders.run_cluster(scenario)
 
 
+# Without the table no instance knows which of its peers are cut off too.
+@pytest.mark.parametrize('kind', CUT_KINDS)
+def test_callers_are_served_over_the_few_instances_with_links_in_an_outage(
+    kind,
+):
+    async def scenario(cluster):
+        names = list(cluster.entry_by_name)
+        cluster.service.down = True
+        cut(cluster, names[:-1], kind)
+        await send_all(cluster, names, SHORT_PATHS, 'begin', SETTLE_S)
+        outcomes_by_name = await send_all(
+            cluster, names, SHORT_PATHS, 'cut', 4
+        )
+        for outcomes in outcomes_by_name.values():
+            assert count_served(outcomes) == len(outcomes)
+
+    entrybuilders.run_cluster(scenario, instances=24)
+
+
 @pytest.mark.parametrize('kind', CUT_KINDS)
 def test_job_of_an_owner_without_endpoints_is_done_in_time(kind):
     async def scenario(cluster):
