Tell the end of an instance from timeouts within its requests

Change: the gate raises an error of its own when its limit ends a request, and passes others on. Ruled out: catching TimeoutError only while stopping, which mixes the two then.

--- a/pomelopass/platform/ingress.py
+++ b/pomelopass/platform/ingress.py
@@ -108,7 +108,7 @@
         try:
             async with self.stop_gate.limit():
                 return await self._handle(request)
-        except TimeoutError:
+        except stopgate.InstanceStopsError:
             # It may have run: this status promises nothing.
             return make_refusal(502, 'The instance stops.')
 
--- a/pomelopass/requests/stopgate.py
+++ b/pomelopass/requests/stopgate.py
@@ -7,7 +7,7 @@
 
 from . import routes
 
-__all__ = ['StopGate']
+__all__ = ['InstanceStopsError', 'StopGate']
 
 # Callers may use addresses cached from the directory for this long.
 CACHED_ADDRESS_MS = 3000.0
@@ -15,6 +15,10 @@
 ANSWER_MARGIN_MS = 150.0
 
 
+class InstanceStopsError(Exception):
+    """Raised in what still runs when the instance ends."""
+
+
 class StopGate:
     """Admits requests that can end before the instance does.
 
@@ -52,11 +56,16 @@
 
     @contextlib.asynccontextmanager
     async def limit(self) -> abc.AsyncGenerator[None, None]:
-        """Raise TimeoutError in what still runs when the instance ends."""
+        """Raise InstanceStopsError in what still runs at the end."""
         until = None if math.isinf(self.ends_at) else self.ends_at
-        async with asyncio.timeout_at(until) as limit:
-            self.limits.add(limit)
-            try:
+        limit = asyncio.timeout_at(until)
+        self.limits.add(limit)
+        try:
+            async with limit:
                 yield
-            finally:
-                self.limits.discard(limit)
+        except TimeoutError:
+            if not limit.expired():
+                raise
+            raise InstanceStopsError from None
+        finally:
+            self.limits.discard(limit)
--- a/tests/requests/test_stopgate.py
+++ b/tests/requests/test_stopgate.py
@@ -67,7 +67,7 @@
             gate.begin(loop.time(), closes_at)
         else:
             loop.call_later(1.0, gate.begin, loop.time(), closes_at)
-        with pytest.raises(TimeoutError):
+        with pytest.raises(stopgate.InstanceStopsError):
             async with gate.limit():
                 await asyncio.sleep(60)
         assert closes_at - 0.2 < loop.time() < closes_at
@@ -76,6 +76,17 @@
     virtualloop.run(run())
 
 
+# Such an error would be answered as if the instance stopped.
+def test_timeout_within_a_request_is_not_the_end_of_the_instance():
+    async def run():
+        gate = stopgate.StopGate()
+        with pytest.raises(TimeoutError):
+            async with gate.limit():
+                raise TimeoutError
+
+    virtualloop.run(run())
+
+
 def test_nothing_is_limited_without_a_stop():
     async def run():
         gate = stopgate.StopGate()
