Close idle tunnels of a full peer for new ones

Cause: a peer carries at most 128 tunnels, and those of a pool that carry no request counted as much as busy ones. Each instance keeps some for each endpoint, so where a single peer is left, instances that come later were refused although the peer had nothing to do. Ruled out: no pool over tunnels (a new connection costs 1.7 ms instead of 0.3 ms), a larger limit (memory of small instances). Measured: the new test failed before (the third instance was refused). Three mutants are caught.

--- a/pomelopass/paths/tunnelserver.py
+++ b/pomelopass/paths/tunnelserver.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import abc
+import contextlib
 import dataclasses
 from typing import Any
 
@@ -32,6 +33,13 @@
     used_at: float
     # Whether the last bytes were those of the peer, which awaits an answer.
     awaits_answer: bool = False
+    # Set when another tunnel needs its place.
+    evicted: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+
+    def is_busy(self) -> bool:
+        """Return whether it may carry a request."""
+        now = asyncio.get_running_loop().time()
+        return self.awaits_answer or (now - self.used_at) * 1000 < BUSY_MS
 
 
 class TunnelServer:
@@ -68,17 +76,13 @@
 
     def is_busy(self) -> bool:
         """Return whether a tunnel may carry a request."""
-        now = asyncio.get_running_loop().time()
-        return any(
-            tunnel.awaits_answer or (now - tunnel.used_at) * 1000 < BUSY_MS
-            for tunnel in self.tunnels
-        )
+        return any(tunnel.is_busy() for tunnel in self.tunnels)
 
     def check(self, endpoint_id: str) -> ttypes.TunnelOutcome | None:
         """Return why no tunnel to an endpoint may open now, or None."""
         if self.is_stopping():
             return ttypes.TunnelOutcome.BUSY
-        if len(self.tunnels) + self.opening >= MAX_TUNNELS:
+        if self._is_full() and self._find_idle() is None:
             return ttypes.TunnelOutcome.BUSY
         target = self.find_endpoint(endpoint_id)
         if target is None:
@@ -95,6 +99,8 @@
         if refusal is not None:
             return refusal
         target = self.find_endpoint(arguments.endpoint_id)
+        if self._is_full():
+            self._evict_idle()
         self.opening += 1
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1000):
@@ -115,6 +121,22 @@
             ttypes.TunnelOutcome.OPEN, carry, stream[1].close
         )
 
+    def _is_full(self) -> bool:
+        return len(self.tunnels) + self.opening >= MAX_TUNNELS
+
+    def _find_idle(self) -> _Tunnel | None:
+        """Return the tunnel that carried no request for longest, or None."""
+        return min(
+            (tunnel for tunnel in self.tunnels if not tunnel.is_busy()),
+            key=lambda tunnel: tunnel.used_at,
+            default=None,
+        )
+
+    def _evict_idle(self) -> None:
+        tunnel = self._find_idle()
+        tunnel.evicted.set()
+        self.tunnels.discard(tunnel)
+
     async def _take_report(self, arguments: Any) -> bool:
         self.on_leaving(arguments.endpoint_id, arguments.started_at_ms)
         return True
@@ -184,9 +206,12 @@
 
 
 async def _wait_until_idle(tunnel: _Tunnel) -> None:
-    while True:
+    """Return once a tunnel is idle for too long, or was evicted."""
+    while not tunnel.evicted.is_set():
         now = asyncio.get_running_loop().time()
         remaining_s = tunnel.used_at + IDLE_LIMIT_MS / 1000 - now
         if remaining_s <= 0:
             return
-        await asyncio.sleep(remaining_s)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(remaining_s):
+                await tunnel.evicted.wait()
--- a/scripts/pathmutants.py
+++ b/scripts/pathmutants.py
@@ -146,8 +146,22 @@
     mutant.Mutant(
         'full-peer-opens-tunnels',
         f'{PATHS}/tunnelserver.py',
-        'if len(self.tunnels) + self.opening >= MAX_TUNNELS:',
-        'if False:',
+        'return len(self.tunnels) + self.opening >= MAX_TUNNELS',
+        'return False',
+        (TUNNELS,),
+    ),
+    mutant.Mutant(
+        'full-peer-keeps-idle-tunnels',
+        f'{PATHS}/tunnelserver.py',
+        'if self._is_full() and self._find_idle() is None:',
+        'if self._is_full():',
+        (TUNNELS,),
+    ),
+    mutant.Mutant(
+        'full-peer-closes-busy-tunnels',
+        f'{PATHS}/tunnelserver.py',
+        '(tunnel for tunnel in self.tunnels if not tunnel.is_busy()),',
+        'self.tunnels,',
         (TUNNELS,),
     ),
     mutant.Mutant(
--- a/tests/paths/test_tunnels.py
+++ b/tests/paths/test_tunnels.py
@@ -265,6 +265,43 @@
     assert requests == []
 
 
+# Idle tunnels of many instances must not keep others from their endpoints.
+async def test_full_peer_closes_an_idle_tunnel_for_a_new_one(monkeypatch):
+    monkeypatch.setattr(tunnelserver, 'MAX_TUNNELS', 2)
+    monkeypatch.setattr(tunnelserver, 'BUSY_MS', 50.0)
+    async with run_tunnel(answer_each_request) as (client, address, peer):
+        other_clients = [make_client(), make_client()]
+        assert await fetch(client, address) == b'hello'
+        await asyncio.sleep(0.1)
+        for other_client in other_clients:
+            assert await fetch(other_client, address) == b'hello'
+            assert len(peer.tunnels.tunnels) == 2
+        # The first one was idle for longest, and its caller opens another.
+        assert client.pool.take_idle(address) is None
+        for other_client in other_clients:
+            await other_client.close()
+
+
+async def test_full_peer_closes_no_tunnel_that_carries_a_request(monkeypatch):
+    monkeypatch.setattr(tunnelserver, 'MAX_TUNNELS', 1)
+    monkeypatch.setattr(tunnelserver, 'BUSY_MS', 50.0)
+
+    async def answer(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        await asyncio.sleep(0.3)
+        writer.write(WITH_LENGTH)
+
+    async with run_tunnel(answer) as (client, address, peer):
+        running = asyncio.ensure_future(fetch(client, address))
+        await asyncio.sleep(0.1)
+        other_client = make_client()
+        with pytest.raises(message.ExchangeError) as error_info:
+            await fetch(other_client, address)
+        assert error_info.value.kind == peerbooks.PEER_BUSY
+        assert await running == b'hello'
+        await other_client.close()
+
+
 async def test_peer_learns_that_it_does_not_reach_the_endpoint_either():
     async with serve(lambda r, w: None) as endpoint_address:
         pass
