Split what grew with peers and with callers that stay

Change: the registry answers which endpoints take requests, notices of leaving endpoints are connected in one function, the soak's caller of stopping instances and the mutants of leaving endpoints have modules of their own. No behaviour changes.

--- a/pomelopass/entry/pathparts.py
+++ b/pomelopass/entry/pathparts.py
@@ -46,42 +46,40 @@
     def get_peers() -> list[member.Member]:
         return membership.get_helpers(asyncio.get_running_loop().time())
 
+    peer_book = peerbooks.PeerBook(
+        membership.own_name, availability_zone, write_event
+    )
     search = searches.PeerSearch(
-        peer_port,
-        peerbooks.PeerBook(
-            membership.own_name, availability_zone, write_event
-        ),
-        get_peers,
-        registry,
-        rng,
+        peer_port, peer_book, get_peers, registry, rng
     )
     watch = watches.PathWatch(book, direct, registry, search, rng)
-
-    def find_endpoint(endpoint_id: str) -> endpoints.Endpoint | None:
-        state = registry.state_by_id.get(endpoint_id)
-        return None if state is None or state.is_leaving else state.endpoint
-
-    def note_leaving(target: endpoints.Endpoint) -> None:
-        registry.record_leaving(target.id, target.started_at_ms)
-
-    direct.set_on_leaving(note_leaving)
-    peer_port.set_on_leaving(note_leaving)
+    paths = endpointpaths.EndpointPaths(
+        direct, peer_port, book, watch, search, get_peers
+    )
+    _connect_notices((direct, peer_port), registry)
 
     def doubt_link(endpoint_id: str) -> None:
         book.record_failure(endpoint_id)
         watch.wake()
 
-    return PathParts(
+    tunnels = tunnelserver.TunnelServer(
+        registry.find_open,
+        is_stopping,
         book,
-        watch,
-        endpointpaths.EndpointPaths(
-            direct, peer_port, book, watch, search, get_peers
-        ),
-        tunnelserver.TunnelServer(
-            find_endpoint,
-            is_stopping,
-            book,
-            doubt_link,
-            registry.record_leaving,
-        ),
+        doubt_link,
+        registry.record_leaving,
     )
+    return PathParts(book, watch, paths, tunnels)
+
+
+def _connect_notices(
+    ports_to_endpoints: tuple[ports.DirectPort, ports.PeerPort],
+    registry: registries.Registry,
+) -> None:
+    """Let the registry know of endpoints that say that they leave."""
+
+    def record(target: endpoints.Endpoint) -> None:
+        registry.record_leaving(target.id, target.started_at_ms)
+
+    for port in ports_to_endpoints:
+        port.set_on_leaving(record)
--- a/pomelopass/registry/registry.py
+++ b/pomelopass/registry/registry.py
@@ -60,6 +60,11 @@
         if state is not None and state.said_leaving:
             self._log_change(state.endpoint, 'leaving')
 
+    def find_open(self, endpoint_id: str) -> endpoints.Endpoint | None:
+        """Return the endpoint if it is registered and takes requests."""
+        state = self.state_by_id.get(endpoint_id)
+        return None if state is None or state.is_leaving else state.endpoint
+
     def _update_leaving(self, endpoint_id: str) -> None:
         state = self.state_by_id.get(endpoint_id)
         if state is None:
--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -12,6 +12,7 @@
 from scripts import endmutants
 from scripts import fleetmutants
 from scripts import jobmutants
+from scripts import leavingmutants
 from scripts import mutant
 from scripts import pathmutants
 from scripts import requestmutants
@@ -52,6 +53,7 @@
         *jobmutants.MUTANTS,
         *sharedmutants.MUTANTS,
         *pathmutants.MUTANTS,
+        *leavingmutants.MUTANTS,
         *endmutants.MUTANTS,
     )
     selected = [mutation for mutation in mutants if name_part in mutation.name]
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -17,8 +17,6 @@
 ORDER_EVERY_S = 0.15
 REQUEST_EVERY_S = 0.2
 MAX_REPLY_BYTES = 2_000_000
-STAYING_PAUSE_S = 0.05
-STAYING_DEADLINES_MS = (300, 1000, 3000)
 RESUMABLE_SHARE = 0.7
 # Requests with which a caller takes a broken stream up again.
 MAX_RESUMPTIONS = 3
@@ -133,39 +131,6 @@
             if earlier != result:
                 self.fail(f'{job_id}: position {position} changed')
 
-    async def stay(self, name: str) -> None:
-        """Send orders to an instance that stops until it is gone."""
-        http = httpclient.HttpClient()
-        while True:
-            self.counter += 1
-            self.stayed += 1
-            order = f'order-{self.counter}'
-            deadline_ms = self.rng.choice(STAYING_DEADLINES_MS)
-            request = message.Request(
-                'POST',
-                '/orders/1',
-                (
-                    ('host', self.host),
-                    ('attempt-id', order),
-                    ('deadline-ms', str(deadline_ms)),
-                ),
-                b'{}',
-            )
-            try:
-                reply = await http.open(
-                    self.address_by_name[name], request, CALL_TIMEOUT_MS
-                )
-                await reply.read(MAX_REPLY_BYTES)
-                self.status_by_order[order] = reply.status
-            except message.ExchangeError as error:
-                if not error.bytes_written:
-                    break
-                self.status_by_order[order] = 0
-                if error.kind in message.DISCONNECT_KINDS:
-                    self.cut_orders.append(order)
-            await asyncio.sleep(STAYING_PAUSE_S)
-        await http.close()
-
     async def _repeat(self, send, seconds: float) -> None:
         loop = asyncio.get_running_loop()
         end = loop.time() + seconds
--- a/soak/run.py
+++ b/soak/run.py
@@ -13,6 +13,7 @@
 from soak import faults
 from soak import proxy
 from soak import sockets
+from soak import stopcaller
 from tests import entrybuilders
 
 __all__ = ['run_soak']
@@ -68,7 +69,7 @@
                 self.rng,
                 self.post,
                 self.record_event,
-                callers.stay,
+                lambda name: stopcaller.send_until_gone(callers, name),
             )
             operator = asyncio.ensure_future(self._operate())
             await asyncio.gather(callers.run(seconds), injector.run(seconds))
--- a/tests/test_mutants.py
+++ b/tests/test_mutants.py
@@ -7,6 +7,7 @@
 from scripts import endmutants
 from scripts import fleetmutants
 from scripts import jobmutants
+from scripts import leavingmutants
 from scripts import pathmutants
 from scripts import requestmutants
 from scripts import sharedmutants
@@ -18,6 +19,7 @@
     *jobmutants.MUTANTS,
     *sharedmutants.MUTANTS,
     *pathmutants.MUTANTS,
+    *leavingmutants.MUTANTS,
     *endmutants.MUTANTS,
 )
 
