Close both ends of a proxied connection in the soak

Cause: a proxy of the soak left the other end of a connection open when one ended or the run was cancelled, so that runs printed tracebacks of the garbage collector. Ruled out: silencing the warnings.

--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -112,6 +112,8 @@
                 self._forward(target_reader, writer, 'stall_replies', owner),
             )
         finally:
+            writer.close()
+            target_writer.close()
             self.writers -= {writer, target_writer}
             self.owner_by_writer.pop(writer, None)
 
