Name the late requests of an audit, and origins, in the usual terms

Read as a newcomer: `found` and `known` for what has a name, "tells" in two comments, and an event missing in the list of public names. No behaviour changes. Ruled out: renaming "resumed went on" in the soak's summary, which older reports use. Measured: the tests of audits, paths and pages pass.

--- a/pomelopass/commands/logs.py
+++ b/pomelopass/commands/logs.py
@@ -169,14 +169,14 @@
 
 def _audit_leaving(lines: list[savedlogs.LogLine]) -> bool:
     """Print late requests to leaving endpoints; return whether any came."""
-    found = leavingaudit.find_late_requests(lines)
-    for late in found:
+    late_requests = leavingaudit.find_late_requests(lines)
+    for late in late_requests:
         print(
             f'leaving IGNORED: {late.instance} sent {len(late.ids)} requests '
             f'to {late.endpoint} more than 2 s after it said that it leaves, '
             f'the first {late.ids[0]}'
         )
-    return bool(found)
+    return bool(late_requests)
 
 
 def _read_files(names: list[str]) -> list[savedlogs.LogLine]:
--- a/pomelopass/entry/originparts.py
+++ b/pomelopass/entry/originparts.py
@@ -1,4 +1,4 @@
-"""Assemble what tells the origins of streams that callers resume."""
+"""Assemble the lookup of origins of streams that callers resume."""
 
 from collections import abc
 import dataclasses
--- a/pomelopass/reporting/logevents.py
+++ b/pomelopass/reporting/logevents.py
@@ -41,6 +41,7 @@
     'ListenFailed',
     'MemberUnreadable',
     'OriginNotStored',
+    'PeerOpenedNoPath',
     'PermitNotReserved',
     'RequestEnded',
     'RequestFailed',
--- a/pomelopass/reporting/textaudit.py
+++ b/pomelopass/reporting/textaudit.py
@@ -38,7 +38,7 @@
     events_by_software: dict[str, int] = dataclasses.field(
         default_factory=dict
     )
-    # Runs whose end no line tells, such as those of an instance that died.
+    # Runs without a line on their end, such as those of an instance that died.
     running: set[str] = dataclasses.field(default_factory=set)
 
     def is_by_others(self, software: str, event: int) -> bool:
--- a/tests/entry/test_cut_instances.py
+++ b/tests/entry/test_cut_instances.py
@@ -205,8 +205,8 @@
         for entry in cluster.entry_by_name.values()
         if entry.node.versions.duty.leadership_by_service
     ]
-    known = [row for row in leaders if row is not None]
-    newest = max(known, key=lambda row: row.confirmations)
+    held_rows = [row for row in leaders if row is not None]
+    newest = max(held_rows, key=lambda row: row.confirmations)
     return newest.holder_name
 
 
--- a/tests/paths/test_peers.py
+++ b/tests/paths/test_peers.py
@@ -18,8 +18,8 @@
 
 
 def choose_names(book, peers, now, endpoint_id='e0', **options):
-    chosen = book.choose(endpoint_id, peers, now, **options)
-    return [peer.name for peer in chosen]
+    order = book.choose(endpoint_id, peers, now, **options)
+    return [peer.name for peer in order]
 
 
 # One of 30 reaches endpoints, and no row says which.
--- a/tests/test_leavingaudit.py
+++ b/tests/test_leavingaudit.py
@@ -22,8 +22,8 @@
 
 
 def find_ids(*lines):
-    found = leavingaudit.find_late_requests(lines)
-    return [request_id for late in found for request_id in late.ids]
+    late_requests = leavingaudit.find_late_requests(lines)
+    return [request_id for late in late_requests for request_id in late.ids]
 
 
 NOTICE = make_answer(1.0, 'a', leaving=True)
