Let the soak repeat what its platform did not take

Change: a call of which nothing was sent is made again, up to five times, and noted among the events. Ruled out: a longer time for connections, which the clients of the soak share.

--- a/soak/run.py
+++ b/soak/run.py
@@ -22,6 +22,8 @@
 SETTLE_S = 45.0
 VERSION_EVERY_S = 2.5
 CONFIGURATION_EVERY_S = 1.5
+# A connection may not open while the machine is busy.
+POST_ATTEMPTS = 5
 
 
 class _Soak:
@@ -48,8 +50,17 @@
             'POST', target, (), json.dumps(value).encode()
         )
         address = self.fleet.platform.address
-        reply = await self.http.open(address, request, 5000.0)
-        await reply.read(65_536)
+        for _ in range(POST_ATTEMPTS):
+            try:
+                reply = await self.http.open(address, request, 5000.0)
+            except message.ExchangeError as error:
+                if error.bytes_written:
+                    raise
+                self.record_event(f'{target}: {error.kind}, sent again')
+                continue
+            await reply.read(65_536)
+            return
+        raise TimeoutError(f'The platform took no {target}.')
 
     async def run(self, seconds: float) -> list[str]:
         with self.fleet:
