--- a/soak/run.py
+++ b/soak/run.py
@@ -22,6 +22,8 @@
 SETTLE_S = 45.0
 VERSION_EVERY_S = 2.5
 CONFIGURATION_EVERY_S = 1.5
+STALL_CHECK_S = 0.2
+MAX_STALL_S = 0.5
 # A connection may not open while the machine is busy.
 POST_ATTEMPTS = 5
 
@@ -83,10 +85,12 @@
                 lambda name: stopcaller.send_until_gone(callers, name),
             )
             operator = asyncio.ensure_future(self._operate())
+            stall_watch = asyncio.ensure_future(self._record_stalls())
             await asyncio.gather(callers.run(seconds), injector.run(seconds))
             operator.cancel()
             await self._settle(callers)
             await self._check(callers)
+            stall_watch.cancel()
             await callers.http.close()
             await self.http.close()
             for running_proxy in self.proxy_by_name.values():
@@ -151,6 +155,16 @@
             )
             await self._put_configuration(version)
 
+    async def _record_stalls(self) -> None:
+        """Record when the soak, which carries all connections, stood still."""
+        loop = asyncio.get_running_loop()
+        while True:
+            woken_at = loop.time()
+            await asyncio.sleep(STALL_CHECK_S)
+            stall_s = loop.time() - woken_at - STALL_CHECK_S
+            if stall_s > MAX_STALL_S:
+                self.record_event(f'the soak stood still for {stall_s:.1f} s')
+
     async def _settle(self, callers: clients.Clients) -> None:
         loop = asyncio.get_running_loop()
         end = loop.time() + SETTLE_S
