--- a/scripts/pathmutants.py
+++ b/scripts/pathmutants.py
@@ -8,6 +8,7 @@
 CUTS = 'tests/entry/test_cut_instances.py'
 TUNNELS = 'tests/paths/test_tunnels.py'
 PEERS = 'tests/paths/test_peers.py'
+FULL_PEERS = 'tests/paths/test_full_peers.py'
 BOOK = 'tests/paths/test_book.py'
 ADOPTION = 'tests/jobs/test_adoption.py'
 SERVED = 'tests/test_servedaudit.py'
@@ -159,21 +160,21 @@
         f'{PATHS}/tunnelserver.py',
         'return len(self.tunnels) + self.opening >= MAX_TUNNELS',
         'return False',
-        (TUNNELS,),
+        (FULL_PEERS,),
     ),
     mutant.Mutant(
         'full-peer-keeps-idle-tunnels',
         f'{PATHS}/tunnelserver.py',
         'if self._is_full() and self._find_idle() is None:',
         'if self._is_full():',
-        (TUNNELS,),
+        (FULL_PEERS,),
     ),
     mutant.Mutant(
         'full-peer-closes-busy-tunnels',
         f'{PATHS}/tunnelserver.py',
         '(tunnel for tunnel in self.tunnels if not tunnel.is_busy()),',
         'self.tunnels,',
-        (TUNNELS,),
+        (FULL_PEERS,),
     ),
     mutant.Mutant(
         'stopping-peer-opens-tunnels',
