Test the mutant of streams joined with errors by the newer file

Cause: `streams-joined-with-errors` survived tests/requests/test_stream.py, since only a success opens a stream now, so that the mutated line alone decides whether a further engine is asked after one that answers the resumption with 404. That case stands in test_stream_errors.py. Change: the mutant runs both files. Ruled out: dropping the line, which would end such streams early. Measured: caught.

--- a/scripts/jobmutants.py
+++ b/scripts/jobmutants.py
@@ -10,6 +10,7 @@
 POISON = 'tests/entry/test_poison.py'
 FORWARD = 'tests/requests/test_forward.py'
 STREAM = 'tests/requests/test_stream.py'
+STREAM_ERRORS = 'tests/requests/test_stream_errors.py'
 ASSIGNMENT = 'tests/versions/test_assignment.py'
 ADOPTION = 'tests/jobs/test_adoption.py'
 
@@ -165,7 +166,7 @@
         'pomelopass/requests/streamopen.py',
         'if stream.status and answer.status != stream.status:',
         'if False:',
-        (STREAM,),
+        (STREAM, STREAM_ERRORS),
     ),
     mutant.Mutant(
         'resumable-streams-take-errors',
