Log the version of the configuration behind decisions, and audit its lag

Readers of lines also lost events where a collector mixed the output of instances. Change: request-ended and item-run name the configuration, a new line route-not-found names it with the age of the copy; pomelopass logs audit measures by restart how long after the first instance each version is in force, and says whether the table was lost meanwhile; objects are read wherever they stand in a line, and each write to the pipe ends with a whole line. Conclusion: the hypotheses can be told apart in saved logs.

--- a/pomelopass/commands/logs.py
+++ b/pomelopass/commands/logs.py
@@ -9,6 +9,7 @@
 
 from .. import command
 from ..reporting import clockskew
+from ..reporting import configaudit
 from ..reporting import leavingaudit
 from ..reporting import limitaudit
 from ..reporting import savedlogs
@@ -85,8 +86,9 @@
     name='audit',
     help='Compare what endpoints got with their limits, find texts that '
     'several software versions wrote, compare how instances without links '
-    'to endpoints served their callers, and find requests to endpoints that '
-    'had said that they leave.',
+    'to endpoints served their callers, find requests to endpoints that had '
+    'said that they leave, and measure how late instances had each '
+    'configuration in force.',
 )
 @dataclasses.dataclass
 class AuditLogs:
@@ -107,6 +109,7 @@
                 ('a text was joined', _audit_texts),
                 ('callers were served unequally', _audit_served),
                 ('requests reached leaving endpoints', _audit_leaving),
+                ('a configuration was late', _audit_configurations),
             )
             if check(lines)
         ]
@@ -179,6 +182,25 @@
     return bool(late_requests)
 
 
+def _audit_configurations(lines: list[savedlogs.LogLine]) -> bool:
+    """Print the lags over the limit; return whether one is not explained."""
+    lags = configaudit.measure_lags(lines)
+    worst_ms = max((lag.lag_ms or 0.0 for lag in lags), default=0.0)
+    print(f'{len(lags)} configurations in force, worst {worst_ms:.0f} ms')
+    for lag in lags:
+        if lag.lag_ms is not None and (
+            lag.lag_ms <= configaudit.APPLY_LIMIT_MS
+        ):
+            continue
+        state = 'LATE' if lag.is_late else 'late without the table'
+        after = 'never' if lag.lag_ms is None else f'{lag.lag_ms:.0f} ms'
+        print(
+            f'configuration {state}: {lag.instance} had version '
+            f'{lag.version} in force {after} after the first instance'
+        )
+    return any(lag.is_late for lag in lags)
+
+
 def _read_files(names: list[str]) -> list[savedlogs.LogLine]:
     sources = []
     for name in names:
--- a/pomelopass/entry/eventlog.py
+++ b/pomelopass/entry/eventlog.py
@@ -4,6 +4,7 @@
 import collections
 import logging
 import os
+import select
 import sys
 import time
 
@@ -16,7 +17,8 @@
 
 MAX_LINES = 4000
 FLUSH_INTERVAL_MS = 100.0
-MAX_WRITE_BYTES = 65_536
+# A pipe takes so much whole or not at all: a reader gets no partial line.
+MAX_WRITE_BYTES = select.PIPE_BUF
 
 
 class EventLog(logging.Handler):
@@ -76,9 +78,11 @@
             self.dropped = 0
         batch = []
         size = 0
-        while self.lines and size < MAX_WRITE_BYTES:
+        while self.lines:
+            size += len(self.lines[0])
+            if batch and size > MAX_WRITE_BYTES:
+                break
             batch.append(self.lines.popleft())
-            size += len(batch[-1])
         return b''.join(batch)
 
 
--- a/pomelopass/jobs/itemrun.py
+++ b/pomelopass/jobs/itemrun.py
@@ -97,6 +97,7 @@
             resumed_after=resumed_after,
             waited_ms=round((started_at - queued_at) * 1000, 1),
             took_ms=round((loop.time() - started_at) * 1000, 1),
+            configuration=route.configuration_version,
         )
     )
     if run.progress.whole or run.terminated:
--- a/pomelopass/platform/configdecode.py
+++ b/pomelopass/platform/configdecode.py
@@ -79,7 +79,9 @@
     by_host = collections.defaultdict(list)
     for route in configuration.routes:
         if route.route_type in REPEAT_BY_ROUTE_TYPE:
-            by_host[route.hostname.lower()].append(_decode_route(route))
+            by_host[route.hostname.lower()].append(
+                _decode_route(route, configuration.version)
+            )
     limits = configuration.limits
     return result.Success(
         routes.Configuration(
@@ -113,7 +115,7 @@
     )
 
 
-def _decode_route(route: _Route) -> routes.Route:
+def _decode_route(route: _Route, version: int) -> routes.Route:
     shares = [
         routes.Share(split.service, split.weight)
         for split in route.traffic_split
@@ -133,4 +135,5 @@
         single_version=route.single_version,
         job_deadline_ms=route.result_deadline_ms,
         item_ttl_ms=route.item_ttl_s * 1000,
+        configuration_version=version,
     )
--- a/pomelopass/platform/ingress.py
+++ b/pomelopass/platform/ingress.py
@@ -74,6 +74,8 @@
     directory_ttl_s: float
     write_event: logevents.WriteEvent
     stop_gate: stopgate.StopGate
+    # Time since the table confirmed the configuration, in milliseconds.
+    get_configuration_age_ms: abc.Callable[[], float]
 
     async def handle_readiness(
         self, request: message.Request
@@ -123,15 +125,32 @@
             return make_refusal(503, 'No configuration is known yet.')
         host = message.find_header(request.headers, 'host') or ''
         route = routes.find_route(configuration, host, path)
-        if route is None:
-            return make_refusal(404, 'No route matches.')
         request_id = message.find_header(request.headers, names.REQUEST_ID)
+        if route is None:
+            return self._refuse_unrouted(
+                request_id or '', host, configuration.version
+            )
         if request_id is None:
             return make_refusal(400, 'The request has no id.')
         if route.route_type is routes.RouteType.JOBS:
             return await self._submit(request, request_id, host)
         return await self._forward(request, request_id, host, route)
 
+    def _refuse_unrouted(
+        self, request_id: str, host: str, configuration_version: int
+    ) -> message.Reply:
+        status = 404
+        self.write_event(
+            logevents.RouteNotFound(
+                id=request_id,
+                host=host,
+                status=status,
+                configuration=configuration_version,
+                age_ms=round(self.get_configuration_age_ms(), 1),
+            )
+        )
+        return make_refusal(status, 'No route matches.')
+
     async def _forward(
         self,
         request: message.Request,
--- a/pomelopass/reporting/logevents.py
+++ b/pomelopass/reporting/logevents.py
@@ -46,6 +46,7 @@
     'RequestEnded',
     'RequestFailed',
     'ResultsListed',
+    'RouteNotFound',
     'SettingsRefused',
     'SettingsReloaded',
     'Started',
@@ -65,11 +66,13 @@
 # A field means the same in every event.
 FIELD_MEANINGS = {
     'address': 'IP address and port of an endpoint',
+    'age_ms': 'milliseconds since the table confirmed the copy that decided',
     'applied': 'whether the table applied the write',
     'breaks': 'runs of an item that were cut off without progress',
     'carried': 'items that start with text from an earlier job',
     'change': 'found, ready, draining, leaving, gone, restarted, version, '
     'lost or regained',
+    'configuration': 'version of the configuration that decided',
     'count': 'number of dropped lines',
     'detail': 'message of the error',
     'endpoint': 'id of an endpoint',
@@ -80,6 +83,7 @@
     'fingerprint': 'digest of the content of a request',
     'first': 'index of the first result among those of the job',
     'former': 'start of the instance that owned the job before',
+    'host': 'host that a request names',
     'id': 'id of a request or an item',
     'in_flight': 'requests that had not ended',
     'instance': 'name of an instance',
@@ -348,6 +352,18 @@
     last_event_id: str | None = None
     resumes: str | None = None
     software: str | None = None
+    configuration: int | None = None
+
+
+@_event
+class RouteNotFound(Event):
+    """A request matches no route of the configuration in force."""
+
+    id: str
+    host: str
+    status: int
+    configuration: int
+    age_ms: float
 
 
 @_event
@@ -467,6 +483,7 @@
     resumed_after: str | None
     waited_ms: float
     took_ms: float
+    configuration: int | None = None
 
 
 @_event
--- a/pomelopass/reporting/savedlogs.py
+++ b/pomelopass/reporting/savedlogs.py
@@ -15,6 +15,8 @@
 
 ID_FIELDS = ('id', 'job', 'endpoint', 'model', 'service')
 LIST_FIELDS = ('items', 'endpoints', 'refused_by')
+OBJECT_START = '{'
+DECODER = json.JSONDecoder()
 COMMON_FIELDS = ('time', 'steady_ms', 'level', 'event', 'instance')
 
 
@@ -26,6 +28,8 @@
     instance: str
     event: str
     fields: dict[str, object]
+    # Time of the instance's monotonic clock, if the line has one.
+    steady_ms: float | None = None
 
     @property
     def utc_ms(self) -> float | None:
@@ -52,14 +56,15 @@
 def read_lines(sources: abc.Iterable[abc.Iterable[str]]) -> list[LogLine]:
     """Return the events of all sources in the order of their times.
 
-    Text before the JSON object of a line, such as a host name that a log
-    collector adds, is ignored; so are lines without an event.
+    Text around a JSON object, such as a host name that a log collector adds,
+    is ignored; so are objects without an event. A line may hold several
+    objects, if a collector joined the output of several processes.
     """
     lines = [
         line
         for source in sources
         for text in source
-        if (line := _read_line(text)) is not None
+        for line in _read_objects(text)
     ]
     lines.sort(key=lambda line: (line.time, line.instance))
     return lines
@@ -99,16 +104,25 @@
     return str(line.fields.get('job')) in jobs
 
 
-def _read_line(text: str) -> LogLine | None:
-    start = text.find('{')
-    if start < 0:
-        return None
-    try:
-        record = json.loads(text[start:])
-    except json.JSONDecodeError:
-        return None
+def _read_objects(text: str) -> abc.Iterator[LogLine]:
+    position = text.find(OBJECT_START)
+    while position >= 0:
+        try:
+            record, end = DECODER.raw_decode(text, position)
+        except (json.JSONDecodeError, RecursionError):
+            # Another process may have written within this object.
+            position = text.find(OBJECT_START, position + 1)
+            continue
+        line = _make_line(record)
+        if line is not None:
+            yield line
+        position = text.find(OBJECT_START, end)
+
+
+def _make_line(record: object) -> LogLine | None:
     if not isinstance(record, dict) or 'event' not in record:
         return None
+    steady_ms = record.get('steady_ms')
     return LogLine(
         str(record.get('time', '')),
         str(record.get('instance', '')),
@@ -118,4 +132,5 @@
             for name, value in record.items()
             if name not in COMMON_FIELDS
         },
+        float(steady_ms) if isinstance(steady_ms, int | float) else None,
     )
--- a/pomelopass/requests/callstate.py
+++ b/pomelopass/requests/callstate.py
@@ -230,4 +230,5 @@
         last_event_id=last_event_id,
         resumes=state.call.resumes,
         software=state.software,
+        configuration=state.route.configuration_version,
     )
--- a/pomelopass/requests/routes.py
+++ b/pomelopass/requests/routes.py
@@ -51,6 +51,8 @@
     single_version: bool = False
     job_deadline_ms: float = 0.0
     item_ttl_ms: float = 0.0
+    # Version of the configuration that the route belongs to.
+    configuration_version: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/entry/test_eventlog.py
+++ b/tests/entry/test_eventlog.py
@@ -50,3 +50,23 @@
     assert line['start'] == 'a-1'
     assert line['time'].endswith('Z')
     assert isinstance(line['steady_ms'], int)
+
+
+# Collectors that read the pipes of several instances would mix their lines.
+def test_each_write_to_the_pipe_ends_with_a_whole_line():
+    read_end, write_end = os.pipe()
+    os.set_blocking(write_end, False)
+    log = eventlog.EventLog(write_end)
+    logger = logging.Logger('test')
+    logger.addHandler(log)
+    write_event = eventlog.make_write_event(logger, 'a')
+    for number in range(2000):
+        write_event(logevents.JobEnded(job=str(number)))
+    text = b''
+    while log.lines or log.unwritten:
+        log.write_pending()
+        text += os.read(read_end, 1_000_000)
+        assert text.endswith(b'\n')
+    os.close(write_end)
+    os.close(read_end)
+    assert len(text.splitlines()) == 2000
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -14,6 +14,7 @@
         1.0,
         lambda event: None,
         stopgate.StopGate(),
+        lambda: 0.0,
     )
 
 
--- a/tests/test_savedlogs.py
+++ b/tests/test_savedlogs.py
@@ -51,6 +51,15 @@
     assert all(line.fields.get('id') != 'i2' for line in related)
 
 
+# A collector that reads several processes may join or split their lines.
+def test_objects_are_found_wherever_they_stand_in_a_line():
+    whole = make_line('2026-01-01T00:00:01.000Z', 'a', 'job-ended', job='j1')
+    cut = make_line('2026-01-01T00:00:01.000Z', 'b', 'job-ended', job='j2')
+    texts = [cut[:30] + '3.5 machine-1 ' + whole + whole, cut[30:]]
+    lines = savedlogs.read_lines([texts])
+    assert [line.fields for line in lines] == [{'job': 'j1'}, {'job': 'j1'}]
+
+
 def test_log_commands_need_no_running_instance(tmp_path):
     paths = [tmp_path / 'a.log', tmp_path / 'b.log']
     for path, lines in zip(paths, (LINES_OF_A, LINES_OF_B), strict=True):
