--- a/pomelopass/table/relay.py
+++ b/pomelopass/table/relay.py
@@ -92,13 +92,11 @@
     async def _call(self, send, receive, is_write: bool = False):
         address = self._choose_peer()
         try:
-            connection = await peercall.connect(address, CONNECT_TIMEOUT_MS)
+            connection = await self._connect(address)
         except (OSError, TimeoutError) as error:
             raise self._make_call_error(address, error, False) from None
         try:
-            answer = await peercall.call_peer(
-                connection, TableRelay.Client, send, receive, CALL_TIMEOUT_MS
-            )
+            answer = await self._exchange(connection, send, receive)
         except ttypes.HistoryLost:
             raise rows.HistoryLostError from None
         except ttypes.RelayFailed as failure:
@@ -111,6 +109,14 @@
         self.preferred_address = address
         return answer
 
+    async def _connect(self, address: str) -> peercall.Connection:
+        return await peercall.connect(address, CONNECT_TIMEOUT_MS)
+
+    async def _exchange(self, connection: peercall.Connection, send, receive):
+        return await peercall.call_peer(
+            connection, TableRelay.Client, send, receive, CALL_TIMEOUT_MS
+        )
+
     def _choose_peer(self) -> str:
         now = asyncio.get_running_loop().time()
         addresses = [
--- a/pomelopass/table/relayserver.py
+++ b/pomelopass/table/relayserver.py
@@ -65,7 +65,7 @@
         takeover = None
         try:
             frame = await peerframe.read_frame(reader)
-            answer, takeover = await self._process(frame)
+            answer, takeover = await self.process(frame)
             writer.write(peerframe.make_frame(answer))
             await writer.drain()
             if takeover is not None:
@@ -89,7 +89,8 @@
                 takeover.drop()
             writer.close()
 
-    async def _process(self, frame: bytes) -> tuple[bytes, Takeover | None]:
+    async def process(self, frame: bytes) -> tuple[bytes, Takeover | None]:
+        """Return the answer to a call, and what then uses the connection."""
         source = peerframe.make_reader(frame)
         name, _, sequence_id = source.readMessageBegin()
         handler = self.handler_by_name[name]
--- a/standins/entries.py
+++ b/standins/entries.py
@@ -25,6 +25,7 @@
 from standins import links as instancelinks
 from standins import modelengines
 from standins import rowtable
+from standins import tablerelays
 
 __all__ = ['Entry', 'EntryCluster']
 
@@ -53,8 +54,11 @@
         seed: int,
         make_write_event: abc.Callable[[list[dict]], logevents.WriteEvent]
         | None = None,
+        relays: bool = False,
     ):
         self.make_write_event = make_write_event or _make_recorder
+        # Whether instances relay table calls of their peers.
+        self.relays = relays
         self.rng = random.Random(seed)
         self.service = rowtable.RowService()
         self.pool = modelengines.EndpointPool(self.service, self.rng)
@@ -87,6 +91,10 @@
             permit_peers=_InMemoryPeers(self.entry_by_name),
         )
         node = nodes.build_node(_make_settings(name), ports)
+        if self.relays:
+            node.fallback.relayed = tablerelays.InMemoryRelay(
+                self.entry_by_name, name, self.rng
+            )
         node.start()
         self.entry_by_name[name] = Entry(node, client, links, events)
         return self.entry_by_name[name]
--- a/standins/rowtable.py
+++ b/standins/rowtable.py
@@ -11,6 +11,9 @@
 ANSWER_S = 0.004
 LATE_MIN_S = 1.0
 LATE_MAX_S = 6.0
+# After which an instance gives up a call, or a long poll beyond its wait.
+CALL_TIMEOUT_S = 1.2
+FOLLOW_MARGIN_S = 0.7
 FEED_LIMIT = 500
 
 
@@ -24,6 +27,8 @@
         self.history_start = 0
         self.changed = asyncio.Event()
         self.calls = 0
+        # Every change with its time, for reads of an older moment.
+        self.log: list[tuple[float, rows.Row]] = []
         # Unavailable to all instances.
         self.down = False
 
@@ -39,14 +44,31 @@
         for name, value in transaction.puts:
             row = rows.Row(name, value, self.version)
             self.row_by_name[name] = row
-            self.history.append(row)
+            self._record(row)
         for name in transaction.removes:
             if self.row_by_name.pop(name, None) is not None:
-                self.history.append(rows.Row(name, None, self.version))
+                self._record(rows.Row(name, None, self.version))
         self.changed.set()
         self.changed = asyncio.Event()
         return rows.Applied(self.version, self.get_now_ms())
 
+    def _record(self, row: rows.Row) -> None:
+        self.history.append(row)
+        self.log.append((asyncio.get_running_loop().time(), row))
+
+    def get_rows_at(self, at: float) -> tuple[dict[rows.Key, rows.Row], int]:
+        """Return the rows and the version of an earlier moment."""
+        row_by_name: dict[rows.Key, rows.Row] = {}
+        version = 0
+        for changed_at, row in self.log:
+            if changed_at > at:
+                break
+            row_by_name.pop(row.name, None)
+            if row.value is not None:
+                row_by_name[row.name] = row
+            version = row.version
+        return row_by_name, version
+
     def put(self, table: str, key: str, value: bytes) -> int:
         """Write a row as the operator or an endpoint does."""
         name = rows.Key(table, '', key)
@@ -82,11 +104,26 @@
 
     down: bool = False
     silent: bool = False
+    # Calls arrive, and no answer comes back.
+    one_way: bool = False
+    reset: bool = False
+    # How far behind reads are.
+    stale_s: float = 0.0
     lose_answers: float = 0.0
     late_writes: float = 0.0
     slowness: float = 1.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Call:
+    """A call in flight; the times are seconds of the event loop."""
+
+    sent_at: float
+    timeout_s: float
+    # State of the client's connections when it was sent.
+    connections_broken: int
+
+
 class RowClient:
     """Table client of one instance."""
 
@@ -94,14 +131,24 @@
         self.service = service
         self.rng = rng
         self.faults = Faults()
+        self.connections_broken = 0
+
+    def break_connections(self) -> None:
+        """Let the calls in flight get no answer; new ones do."""
+        self.connections_broken += 1
 
     async def read(self, key_range: rows.Range) -> rows.Page:
         """Return the rows of a key range."""
-        await self._simulate_call()
+        call = await self._send(CALL_TIMEOUT_S)
+        row_by_name, version = self.service.row_by_name, self.service.version
+        if self.faults.stale_s:
+            row_by_name, version = self.service.get_rows_at(
+                call.sent_at - self.faults.stale_s
+            )
         matching_rows = sorted(
             (
                 row
-                for name, row in self.service.row_by_name.items()
+                for name, row in row_by_name.items()
                 if name.table == key_range.table
                 and name.part == key_range.part
                 and name.key >= key_range.start
@@ -109,28 +156,31 @@
             ),
             key=lambda row: row.name.key.encode(),
         )
-        return rows.Page(
+        page = rows.Page(
             tuple(matching_rows[: key_range.limit]),
             len(matching_rows) > key_range.limit,
-            self.service.version,
+            version,
             self.service.get_now_ms(),
         )
+        await self._return_answer(call)
+        return page
 
     async def list_parts(self, table: str) -> tuple[str, ...]:
         """Return the names of all parts of a table."""
-        await self._simulate_call()
+        call = await self._send(CALL_TIMEOUT_S)
         names = {
             name.part
             for name in self.service.row_by_name
             if name.table == table
         }
+        await self._return_answer(call)
         return tuple(sorted(names))
 
     async def transact(
         self, transaction: rows.Transaction
     ) -> rows.Applied | rows.Conflict:
         """Apply a transaction or return the conflict; raise TableError."""
-        await self._simulate_call()
+        call = await self._send(CALL_TIMEOUT_S)
         if self.rng.random() < self.faults.late_writes:
             delay = self.rng.uniform(LATE_MIN_S, LATE_MAX_S)
             loop = asyncio.get_running_loop()
@@ -139,13 +189,14 @@
         outcome = self.service.apply(transaction)
         if self.rng.random() < self.faults.lose_answers:
             raise rows.TableError('no answer', True)
+        await self._return_answer(call)
         return outcome
 
     async def follow(
         self, table: str, after: int, wait_ms: int
     ) -> rows.Changes:
         """Wait for changes; raise HistoryLostError for an old version."""
-        await self._simulate_call()
+        call = await self._send(wait_ms / 1000 + FOLLOW_MARGIN_S)
         deadline = asyncio.get_running_loop().time() + wait_ms / 1000
         while True:
             if after < self.service.history_start:
@@ -165,7 +216,8 @@
             self.service.version,
             self.service.get_now_ms(),
         )
-        await self._simulate_call()
+        await asyncio.sleep(ANSWER_S * self.faults.slowness)
+        await self._return_answer(call)
         return changes
 
     async def _wait_for_change(self, remaining_s: float) -> None:
@@ -175,11 +227,29 @@
         except TimeoutError:
             return
 
-    async def _simulate_call(self) -> None:
+    async def _send(self, timeout_s: float) -> _Call:
+        loop = asyncio.get_running_loop()
+        call = _Call(loop.time(), timeout_s, self.connections_broken)
         self.service.calls += 1
         await asyncio.sleep(ANSWER_S * self.faults.slowness)
+        if self.faults.reset:
+            raise rows.TableError('reset', True)
         if self.faults.silent:
-            await asyncio.sleep(1.2)
-            raise rows.TableError('timeout', True)
+            await self._time_out(call)
         if self.faults.down or self.service.down:
             raise rows.TableError('status 503', False)
+        return call
+
+    async def _return_answer(self, call: _Call) -> None:
+        if self.faults.reset:
+            raise rows.TableError('reset', True)
+        is_broken = self.connections_broken != call.connections_broken
+        if self.faults.silent or self.faults.one_way or is_broken:
+            await self._time_out(call)
+        if self.faults.down or self.service.down:
+            raise rows.TableError('status 503', False)
+
+    async def _time_out(self, call: _Call) -> None:
+        now = asyncio.get_running_loop().time()
+        await asyncio.sleep(max(call.sent_at + call.timeout_s - now, 0.0))
+        raise rows.TableError('timeout', True)
--- a/tests/entrybuilders.py
+++ b/tests/entrybuilders.py
@@ -137,10 +137,11 @@
     make_write_event: abc.Callable[[list[dict]], logevents.WriteEvent]
     | None = None,
     software: str = '',
+    relays: bool = False,
     **job_changes: object,
 ) -> entries.EntryCluster:
     """Return a cluster with engines, plain endpoints and a configuration."""
-    cluster = entries.EntryCluster(seed, make_write_event)
+    cluster = entries.EntryCluster(seed, make_write_event, relays)
     cluster.put_configuration(make_configuration(**job_changes))
     for number in range(engines):
         cluster.pool.add(
