Drop idle connections to the table after a call that failed

After the timeout of one call the next drew another idle connection, which was as silent: each cost a timeout of 1.2 s, or 2.2 s for a poll. Change: a call to the table that fails closes the idle connections to it, so the next opens a new one. Class: one failure says something about all that shares its path. Ruled out: a shorter idle limit, since connections are used every few tens of ms; the same for endpoints, where a timeout is mostly slow work and each new connection costs a slot (their silence has its own watch). Conclusion: at most one timeout for each call in flight, whatever the pool holds.

--- a/pomelopass/edges/connectionpool.py
+++ b/pomelopass/edges/connectionpool.py
@@ -112,6 +112,10 @@
             is_silent = connection.get_silent_ms(now) >= silent_ms
             if connection.is_repeatable and is_silent:
                 connection.break_off()
+        self.drop_idle(address)
+
+    def drop_idle(self, address: str) -> None:
+        """Close the idle connections to an address."""
         for connection in self.idle_by_address.pop(address, []):
             connection.close()
 
--- a/pomelopass/platform/rowclient.py
+++ b/pomelopass/platform/rowclient.py
@@ -118,6 +118,8 @@
             )
             body = await reply.read(MAX_REPLY_BYTES)
         except message.ExchangeError as error:
+            # What ended or silenced one connection may have hit them all.
+            self.http.pool.drop_idle(self.address)
             may_have_run = is_write and error.bytes_written > 0
             raise rows.TableError(error.kind, may_have_run) from None
         if reply.status == 410:
