Repeat a late poll over other paths, within the bound of a change

Cause: callers could be refused by an older version for 2.2 s and more after an answer of the table was lost. The wait of a poll (1.5 s), its timeout (2.2 s), two failures before a peer was asked and a hanging peer (2.5 s) were each chosen by themselves; their sum was not derived from the bound of 2.0 s that they serve. Class: a time-out chain without a budget. Change: polls of the operator's and the endpoints' tables wait 1.0 s, which leaves 0.4 s to notice a late answer and 0.6 s to find another path; a late read or poll is then sent on a new connection, through a peer and through a second one of the own zone, and the first answer counts (table/hedging.py). Relays and probes use new connections. The wait shrinks by the age of the copy, so that it is confirmed once a second. Ruled out: shorter timeouts alone (a slow table answers after 0.25 s and more); shorter polls of all tables (priced, and only two tables have this bound). The stand-in looped for ever on a wait below the precision of a virtual clock; mended.

--- a/pomelopass/entry/clients.py
+++ b/pomelopass/entry/clients.py
@@ -48,8 +48,10 @@
 ) -> nodes.NodePorts:
     """Return the ports of a new start of an instance."""
     rng = random.SystemRandom()
+    table = rowclient.RowClient(clients.table, settings.table_address)
     return nodes.NodePorts(
-        table=rowclient.RowClient(clients.table, settings.table_address),
+        table=table,
+        fresh_table=table.make_fresh(),
         endpoints=endpointclient.EndpointClient(clients.endpoints),
         peer_endpoints=tunnelclient.PeerEndpoints(
             endpointclient.EndpointClient(clients.tunnels), write_event
--- a/pomelopass/entry/node.py
+++ b/pomelopass/entry/node.py
@@ -51,6 +51,8 @@
     """External dependencies of an entry instance."""
 
     table: rows.RowTable
+    # Opens a connection for each call.
+    fresh_table: rows.RowTable
     endpoints: pathports.DirectPort
     peer_endpoints: pathports.PeerPort
     rng: random.Random
@@ -76,9 +78,22 @@
         )
         self.stopping = False
         self.stop_gate = stopgate.StopGate()
-        self.relayed = relay.RelayedTable(self._get_relay_addresses, ports.rng)
+        choice = relay.PeerChoice()
         self.fallback = fallback.FallbackTable(
-            ports.table, self.relayed, ports.write_event
+            fallback.Paths(
+                ports.table,
+                ports.fresh_table,
+                relay.RelayedTable(
+                    self._get_relay_addresses, ports.rng, choice
+                ),
+                relay.RelayedTable(
+                    self._get_near_relay_addresses,
+                    ports.rng,
+                    choice,
+                    is_second=True,
+                ),
+            ),
+            ports.write_event,
         )
         self.table = tableclock.TableClock(self.fallback)
         self.paths = pathparts.build_path_parts(
@@ -99,7 +114,7 @@
             ports.write_event,
         )
         self.relay_server = relayserver.RelayServer(
-            ports.table,
+            ports.fresh_table,
             {
                 **self.limits.make_handlers(),
                 **self.paths.tunnels.make_handlers(),
@@ -331,6 +346,13 @@
         seeds = set(self.settings.seed_addresses)
         return sorted((addresses or seeds) - {self.settings.relay_address})
 
+    def _get_near_relay_addresses(self) -> list[str]:
+        now = asyncio.get_running_loop().time()
+        addresses = self.membership.get_relay_addresses(
+            now, self.settings.availability_zone
+        )
+        return sorted(addresses) or self._get_relay_addresses()
+
     async def _supervise(
         self, task_name: str, run: abc.Callable[[], abc.Awaitable[None]]
     ) -> None:
--- a/pomelopass/entry/tablewatch.py
+++ b/pomelopass/entry/tablewatch.py
@@ -17,6 +17,7 @@
 from ..registry import registry as registries
 from ..reporting import logevents
 from ..requests import quarantine as quarantines
+from ..table import fallback
 from ..table import follower as followers
 from ..table import rows
 from ..versions import leader
@@ -29,8 +30,14 @@
 # Pause after each poll, since every heartbeat changes rows.
 FLEET_PAUSE_MS = 250.0
 JOB_PAUSE_MS = 60.0
-# Time without an answer, beyond a long poll, that counts as an outage.
-OUTAGE_AFTER_MS = 1200.0
+# Time without an answer that counts as an outage.
+OUTAGE_AFTER_MS = 2700.0
+# A change by the operator or of an endpoint must be in force everywhere.
+APPLY_LIMIT_MS = 2000
+# Time to find another path for a poll whose answer is late.
+RECOVERY_MS = 600
+# A poll that is lost is noticed and repeated within the limit.
+APPLY_WAIT_MS = APPLY_LIMIT_MS - fallback.HEDGE_DELAY_MS - RECOVERY_MS
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -71,16 +78,24 @@
             self._put_endpoint, self._remove_endpoint, listeners.write_event
         )
 
-        def make_follower(name, parts, on_row, poll_pause_ms=0.0):
+        def make_follower(
+            name, parts, on_row, poll_pause_ms=0.0, wait_ms=followers.WAIT_MS
+        ):
             return followers.Follower(
-                table, name, parts, on_row, rng, poll_pause_ms
+                table, name, parts, on_row, rng, poll_pause_ms, wait_ms
             )
 
         self.operator = make_follower(
-            rowhandlers.OPERATOR_TABLE, ('',), read_operator_row
+            rowhandlers.OPERATOR_TABLE,
+            ('',),
+            read_operator_row,
+            wait_ms=APPLY_WAIT_MS,
         )
         self.endpoints = make_follower(
-            rowhandlers.ENDPOINT_TABLE, ('',), read_endpoint_row
+            rowhandlers.ENDPOINT_TABLE,
+            ('',),
+            read_endpoint_row,
+            wait_ms=APPLY_WAIT_MS,
         )
         self.fleet = make_follower(
             heartbeat.MEMBER_TABLE, ('',), self._put_fleet_row, FLEET_PAUSE_MS
@@ -123,9 +138,7 @@
 
     def _is_unavailable(self) -> bool:
         # Answers relayed by a peer count: they are as fresh as direct ones.
-        return (
-            self.endpoints.get_age_ms() > followers.WAIT_MS + OUTAGE_AFTER_MS
-        )
+        return self.endpoints.get_age_ms() > OUTAGE_AFTER_MS
 
     def _put_endpoint(self, endpoint: endpoints.Endpoint) -> None:
         self.listeners.registry.put(endpoint)
--- a/pomelopass/fleet/member.py
+++ b/pomelopass/fleet/member.py
@@ -129,12 +129,19 @@
         # If most heartbeats are late, the table is slow, not the instances.
         return recent if 2 * len(recent) > len(alive) else alive
 
-    def get_relay_addresses(self, now: float) -> set[str]:
-        """Return the addresses of peers that relay calls to the table."""
+    def get_relay_addresses(
+        self, now: float, availability_zone: str | None = None
+    ) -> set[str]:
+        """Return the addresses of peers that relay calls to the table.
+
+        With an availability zone, return only those in it.
+        """
         alive = [
             member
             for name, member in self.member_by_name.items()
-            if name != self.own_name and self.is_alive(name, now)
+            if name != self.own_name
+            and self.is_alive(name, now)
+            and availability_zone in (None, member.availability_zone)
         ]
         direct = {member.relay_address for member in alive if member.is_direct}
         return direct or {member.relay_address for member in alive}
--- a/pomelopass/platform/rowclient.py
+++ b/pomelopass/platform/rowclient.py
@@ -21,9 +21,19 @@
 class RowClient:
     """Table port that sends each call as one HTTP request."""
 
-    def __init__(self, http: httpclient.HttpClient, address: str):
+    def __init__(
+        self,
+        http: httpclient.HttpClient,
+        address: str,
+        reuses_connections: bool = True,
+    ):
         self.http = http
         self.address = address
+        self.reuses_connections = reuses_connections
+
+    def make_fresh(self) -> 'RowClient':
+        """Return a client that opens a connection for each call."""
+        return RowClient(self.http, self.address, reuses_connections=False)
 
     async def read(self, row_range: rows.Range) -> rows.Page:
         """Return a page of rows of one part."""
@@ -113,8 +123,9 @@
         try:
             # Writes use a new connection: on a pooled one that the server
             # has closed, the outcome would be needlessly unknown.
+            fresh = is_write or not self.reuses_connections
             reply = await self.http.open(
-                self.address, request, timeout_ms, fresh=is_write
+                self.address, request, timeout_ms, fresh=fresh
             )
             body = await reply.read(MAX_REPLY_BYTES)
         except message.ExchangeError as error:
--- a/pomelopass/table/fallback.py
+++ b/pomelopass/table/fallback.py
@@ -2,32 +2,48 @@
 
 import asyncio
 from collections import abc
+import dataclasses
 from typing import Any
 
+from . import hedging
 from ..reporting import logevents
 from . import rows
 
-__all__ = ['FallbackTable']
+__all__ = ['FallbackTable', 'Paths']
 
 # Consecutive failures of direct calls after which calls go through peers.
 FAILURES_BEFORE_FALLBACK = 2
 # Time between two direct probes while calls go through peers.
 PROBE_INTERVAL_MS = 400
+# An answer that is later than this is requested over the other paths too;
+# a table that is slow answers sooner.
+HEDGE_DELAY_MS = 400
 # Any read shows whether the service answers; this one returns no rows.
 PROBE_RANGE = rows.Range('probe', '', limit=1)
 
+Send = abc.Callable[[rows.RowTable], abc.Awaitable[Any]]
+
+
+@dataclasses.dataclass(slots=True)
+class Paths:
+    """Clients that reach the same table service in different ways."""
+
+    direct: rows.RowTable
+    # Opens a connection for each call.
+    fresh: rows.RowTable
+    relayed: rows.RowTable
+    # Uses another peer, one of the own availability zone if it can.
+    second_relayed: rows.RowTable
+
 
 class FallbackTable:
-    """Table client that falls back to peers after repeated failures."""
-
-    def __init__(
-        self,
-        direct: rows.RowTable,
-        relayed: rows.RowTable,
-        write_event: logevents.WriteEvent,
-    ):
-        self.direct = direct
-        self.relayed = relayed
+    """Table client that falls back to peers after repeated failures.
+
+    Calls that change nothing are sent over a second path while late.
+    """
+
+    def __init__(self, paths: Paths, write_event: logevents.WriteEvent):
+        self.paths = paths
         self.write_event = write_event
         self.consecutive_failures = 0
         self.next_probe_at = 0.0
@@ -41,31 +57,81 @@
 
     async def read(self, key_range: rows.Range) -> rows.Page:
         """Return one page of a key range."""
-        return await self._call(lambda client: client.read(key_range))
+        return await self._read(lambda client: client.read(key_range))
 
     async def list_parts(self, table: str) -> tuple[str, ...]:
         """Return the names of all parts of a table."""
-        return await self._call(lambda client: client.list_parts(table))
+        return await self._read(lambda client: client.list_parts(table))
 
     async def transact(
         self, transaction: rows.Transaction
     ) -> rows.Applied | rows.Conflict:
         """Apply a transaction, or return the rows that conflict."""
-        return await self._call(lambda client: client.transact(transaction))
+        # A write that may have been applied is not retried through a peer:
+        # only the sender knows its condition, so the sender decides.
+        if self.is_direct():
+            return await self._call_directly(
+                self.paths.direct.transact(transaction)
+            )
+        self._schedule_probe()
+        return await self.paths.relayed.transact(transaction)
 
     async def follow(
         self, table: str, after: int, wait_ms: int
     ) -> rows.Changes:
         """Wait for changes; raise HistoryLostError for an old version."""
 
-        def send(client: rows.RowTable) -> abc.Awaitable[rows.Changes]:
+        def poll(client: rows.RowTable) -> abc.Awaitable[rows.Changes]:
             return client.follow(table, after, wait_ms)
 
+        def catch_up(client: rows.RowTable) -> abc.Awaitable[rows.Changes]:
+            return client.follow(table, after, 0)
+
+        delay_ms = wait_ms + HEDGE_DELAY_MS
         if not self.is_direct():
-            changes = await self._follow_through_peer(send(self.relayed))
+            changes = await self._follow_through_peer(
+                self._call_relayed(poll, catch_up, delay_ms)
+            )
             if changes is not None:
                 return changes
-        return await self._call_directly(send)
+        return await self._call_hedged_directly(poll, catch_up, delay_ms)
+
+    async def _read(self, send: Send) -> Any:
+        if self.is_direct():
+            return await self._call_hedged_directly(send, send, HEDGE_DELAY_MS)
+        self._schedule_probe()
+        return await self._call_relayed(send, send, HEDGE_DELAY_MS)
+
+    async def _call_hedged_directly(
+        self, send: Send, send_again: Send, delay_ms: float
+    ) -> Any:
+        return await hedging.call_hedged(
+            self._call_directly(send(self.paths.direct)),
+            lambda: (
+                self._call_directly(send_again(self.paths.fresh)),
+                self._overtake(send_again(self.paths.relayed)),
+                self._overtake(send_again(self.paths.second_relayed)),
+            ),
+            delay_ms,
+        )
+
+    async def _call_relayed(
+        self, send: Send, send_again: Send, delay_ms: float
+    ) -> Any:
+        return await hedging.call_hedged(
+            send(self.paths.relayed),
+            lambda: (
+                self._call_directly(send_again(self.paths.fresh)),
+                send_again(self.paths.second_relayed),
+            ),
+            delay_ms,
+        )
+
+    async def _overtake(self, call: abc.Awaitable[Any]) -> Any:
+        """Return the answer of a peer that came before any direct one."""
+        answer = await call
+        self._record_failure(rows.TableError('slower than a peer', False))
+        return answer
 
     async def _follow_through_peer(
         self, call: abc.Awaitable[rows.Changes]
@@ -89,21 +155,9 @@
             for task in (relayed, regained):
                 task.cancel()
 
-    async def _call(
-        self, send: abc.Callable[[rows.RowTable], abc.Awaitable[Any]]
-    ) -> Any:
-        if self.is_direct():
-            return await self._call_directly(send)
-        self._schedule_probe()
-        return await send(self.relayed)
-
-    async def _call_directly(
-        self, send: abc.Callable[[rows.RowTable], abc.Awaitable[Any]]
-    ) -> Any:
-        # A write that may have been applied is not retried through a peer:
-        # only the sender knows its condition, so the sender decides.
+    async def _call_directly(self, call: abc.Awaitable[Any]) -> Any:
         try:
-            answer = await send(self.direct)
+            answer = await call
         except rows.HistoryLostError:
             self._record_success()
             raise
@@ -123,7 +177,7 @@
 
     async def _probe(self) -> None:
         try:
-            await self.direct.read(PROBE_RANGE)
+            await self.paths.fresh.read(PROBE_RANGE)
         except rows.TableError as error:
             self._record_failure(error)
         else:
--- a/pomelopass/table/follower.py
+++ b/pomelopass/table/follower.py
@@ -27,6 +27,7 @@
         on_row: OnRow,
         rng: random.Random,
         poll_pause_ms: float = 0.0,
+        wait_ms: int = WAIT_MS,
     ):
         self.table = table
         self.name = name
@@ -34,16 +35,24 @@
         self.on_row = on_row
         self.rng = rng
         self.poll_pause_ms = poll_pause_ms
+        self.wait_ms = wait_ms
         self.row_by_key: dict[rows.Key, rows.Row] = {}
         self.version = 0
         self.loaded = False
         self.fresh_at = float('-inf')
+        # The copy holds every change until then, in event loop seconds.
+        self.confirmed_at = float('-inf')
 
     def get_age_ms(self) -> float:
         """Return the time since the service last answered, in milliseconds."""
         now = asyncio.get_running_loop().time()
         return (now - self.fresh_at) * 1000
 
+    def get_confirmed_age_ms(self) -> float:
+        """Return how old a change may be that the copy lacks."""
+        now = asyncio.get_running_loop().time()
+        return (now - self.confirmed_at) * 1000
+
     async def run(self) -> None:
         """Follow the table until cancelled."""
         while True:
@@ -100,8 +109,18 @@
         self.fresh_at = requested_at
 
     async def _poll(self) -> None:
-        changes = await self.table.follow(self.name, self.version, WAIT_MS)
+        loop = asyncio.get_running_loop()
+        sent_at = loop.time()
+        # The copy is confirmed at least once in this time.
+        age_ms = min(self.get_confirmed_age_ms(), self.wait_ms)
+        wait_ms = int(self.wait_ms - age_ms)
+        changes = await self.table.follow(self.name, self.version, wait_ms)
         for row in changes.rows:
             self.apply_row(row)
         self.version = max(self.version, changes.version)
-        self.fresh_at = asyncio.get_running_loop().time()
+        self.fresh_at = loop.time()
+        self.confirmed_at = sent_at
+        has_waited = self.fresh_at - sent_at >= wait_ms / 1000
+        if has_waited and not changes.rows:
+            # The service found no change up to the end of the wait.
+            self.confirmed_at += wait_ms / 1000
--- a/pomelopass/table/relay.py
+++ b/pomelopass/table/relay.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import abc
+import dataclasses
 import random
 
 from ..edges import peercall
@@ -10,7 +11,7 @@
 from ..wire.gen.relay import TableRelay
 from ..wire.gen.relay import ttypes
 
-__all__ = ['RelayedTable']
+__all__ = ['PeerChoice', 'RelayedTable']
 
 CALL_TIMEOUT_MS = 2500
 CONNECT_TIMEOUT_MS = 400
@@ -18,19 +19,34 @@
 PEER_BACKOFF_MS = 1000
 
 
+@dataclasses.dataclass(slots=True)
+class PeerChoice:
+    """Which peers relayed a call, and which failed to."""
+
+    # The peer that answered last is used first.
+    preferred_address: str = ''
+    backoff_until_by_address: dict[str, float] = dataclasses.field(
+        default_factory=dict
+    )
+
+
 class RelayedTable:
-    """Client of the table service that calls through peers."""
+    """Client of the table service that calls through peers.
+
+    A second client of the same choice uses another peer than the preferred.
+    """
 
     def __init__(
         self,
         get_addresses: abc.Callable[[], list[str]],
         rng: random.Random,
+        choice: PeerChoice | None = None,
+        is_second: bool = False,
     ):
         self.get_addresses = get_addresses
         self.rng = rng
-        self.backoff_until_by_address: dict[str, float] = {}
-        # The peer that answered last is used first.
-        self.preferred_address = ''
+        self.choice = choice or PeerChoice()
+        self.is_second = is_second
 
     async def read(self, key_range: rows.Range) -> rows.Page:
         """Return one page of a key range."""
@@ -97,6 +113,10 @@
             raise self._make_call_error(address, error, False) from None
         try:
             answer = await self._exchange(connection, send, receive)
+        except asyncio.CancelledError:
+            # Another path was faster.
+            self._back_off(address)
+            raise
         except ttypes.HistoryLost:
             raise rows.HistoryLostError from None
         except ttypes.RelayFailed as failure:
@@ -106,7 +126,7 @@
             ) from None
         except peercall.CALL_ERRORS as error:
             raise self._make_call_error(address, error, is_write) from None
-        self.preferred_address = address
+        self.choice.preferred_address = address
         return answer
 
     async def _connect(self, address: str) -> peercall.Connection:
@@ -119,15 +139,18 @@
 
     def _choose_peer(self) -> str:
         now = asyncio.get_running_loop().time()
+        backoff_until_by_address = self.choice.backoff_until_by_address
+        preferred_address = self.choice.preferred_address
         addresses = [
             address
             for address in self.get_addresses()
-            if self.backoff_until_by_address.get(address, 0.0) <= now
+            if backoff_until_by_address.get(address, 0.0) <= now
+            and not (self.is_second and address == preferred_address)
         ]
         if not addresses:
             raise rows.TableError('no peer reaches the table', False)
-        if self.preferred_address in addresses:
-            return self.preferred_address
+        if preferred_address in addresses:
+            return preferred_address
         return self.rng.choice(addresses)
 
     def _make_call_error(
@@ -139,4 +162,5 @@
 
     def _back_off(self, address: str) -> None:
         now = asyncio.get_running_loop().time()
-        self.backoff_until_by_address[address] = now + PEER_BACKOFF_MS / 1000
+        until = now + PEER_BACKOFF_MS / 1000
+        self.choice.backoff_until_by_address[address] = until
--- a/scripts/jobmutants.py
+++ b/scripts/jobmutants.py
@@ -185,7 +185,7 @@
     mutant.Mutant(
         'relay-forgets-who-answered',
         'pomelopass/table/relay.py',
-        '        self.preferred_address = address\n',
+        '        self.choice.preferred_address = address\n',
         '',
         ('tests/table/test_relay.py',),
     ),
--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -9,6 +9,7 @@
 import sys
 import tempfile
 
+from scripts import configmutants
 from scripts import endmutants
 from scripts import fleetmutants
 from scripts import jobmutants
@@ -55,6 +56,7 @@
         *pathmutants.MUTANTS,
         *leavingmutants.MUTANTS,
         *endmutants.MUTANTS,
+        *configmutants.MUTANTS,
     )
     selected = [mutation for mutation in mutants if name_part in mutation.name]
     with concurrent.futures.ThreadPoolExecutor(WORKERS) as pool:
--- a/standins/entries.py
+++ b/standins/entries.py
@@ -21,6 +21,8 @@
 from pomelopass.registry import endpoint as endpoints
 from pomelopass.reporting import logevents
 from pomelopass.requests import call as calls
+from pomelopass.table import fallback
+from pomelopass.table import relay
 from pomelopass.table import rows
 from standins import links as instancelinks
 from standins import modelengines
@@ -82,6 +84,7 @@
         events: list[dict] = []
         ports = nodes.NodePorts(
             table=client,
+            fresh_table=client,
             endpoints=links,
             peer_endpoints=_InMemoryPeerEndpoints(self.entry_by_name),
             rng=self.rng,
@@ -92,9 +95,7 @@
         )
         node = nodes.build_node(_make_settings(name), ports)
         if self.relays:
-            node.fallback.relayed = tablerelays.InMemoryRelay(
-                self.entry_by_name, name, self.rng
-            )
+            _set_relays(node, self.entry_by_name, name, self.rng)
         node.start()
         self.entry_by_name[name] = Entry(node, client, links, events)
         return self.entry_by_name[name]
@@ -113,8 +114,9 @@
         for task in tasks:
             task.cancel()
         # Table calls in flight end with the process.
-        entry.node.fallback.direct = _UnansweringTable()
-        entry.node.fallback.relayed = _UnansweringTable()
+        entry.node.fallback.paths = fallback.Paths(
+            *(_UnansweringTable() for _ in range(4))
+        )
 
     async def stop(self) -> None:
         """End all instances."""
@@ -152,6 +154,20 @@
         return results
 
 
+def _set_relays(
+    node: nodes.Node,
+    entry_by_name: dict[str, Entry],
+    name: str,
+    rng: random.Random,
+) -> None:
+    choice = relay.PeerChoice()
+    paths = node.fallback.paths
+    paths.relayed = tablerelays.InMemoryRelay(entry_by_name, name, rng, choice)
+    paths.second_relayed = tablerelays.InMemoryRelay(
+        entry_by_name, name, rng, choice, is_second=True
+    )
+
+
 def _make_recorder(events: list[dict]) -> logevents.WriteEvent:
     loop = asyncio.get_running_loop()
 
--- a/standins/rowtable.py
+++ b/standins/rowtable.py
@@ -14,6 +14,8 @@
 # After which an instance gives up a call, or a long poll beyond its wait.
 CALL_TIMEOUT_S = 1.2
 FOLLOW_MARGIN_S = 0.7
+# A virtual clock cannot advance by less than its floating-point precision.
+RESOLUTION_S = 1e-6
 FEED_LIMIT = 500
 
 
@@ -207,7 +209,7 @@
                 if row.version > after and row.name.table == table
             ]
             remaining_s = deadline - asyncio.get_running_loop().time()
-            if changed_rows or remaining_s <= 0:
+            if changed_rows or remaining_s < RESOLUTION_S:
                 break
             await self._wait_for_change(remaining_s)
         # A change made while the reply is in flight belongs to the next one.
--- a/standins/tablerelays.py
+++ b/standins/tablerelays.py
@@ -33,8 +33,10 @@
         peer_by_name: abc.Mapping[str, Peer],
         own_name: str,
         rng: random.Random,
+        choice: relay.PeerChoice,
+        is_second: bool = False,
     ):
-        super().__init__(self._get_names, rng)
+        super().__init__(self._get_names, rng, choice, is_second)
         self.peer_by_name = peer_by_name
         self.own_name = own_name
 
--- a/tests/entry/test_configuration_lag.py
+++ b/tests/entry/test_configuration_lag.py
@@ -141,8 +141,8 @@
         changes = asyncio.ensure_future(
             observer.put_repeatedly(rng, OBSERVED_S)
         )
-        relayed = cluster.entry_by_name['entry-0'].node.fallback.relayed
-        set_fault(cluster, relayed.preferred_address, 'silent')
+        relayed = cluster.entry_by_name['entry-0'].node.fallback.paths.relayed
+        set_fault(cluster, relayed.choice.preferred_address, 'silent')
         await changes
         assert_in_time(observer.get_lags('entry-0'))
 
@@ -150,6 +150,19 @@
         run(scenario, seed)
 
 
+# An instance cut off from the table may reach only the peers of its zone.
+def test_version_is_in_force_where_most_peers_can_not_be_reached():
+    async def scenario(cluster, observer, rng):
+        set_fault(cluster, 'entry-0', 'silent')
+        for name in ('entry-1', 'entry-2'):
+            cluster.entry_by_name[name].unreachable = True
+        await observer.put_repeatedly(rng, OBSERVED_S)
+        assert_in_time(observer.get_lags('entry-0'))
+
+    for seed in SEEDS:
+        run(scenario, seed)
+
+
 @pytest.mark.parametrize('kind', KINDS)
 def test_start_while_the_table_fails_the_instance_has_the_newest(kind):
     async def scenario(cluster, observer, rng):
--- a/tests/table/test_fallback.py
+++ b/tests/table/test_fallback.py
@@ -13,6 +13,8 @@
 KEY = rows.Key('t', '', 'k')
 # A call through a peer that hangs.
 HANG_S = 2.5
+# No second path is tried while the call through the peer hangs.
+LONG_WAIT_MS = 2400
 # A changed configuration must be in force everywhere by then.
 CONFIGURATION_S = 2.0
 WRITE = rows.Transaction(puts=((KEY, b'v'),))
@@ -25,7 +27,8 @@
     relayed = rowtable.RowClient(service, rng)
     events = []
     table = fallback.FallbackTable(
-        direct, relayed, lambda event: events.append(event.kind)
+        fallback.Paths(direct, direct, relayed, relayed),
+        lambda event: events.append(event.kind),
     )
     return table, direct, relayed, events
 
@@ -87,7 +90,7 @@
         relayed.follow = hang
         loop = asyncio.get_running_loop()
         started_at = loop.time()
-        poll = asyncio.ensure_future(table.follow('t', 0, 1500))
+        poll = asyncio.ensure_future(table.follow('t', 0, LONG_WAIT_MS))
         await asyncio.sleep(0.2)
         direct.faults.silent = False
         await direct.transact(WRITE)
--- a/tests/test_mutants.py
+++ b/tests/test_mutants.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from scripts import configmutants
 from scripts import endmutants
 from scripts import fleetmutants
 from scripts import jobmutants
@@ -21,6 +22,7 @@
     *pathmutants.MUTANTS,
     *leavingmutants.MUTANTS,
     *endmutants.MUTANTS,
+    *configmutants.MUTANTS,
 )
 
 
