Refuse an unknown route for good only by a confirmed configuration

Class: absence concluded from a copy of unknown age. Ruled out: 503 for every unknown route, which makes callers repeat what can never be served; closing the connection, which promises less. Conclusion: no 404 contradicts a version acknowledged more than 2.0 s before, in whatever state the instance is; what is served by a copy that the table does not confirm stays served, since nobody knows better in an outage.

--- a/pomelopass/entry/node.py
+++ b/pomelopass/entry/node.py
@@ -156,7 +156,9 @@
             directory_ttl_s=settings.directory_ttl_s,
             write_event=ports.write_event,
             stop_gate=self.stop_gate,
-            get_configuration_age_ms=lambda: self.watch.operator.get_age_ms(),
+            get_configuration_age_ms=lambda: (
+                self.watch.operator.get_confirmed_age_ms()
+            ),
         )
         self.watch = tablewatch.TableWatch(
             self.table, self._make_listeners(), ports.rng
--- a/pomelopass/platform/ingress.py
+++ b/pomelopass/platform/ingress.py
@@ -48,6 +48,8 @@
     )
 )
 MAX_WAIT_MS = 1000.0
+# A change must be in force by then, so an older copy proves no absence.
+MAX_REFUSAL_AGE_MS = 2000.0
 STATUS_BY_ACCEPTANCE = {
     jobapi.Acceptance.ACCEPTED: 202,
     jobapi.Acceptance.NOT_ACCEPTED: 503,
@@ -139,14 +141,16 @@
     def _refuse_unrouted(
         self, request_id: str, host: str, configuration_version: int
     ) -> message.Reply:
-        status = 404
+        age_ms = self.get_configuration_age_ms()
+        # The route may have been added since: another instance will know.
+        status = 404 if age_ms <= MAX_REFUSAL_AGE_MS else 503
         self.write_event(
             logevents.RouteNotFound(
                 id=request_id,
                 host=host,
                 status=status,
                 configuration=configuration_version,
-                age_ms=round(self.get_configuration_age_ms(), 1),
+                age_ms=round(age_ms, 1),
             )
         )
         return make_refusal(status, 'No route matches.')
