Run a job only under the configuration that it was accepted under

Cause: the instance that accepts a job often gives it to another one, which learns of it from another table than of routes. Class: rows of two tables used as if they were of one moment. Change: a job starts once the configuration is as new as the job's row, by the version that all tables share, or confirmed within the limit of a change; until then its start is retried. Ruled out: the version in the job's record, which builds in the field would not read; a confirmation before every start (a call a job, and the wait where nothing is wrong). Conclusion: an owner never decides by a configuration that the job's acceptance did not allow any more.

--- a/pomelopass/entry/itemcontexts.py
+++ b/pomelopass/entry/itemcontexts.py
@@ -5,6 +5,7 @@
 
 from ..jobs import itemcontext
 from ..jobs import job as jobs
+from ..jobs import jobtable
 from ..jobs import rewardgate
 from ..jobs import schedule
 from ..platform import names
@@ -29,6 +30,7 @@
         port: calls.EndpointPort,
         forwarder: forward.Forwarder,
         gate: rewardgate.RewardGate,
+        is_configuration_newer: abc.Callable[[int], bool],
     ):
         self.get_job_retention_ms = get_job_retention_ms
         self.view = view
@@ -37,13 +39,21 @@
         self.port = port
         self.forwarder = forwarder
         self.gate = gate
+        self.is_configuration_newer = is_configuration_newer
 
     def make(
-        self, submission: jobs.Submission, record: jobs.JobRecord
+        self, submission: jobs.Submission, stored: jobtable.StoredJob
     ) -> itemcontext.ItemContext | None:
-        """Return the context of a job, or None without a configuration."""
+        """Return the context of a job, or None if it can't run yet.
+
+        The job may have been accepted under a configuration that this
+        instance does not have yet.
+        """
+        record = stored.record
         if self.view.configuration is None:
             return None
+        if not self.is_configuration_newer(stored.version):
+            return None
         route = self._find_route(submission)
         ttl_ms = self.get_job_retention_ms()
         deadline_ms = 0.0
--- a/pomelopass/entry/node.py
+++ b/pomelopass/entry/node.py
@@ -174,6 +174,7 @@
             self.limits.endpoints,
             self.forwarder,
             rewardgate.RewardGate(self.registry.count_slots),
+            lambda version: self.watch.is_configuration_newer(version),
         )
         self.job_manager = jobmanager.JobManager(
             self.settings.name,
--- a/pomelopass/entry/tablewatch.py
+++ b/pomelopass/entry/tablewatch.py
@@ -130,6 +130,16 @@
             listeners.view.update_in_flight_elsewhere()
             listeners.scheduler.dispatch()
 
+    def is_configuration_newer(self, version: int) -> bool:
+        """Return whether the configuration is that of a row, or newer.
+
+        It may lack what was changed within the limit before the row.
+        """
+        return (
+            self.operator.version >= version
+            or self.operator.get_confirmed_age_ms() <= APPLY_LIMIT_MS
+        )
+
     def is_registry_fresh(self) -> bool:
         """Return whether the copy of the endpoints' entries is up to date."""
         return self.endpoints.loaded and not (
--- a/pomelopass/jobs/manager.py
+++ b/pomelopass/jobs/manager.py
@@ -21,7 +21,7 @@
 CHECK_INTERVAL_MS = 150.0
 
 MakeContext = abc.Callable[
-    [jobs.Submission, jobs.JobRecord], itemcontext.ItemContext | None
+    [jobs.Submission, jobtable.StoredJob], itemcontext.ItemContext | None
 ]
 
 
@@ -217,7 +217,7 @@
         texts: dict[str, progresses.Progress],
     ) -> None:
         job_id = submission.id
-        context = self.make_context(submission, stored.record)
+        context = self.make_context(submission, stored)
         if context is None or job_id in self.task_by_id or self.stopping:
             return
         reusable = self.text_cache.find_reusable(submission)
