Ignore a read that is older than the copy

Cause: after the table dropped its history a follower reads all rows again. A read from an older moment brought a removed row back, and as the copy's version stays, its removal was never seen again: requests would go to an endpoint that is gone. Change: a page whose version is below the copy's is an error, and is read again. Ruled out: merging such a page, since what it shows beyond the copy is exactly what was removed. Conclusion: no row of a copy ever gets older.

--- a/pomelopass/table/follower.py
+++ b/pomelopass/table/follower.py
@@ -93,6 +93,9 @@
                 )
                 if first_version is None:
                     first_version = page.version
+                if page.version < self.version:
+                    # It may show rows that were removed since.
+                    raise rows.TableError('read is older than the copy', False)
                 loaded_by_key.update({row.name: row for row in page.rows})
                 if not page.has_more or not page.rows:
                     break
