Let a row that can't be processed cost only itself

Cause: a follower stores a row, then calls what processes it. Class: what a background task may raise for bytes from outside. Change: a handler that fails logs row-failed and the next row follows; a log line that orjson refuses is written by the standard library. Ruled out: retrying the row, which fails again; ending the process.

--- a/pomelopass/entry/eventlog.py
+++ b/pomelopass/entry/eventlog.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import json
 import logging
 import os
 import select
@@ -46,7 +47,7 @@
         }
         if record.exc_info:
             line['detail'] = repr(record.exc_info[1])
-        self.lines.append(orjson.dumps(line, default=str) + b'\n')
+        self.lines.append(_encode(line))
 
     async def run(self) -> None:
         """Write queued lines until cancelled."""
@@ -86,6 +87,14 @@
         return b''.join(batch)
 
 
+def _encode(line: dict[str, object]) -> bytes:
+    try:
+        return orjson.dumps(line, default=str) + b'\n'
+    except TypeError:
+        # A log line never fails for numbers or texts that orjson refuses.
+        return json.dumps(line, default=str, skipkeys=True).encode() + b'\n'
+
+
 def set_up_event_log(level: str) -> EventLog:
     """Send all logs of the process to standard output."""
     descriptor = sys.stdout.fileno()
--- a/pomelopass/entry/tablewatch.py
+++ b/pomelopass/entry/tablewatch.py
@@ -1,6 +1,7 @@
 """Follow the tables and apply their changes to an instance."""
 
 import asyncio
+from collections import abc
 import dataclasses
 import random
 
@@ -26,6 +27,8 @@
 
 __all__ = ['Listeners', 'TableWatch']
 
+OnRow = abc.Callable[[rows.Row], None]
+
 HOUSEKEEPING_INTERVAL_MS = 100.0
 # Pause after each poll, since every heartbeat changes rows.
 FLEET_PAUSE_MS = 250.0
@@ -82,7 +85,13 @@
             name, parts, on_row, poll_pause_ms=0.0, wait_ms=followers.WAIT_MS
         ):
             return followers.Follower(
-                table, name, parts, on_row, rng, poll_pause_ms, wait_ms
+                table,
+                name,
+                parts,
+                self._guard(on_row),
+                rng,
+                poll_pause_ms,
+                wait_ms,
             )
 
         self.operator = make_follower(
@@ -146,6 +155,23 @@
             self.in_outage or self._is_unavailable()
         )
 
+    def _guard(self, on_row: OnRow) -> OnRow:
+        """Return a handler whose failure costs no row but its own."""
+
+        def handle(row: rows.Row) -> None:
+            try:
+                on_row(row)
+            except Exception as error:
+                self.listeners.write_event(
+                    logevents.RowFailed(
+                        table=row.name.table,
+                        key=row.name.key,
+                        detail=repr(error),
+                    )
+                )
+
+        return handle
+
     def _is_unavailable(self) -> bool:
         # Answers relayed by a peer count: they are as fresh as direct ones.
         return self.endpoints.get_age_ms() > OUTAGE_AFTER_MS
@@ -178,9 +204,11 @@
             self._put_limits_row(row)
             return
         if key.startswith(heartbeat.CUT_OFF_KEY_PREFIX):
+            start = None
+            if row.value is not None:
+                start = row.value.decode(errors='replace')
             listeners.membership.put_cut_off(
-                key.removeprefix(heartbeat.CUT_OFF_KEY_PREFIX),
-                None if row.value is None else row.value.decode(),
+                key.removeprefix(heartbeat.CUT_OFF_KEY_PREFIX), start
             )
             return
         if row.value is None:
--- a/pomelopass/reporting/logevents.py
+++ b/pomelopass/reporting/logevents.py
@@ -47,6 +47,7 @@
     'RequestFailed',
     'ResultsListed',
     'RouteNotFound',
+    'RowFailed',
     'SettingsRefused',
     'SettingsReloaded',
     'Started',
@@ -116,6 +117,7 @@
     'status': 'HTTP status; 0 without an answer',
     'step': 'number of the training step',
     'still_ours': 'whether the job still has the same owner and results',
+    'table': 'name of a table',
     'task': 'name of the task',
     'texts': 'unfinished texts that are stored',
     'took_ms': 'duration in milliseconds',
@@ -555,6 +557,15 @@
     detail: str
 
 
+@_event
+class RowFailed(Event):
+    """An internal error left a changed row unused; please report it."""
+
+    table: str
+    key: str
+    detail: str
+
+
 @_event
 class TaskFailed(Event):
     """An internal error ended a task, which restarts; please report it."""
