Check the type and range of everything that other processes wrote

Cause: one odd entry among those of the endpoints (port out of range or of 5,000 digits, host with a zero byte, slots of 400 digits, a version over 64 bits) ended requests in 500 or the follower's task; a peer's row with odd types stopped the housekeeping of every reader, and with it all jobs. Heads, events, reports, the table's replies and peers' frames had the same: int() of any digits, data classes filled from any JSON, fields that the sender may leave out. Class: untrusted bytes decoded without a check of type and range, or by a reader that raises other errors than its caller expects. Change: decoding.py holds the checked types; rows, reports and settings of others decode to them or to one ValueError, ignore further fields, and bound numbers to what can be logged and stored; an address is IP:PORT, and a connection to anything else fails as connections do; replies of the table and of peers fail as TableError. The fuzzer covers them. Ruled out: a catch-all around each use, which hides the next fault.

--- a/pomelopass/edges/clientconnection.py
+++ b/pomelopass/edges/clientconnection.py
@@ -6,6 +6,8 @@
 
 import h11
 
+from . import addresses
+
 __all__ = ['Connection', 'Reader', 'open_connection']
 
 READ_BYTES = 65_536
@@ -159,10 +161,8 @@
     loop = asyncio.get_running_loop()
     reader = Reader(loop)
     protocol = asyncio.StreamReaderProtocol(reader, loop=loop)
-    host, _, port = address.rpartition(':')
-    transport, _ = await loop.create_connection(
-        lambda: protocol, host.strip('[]'), int(port)
-    )
+    host, port = addresses.split_address(address)
+    transport, _ = await loop.create_connection(lambda: protocol, host, port)
     reader.received_at = loop.time()
     writer = asyncio.StreamWriter(transport, protocol, reader, loop)
     return Connection(reader, writer)
--- a/pomelopass/edges/httpclient.py
+++ b/pomelopass/edges/httpclient.py
@@ -5,11 +5,12 @@
 
 import h11
 
+from .. import decoding
 from .. import message
 from . import clientconnection
 from . import connectionpool
 
-__all__ = ['HttpClient']
+__all__ = ['HttpClient', 'get_idle_limit_ms']
 
 CONNECT_TIMEOUT_MS = 1000
 IDLE_LIMIT_MS = 5000
@@ -89,7 +90,7 @@
             (name.decode(), value.decode('latin-1'))
             for name, value in head.headers
         )
-        connection.idle_limit_ms = _get_idle_limit_ms(headers)
+        connection.idle_limit_ms = get_idle_limit_ms(headers)
         chunks = self._read_chunks(address, connection, deadline, len(data))
         return message.OpenReply(
             head.status_code, headers, chunks, len(data), end
@@ -195,13 +196,15 @@
         return False
 
 
-def _get_idle_limit_ms(headers: message.Headers) -> float:
+def get_idle_limit_ms(headers: message.Headers) -> float:
+    """Return for how long a connection may be reused, in milliseconds."""
     # RFC 9112 does not define the parameters of the Keep-Alive header.
     value = message.find_header(headers, 'keep-alive') or ''
     for parameter in value.split(','):
         name, _, number = parameter.strip().partition('=')
-        if name.lower() == 'timeout' and number.isdecimal():
-            keep_alive_ms = int(number) * 1000 - KEEP_ALIVE_MARGIN_MS
+        timeout_s = decoding.parse_count(number)
+        if name.lower() == 'timeout' and timeout_s is not None:
+            keep_alive_ms = timeout_s * 1000 - KEEP_ALIVE_MARGIN_MS
             return min(float(keep_alive_ms), float(MAX_IDLE_LIMIT_MS))
     return float(IDLE_LIMIT_MS)
 
--- a/pomelopass/edges/peercall.py
+++ b/pomelopass/edges/peercall.py
@@ -7,19 +7,24 @@
 
 from thrift import Thrift
 
+from . import addresses
 from . import peerframe
 
-__all__ = ['CALL_ERRORS', 'call_peer', 'connect']
+__all__ = ['CALL_ERRORS', 'DECODE_ERRORS', 'call_peer', 'connect']
 
-# What a connection or an answer that can't be used raises.
-CALL_ERRORS = (
-    EOFError,
-    OSError,
-    TimeoutError,
+# What a frame that can't be decoded raises, or one without a field.
+DECODE_ERRORS = (
+    ArithmeticError,
+    AttributeError,
+    LookupError,
+    RecursionError,
+    TypeError,
     ValueError,
     struct.error,
     Thrift.TException,
 )
+# What a connection or an answer that can't be used raises.
+CALL_ERRORS = (*DECODE_ERRORS, EOFError, OSError, TimeoutError)
 
 Connection = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 
@@ -27,8 +32,7 @@
 async def connect(address: str, timeout_ms: float) -> Connection:
     """Open a connection to a peer; raise OSError or TimeoutError."""
     async with asyncio.timeout(timeout_ms / 1000):
-        host, _, port = address.rpartition(':')
-        return await asyncio.open_connection(host, int(port))
+        return await asyncio.open_connection(*addresses.split_address(address))
 
 
 async def call_peer(
--- a/pomelopass/edges/peerclient.py
+++ b/pomelopass/edges/peerclient.py
@@ -7,6 +7,7 @@
 
 from thrift import Thrift
 
+from . import addresses
 from . import peerframe
 from ..wire.gen.peer import Peer
 from ..wire.gen.peer import ttypes
@@ -100,8 +101,9 @@
     ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
         stream = self.stream_by_address.get(address)
         if stream is None:
-            host, _, port = address.rpartition(':')
-            stream = await asyncio.open_connection(host.strip('[]'), int(port))
+            stream = await asyncio.open_connection(
+                *addresses.split_address(address)
+            )
             self.stream_by_address[address] = stream
         return stream
 
--- a/pomelopass/edges/requestreader.py
+++ b/pomelopass/edges/requestreader.py
@@ -5,6 +5,7 @@
 
 import h11
 
+from .. import decoding
 from .. import message
 
 __all__ = ['BadRequestError', 'Limits', 'RequestReader']
@@ -143,7 +144,8 @@
     for name, value in head.headers:
         if name != b'content-length':
             continue
-        if int(value) > limits.max_body_bytes:
+        size = decoding.parse_count(value.decode('ascii', 'replace'))
+        if size is None or size > limits.max_body_bytes:
             raise BadRequestError(413, 'The body is too long.')
 
 
--- a/pomelopass/fleet/member.py
+++ b/pomelopass/fleet/member.py
@@ -4,6 +4,8 @@
 
 import orjson
 
+from .. import decoding
+
 __all__ = ['Member', 'Membership', 'decode_member', 'encode_member']
 
 # Heartbeats are written twice a second.
@@ -19,21 +21,24 @@
     name: str
     incarnation: str
     availability_zone: str
-    caller_address: str
-    relay_address: str
+    caller_address: decoding.Address
+    relay_address: decoding.Address
     accepting: bool
-    beat: int
-    runs_by_endpoint: dict[str, int]
+    beat: decoding.Int64
+    runs_by_endpoint: dict[str, decoding.Count]
     # CPU seconds per second, in units of a standard core.
-    capacity: float = 1.0
+    capacity: decoding.FiniteFloat = 1.0
     # Endpoint crashes that it counted, by fingerprint of the request.
-    crashes_by_fingerprint: dict[str, int] = dataclasses.field(
+    crashes_by_fingerprint: dict[str, decoding.Count] = dataclasses.field(
         default_factory=dict
     )
     # Whether it reaches the table service without a peer.
     is_direct: bool = True
 
 
+_decode = decoding.make_decoder(Member)
+
+
 def encode_member(member: Member) -> bytes:
     """Return the row value of a heartbeat."""
     return orjson.dumps(member)
@@ -42,8 +47,8 @@
 def decode_member(value: bytes) -> Member | None:
     """Return the member, or None for an unreadable row."""
     try:
-        return Member(**orjson.loads(value))
-    except (TypeError, ValueError):
+        return _decode(value)
+    except ValueError:
         return None
 
 
--- a/pomelopass/jobs/events.py
+++ b/pomelopass/jobs/events.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from .. import decoding
 from .. import message
 
 __all__ = ['BadEventError', 'Event', 'EventParser']
@@ -44,7 +45,7 @@
         self.version_field = version_field
         self.unread = b''
         # Of the event after which the text is resumed.
-        self.last_id = last_id if (last_id or '').isdecimal() else ''
+        self.last_id = last_id or ''
 
     def feed(self, data: bytes) -> list[Event]:
         """Return the events completed by the data; raise BadEventError."""
@@ -56,14 +57,12 @@
 
     def _parse(self, block: bytes) -> Event:
         event = self._read_fields(block)
-        is_rising = (
-            not self.last_id
-            or not event.id.isdecimal()
-            or int(event.id) > int(self.last_id)
-        )
+        number = decoding.parse_count(event.id)
+        last_number = decoding.parse_count(self.last_id)
+        is_rising = None in (number, last_number) or number > last_number
         if not event.id or not is_rising:
             raise BadEventError(f'id {event.id!r} after {self.last_id!r}')
-        if event.id.isdecimal():
+        if number is not None:
             self.last_id = event.id
         return event
 
@@ -78,8 +77,8 @@
                 event_id = value
             elif name == 'data':
                 data.append(value)
-            elif name == self.version_field and value.isdecimal():
-                version = int(value)
+            elif name == self.version_field:
+                version = decoding.parse_count(value)
         return Event(event_id, '\n'.join(data), version)
 
 
--- a/pomelopass/jobs/job.py
+++ b/pomelopass/jobs/job.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from .. import decoding
 from .. import message
 
 __all__ = ['Item', 'JobRecord', 'Result', 'RewardCall', 'Submission']
@@ -28,9 +29,9 @@
     group: str
     model: str
     reward: RewardCall | None = None
-    tokens: int = 0
+    tokens: decoding.Int64 = 0
     # The trainer's estimate of the length of the text, in tokens.
-    expected_length: float = 0.0
+    expected_length: decoding.FiniteFloat = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -41,9 +42,9 @@
     host: str
     target: str
     model: str
-    step: int
-    min_version: int
-    target_groups: int
+    step: decoding.Int64
+    min_version: decoding.Int64
+    target_groups: decoding.Int64
     items: tuple[Item, ...]
 
 
@@ -57,16 +58,16 @@
     id: str
     owner: str
     owner_name: str
-    total: int
-    chunks: int
-    accepted_ms: int
+    total: decoding.Count
+    chunks: decoding.Count
+    accepted_ms: decoding.Int64
     model: str = ''
-    tokens: int = 0
+    tokens: decoding.Int64 = 0
     # Number of versions by which samples may lag the target at acceptance.
-    allowed_lag: int = 0
-    listed: int = 0
+    allowed_lag: decoding.Int64 = 0
+    listed: decoding.Count = 0
     ended: bool = False
-    writes: int = 0
+    writes: decoding.Count = 0
 
     @property
     def is_open(self) -> bool:
@@ -81,5 +82,5 @@
     item_id: str
     completed: bool
     text: str = ''
-    versions: tuple[int, ...] = ()
+    versions: tuple[decoding.Int64, ...] = ()
     score: str | None = None
--- a/pomelopass/jobs/jobtable.py
+++ b/pomelopass/jobs/jobtable.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import dataclasses
-import zlib
 
 from . import job as jobs
 from . import progress as progresses
@@ -60,7 +59,7 @@
             values.extend(row.value for row in page)
         try:
             return rowcodec.decode_submission(values)
-        except (ValueError, zlib.error) as error:
+        except ValueError as error:
             raise rows.TableError(str(error), False) from None
 
     async def fetch_results(
--- a/pomelopass/jobs/progress.py
+++ b/pomelopass/jobs/progress.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from .. import decoding
+
 __all__ = ['Progress']
 
 
@@ -14,7 +16,7 @@
     """
 
     texts: list[str] = dataclasses.field(default_factory=list)
-    versions: list[int] = dataclasses.field(default_factory=list)
+    versions: list[decoding.Int64] = dataclasses.field(default_factory=list)
     last_event_id: str | None = None
     whole: bool = False
     # None if an instance stored the text without its software version.
--- a/pomelopass/jobs/rowcodec.py
+++ b/pomelopass/jobs/rowcodec.py
@@ -1,11 +1,13 @@
 """Encode jobs as rows of the table service and decode them."""
 
+import contextlib
 import dataclasses
 import zlib
 
 import orjson
 import xxhash
 
+from .. import decoding
 from . import job as jobs
 from . import progress as progresses
 from ..table import rows
@@ -50,10 +52,7 @@
 
 def decode_record(value: bytes) -> jobs.JobRecord:
     """Return the state of a job; raise ValueError if malformed."""
-    try:
-        return jobs.JobRecord(**orjson.loads(value))
-    except TypeError as error:
-        raise ValueError(str(error)) from None
+    return _decode_record(value)
 
 
 def encode_submission(
@@ -81,10 +80,14 @@
 
 
 def decode_submission(values: list[bytes]) -> jobs.Submission:
-    """Return the submission from its rows in order."""
-    fields = orjson.loads(zlib.decompress(b''.join(values)))
-    items = tuple(_decode_item(item) for item in fields.pop('items'))
-    return jobs.Submission(items=items, **fields)
+    """Return the submission from its rows; raise ValueError if malformed."""
+    try:
+        value = zlib.decompress(b''.join(values))
+    except zlib.error as error:
+        raise ValueError(str(error)) from None
+    submission = _decode_submission(value)
+    items = tuple(_decode_bodies(item) for item in submission.items)
+    return dataclasses.replace(submission, items=items)
 
 
 def encode_results(
@@ -122,12 +125,9 @@
         values_by_position.setdefault(position, []).append(row.value)
     decoded = {}
     for position, values in values_by_position.items():
-        try:
-            fields = orjson.loads(b''.join(values))
-        except orjson.JSONDecodeError:
-            continue
-        fields['versions'] = tuple(fields['versions'])
-        decoded[position] = jobs.Result(**fields)
+        # The rows of the last one may be cut by the end of the page.
+        with contextlib.suppress(ValueError):
+            decoded[position] = _decode_result(b''.join(values))
     return decoded
 
 
@@ -152,9 +152,8 @@
 def decode_progress(row: rows.Row) -> tuple[str, progresses.Progress]:
     """Return the item's id and its progress; raise ValueError if malformed."""
     try:
-        fields = orjson.loads(zlib.decompress(row.value))
-        progress = progresses.Progress(**fields)
-    except (TypeError, zlib.error) as error:
+        progress = _decode_progress(zlib.decompress(row.value))
+    except zlib.error as error:
         raise ValueError(str(error)) from None
     return row.name.key.split('/')[-1], progress
 
@@ -165,16 +164,25 @@
     raise TypeError(type(value).__name__)
 
 
-def _decode_item(fields: dict) -> jobs.Item:
-    reward = fields.pop('reward')
+def _decode_bodies(item: jobs.Item) -> jobs.Item:
+    reward = item.reward
     if reward is not None:
-        reward['body'] = reward['body'].encode('latin-1')
-        reward = jobs.RewardCall(**reward)
-    fields['headers'] = tuple(
-        (name, value) for name, value in fields['headers']
+        body = _decode_bytes(reward.body)
+        reward = dataclasses.replace(reward, body=body)
+    return dataclasses.replace(
+        item, body=_decode_bytes(item.body), reward=reward
     )
-    fields['body'] = fields['body'].encode('latin-1')
-    return jobs.Item(reward=reward, **fields)
+
+
+def _decode_bytes(body: bytes) -> bytes:
+    # Each byte is stored as the character of its number.
+    return body.decode().encode('latin-1')
+
+
+_decode_record = decoding.make_decoder(jobs.JobRecord)
+_decode_result = decoding.make_decoder(jobs.Result)
+_decode_submission = decoding.make_decoder(jobs.Submission)
+_decode_progress = decoding.make_decoder(progresses.Progress)
 
 
 def next_record(record: jobs.JobRecord, **changes) -> jobs.JobRecord:
--- a/pomelopass/limits/book.py
+++ b/pomelopass/limits/book.py
@@ -5,6 +5,8 @@
 
 import orjson
 
+from .. import decoding
+
 __all__ = [
     'LimitBook',
     'NamedLimit',
@@ -25,8 +27,8 @@
     The time is that of the table service in milliseconds.
     """
 
-    per_s: float | None
-    observed_ms: int
+    per_s: decoding.FiniteFloat | None
+    observed_ms: decoding.Int64
 
 
 class LimitBook:
@@ -75,10 +77,7 @@
 
 def decode_limits(value: bytes) -> dict[str, NamedLimit]:
     """Return the limits of a row; raise ValueError if malformed."""
-    try:
-        return {
-            str(endpoint_id): NamedLimit(**fields)
-            for endpoint_id, fields in orjson.loads(value).items()
-        }
-    except (AttributeError, TypeError) as error:
-        raise ValueError(str(error)) from None
+    return _decode(value)
+
+
+_decode = decoding.make_decoder(dict[str, NamedLimit])
--- a/pomelopass/origins/origin.py
+++ b/pomelopass/origins/origin.py
@@ -5,6 +5,7 @@
 import orjson
 import xxhash
 
+from .. import decoding
 from ..fleet import heartbeat
 from ..table import rows
 
@@ -40,7 +41,7 @@
 
     service: str
     software: str
-    created_ms: int
+    created_ms: decoding.Int64
 
     @property
     def origin(self) -> Origin:
@@ -56,7 +57,7 @@
     """
 
     software: str
-    absent_since_ms: int | None = None
+    absent_since_ms: decoding.Int64 | None = None
 
 
 def make_record_key(request_id: str) -> rows.Key:
@@ -78,16 +79,13 @@
 
 def decode_record(value: bytes) -> RecordedOrigin:
     """Return the origin of a row; raise ValueError if malformed."""
-    return _decode(RecordedOrigin, value)
+    return _decode_record(value)
 
 
 def decode_base(value: bytes) -> Base:
     """Return the base of a row; raise ValueError if malformed."""
-    return _decode(Base, value)
+    return _decode_base(value)
 
 
-def _decode(row_type, value: bytes):
-    try:
-        return row_type(**orjson.loads(value))
-    except TypeError as error:
-        raise ValueError(str(error)) from None
+_decode_record = decoding.make_decoder(RecordedOrigin)
+_decode_base = decoding.make_decoder(Base)
--- a/pomelopass/paths/tunnelclient.py
+++ b/pomelopass/paths/tunnelclient.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 
 from .. import message
+from ..edges import addresses
 from ..edges import clientconnection
 from ..edges import peercall
 from ..edges import peerframe
@@ -96,12 +97,10 @@
     """
     loop = asyncio.get_running_loop()
     peer_address, _, endpoint_id = address.partition(SEPARATOR)
-    host, _, port = peer_address.rpartition(':')
+    host, port = addresses.split_address(peer_address)
     reader = clientconnection.Reader(loop)
     protocol = _TunnelProtocol(reader, loop)
-    transport, _ = await loop.create_connection(
-        lambda: protocol, host.strip('[]'), int(port)
-    )
+    transport, _ = await loop.create_connection(lambda: protocol, host, port)
     writer = asyncio.StreamWriter(transport, protocol, reader, loop)
     is_open = False
     try:
--- a/pomelopass/paths/tunnelserver.py
+++ b/pomelopass/paths/tunnelserver.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from . import book as books
+from ..edges import addresses
 from ..edges import peerframe
 from ..registry import endpoint as endpoints
 from ..table import relayserver
@@ -104,9 +105,9 @@
         self.opening += 1
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1000):
-                host, _, port = target.address.rpartition(':')
+                host, port = addresses.split_address(target.address)
                 stream = await asyncio.open_connection(
-                    host.strip('[]'), int(port), limit=READ_BYTES
+                    host, port, limit=READ_BYTES
                 )
         except (OSError, TimeoutError):
             self.on_unreachable(target.id)
--- a/pomelopass/platform/answerdecode.py
+++ b/pomelopass/platform/answerdecode.py
@@ -2,6 +2,7 @@
 
 import math
 
+from .. import decoding
 from .. import message
 from . import names
 from ..registry import endpoint
@@ -40,7 +41,7 @@
         not_run=not_run or reply.status == MISDIRECTED_STATUS,
         # No encoding was requested: an encoded body isn't the signed one.
         signature=None if is_encoded else signature,
-        weight_version=_parse_int(
+        weight_version=decoding.parse_count(
             message.find_header(headers, names.WEIGHT_VERSION)
         ),
         load=_decode_load(message.find_header(headers, names.ENDPOINT_LOAD)),
@@ -61,10 +62,6 @@
     )
 
 
-def _parse_int(text: str | None) -> int | None:
-    return int(text) if text is not None and text.isdecimal() else None
-
-
 def _parse_rate(text: str | None) -> float | None:
     try:
         rate = float(text or 'nan')
@@ -74,9 +71,11 @@
 
 
 def _decode_load(text: str | None) -> endpoint.LoadReport | None:
-    parts = (text or '').split(',')
-    if len(parts) < 3 or not all(part.strip().isdecimal() for part in parts):
+    counts = [
+        decoding.parse_count(part.strip()) for part in (text or '').split(',')
+    ]
+    if len(counts) < 3 or None in counts:
         return None
-    running, waiting, slots, *rest = (int(part) for part in parts)
+    running, waiting, slots, *rest = counts
     slowness = rest[0] / 100 if rest else 1.0
     return endpoint.LoadReport(running, waiting, slots, slowness)
--- a/pomelopass/platform/configdecode.py
+++ b/pomelopass/platform/configdecode.py
@@ -5,6 +5,7 @@
 import pydantic
 from returns import result
 
+from .. import decoding
 from ..requests import routes
 
 __all__ = ['decode_configuration']
@@ -22,7 +23,7 @@
 
 class _Split(pydantic.BaseModel):
     service: str
-    weight: float = 1.0
+    weight: decoding.FiniteFloat = 1.0
 
 
 class _Route(pydantic.BaseModel):
@@ -32,13 +33,13 @@
     route_type: str
     service: str | None = None
     traffic_split: list[_Split] = []
-    timeout_ms: float | None = None
-    target_latency_ms: float = DEFAULT_TARGET_LATENCY_MS
-    max_attempts: int = 1
+    timeout_ms: decoding.FiniteFloat | None = None
+    target_latency_ms: decoding.FiniteFloat = DEFAULT_TARGET_LATENCY_MS
+    max_attempts: decoding.Int64 = 1
     resumable: bool = False
     single_version: bool = False
-    result_deadline_ms: float = 0.0
-    item_ttl_s: float = 0.0
+    result_deadline_ms: decoding.FiniteFloat = 0.0
+    item_ttl_s: decoding.FiniteFloat = 0.0
 
 
 class _Model(pydantic.BaseModel):
@@ -55,14 +56,14 @@
 
 
 class _Limits(pydantic.BaseModel):
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 33_554_432
-    header_timeout_ms: float = 5000.0
-    idle_timeout_ms: float = 15_000.0
+    max_header_bytes: decoding.Int64 = 16_384
+    max_body_bytes: decoding.Int64 = 33_554_432
+    header_timeout_ms: decoding.FiniteFloat = 5000.0
+    idle_timeout_ms: decoding.FiniteFloat = 15_000.0
 
 
 class _Configuration(pydantic.BaseModel):
-    version: int
+    version: decoding.Int64
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = _Limits()
--- a/pomelopass/platform/endpointdecode.py
+++ b/pomelopass/platform/endpointdecode.py
@@ -5,6 +5,7 @@
 import pydantic
 from returns import result
 
+from .. import decoding
 from ..registry import endpoint
 
 __all__ = ['decode_endpoint', 'decode_report']
@@ -12,19 +13,19 @@
 
 class _Model(pydantic.BaseModel):
     name: str
-    version: int = 0
+    version: decoding.Count = 0
 
 
 class _Entry(pydantic.BaseModel):
     model_config = pydantic.ConfigDict(strict=True)
 
     service: str
-    address: str
+    address: decoding.Address
     zone: str
-    slots: int
+    slots: decoding.Count
     state: Literal['ready', 'draining']
     models: list[_Model] = []
-    born: int = 0
+    born: decoding.Int64 = 0
     # Of the endpoint's software, not of weights.
     version: str = ''
 
@@ -32,9 +33,12 @@
 class _Report(pydantic.BaseModel):
     models: list[_Model] = []
     busy: bool = False
-    seq: int = 0
-    in_flight: int = 0
-    queue_depth: int = 0
+    seq: decoding.Int64 = 0
+    in_flight: decoding.Int64 = 0
+    queue_depth: decoding.Int64 = 0
+
+
+_ID_ADAPTER = pydantic.TypeAdapter(decoding.HeaderText)
 
 
 def decode_endpoint(
@@ -42,12 +46,11 @@
 ) -> result.Result[endpoint.Endpoint, str]:
     """Return the endpoint, or why its entry is invalid."""
     try:
+        # The id goes into headers.
+        _ID_ADAPTER.validate_python(endpoint_id)
         entry = _Entry.model_validate_json(value)
     except pydantic.ValidationError as error:
         return result.Failure(str(error.errors()[0]['msg']))
-    host, _, port = entry.address.rpartition(':')
-    if not host or not port.isdecimal():
-        return result.Failure('The address is not IP:PORT')
     return result.Success(
         endpoint.Endpoint(
             id=endpoint_id,
--- a/pomelopass/platform/ingress.py
+++ b/pomelopass/platform/ingress.py
@@ -3,10 +3,12 @@
 import asyncio
 from collections import abc
 import dataclasses
+import math
 import urllib.parse
 
 import orjson
 
+from .. import decoding
 from .. import message
 from ..fleet import directory
 from ..fleet import member
@@ -214,9 +216,11 @@
                 return make_refusal(404, 'There is no such job.')
             first_index = int(_get_query(request).get('after', '0'))
             wait = message.find_header(request.headers, names.WAIT_MS)
-            wait_ms = min(float(wait or 0), MAX_WAIT_MS)
+            wait_ms = float(wait or 0)
+            if not math.isfinite(wait_ms):
+                raise ValueError(f'a wait of {wait_ms} ms')
             page = await self.job_api.read(
-                job_id, max(first_index, 0), wait_ms
+                job_id, max(first_index, 0), min(wait_ms, MAX_WAIT_MS)
             )
         except ValueError:
             return make_refusal(400, 'A number is not a number.')
@@ -270,11 +274,13 @@
 def _make_call(
     request: message.Request, request_id: str, host: str
 ) -> calls.Call:
-    deadline = message.find_header(request.headers, names.DEADLINE_MS)
+    deadline_ms = decoding.parse_count(
+        message.find_header(request.headers, names.DEADLINE_MS)
+    )
     deadline_at = None
-    if deadline is not None and deadline.isdecimal():
+    if deadline_ms is not None:
         now = asyncio.get_running_loop().time()
-        deadline_at = now + int(deadline) / 1000
+        deadline_at = now + deadline_ms / 1000
     connection_options = (
         message.find_header(request.headers, 'connection') or ''
     )
--- a/pomelopass/platform/jobdecode.py
+++ b/pomelopass/platform/jobdecode.py
@@ -2,12 +2,14 @@
 
 import base64
 import binascii
+import math
 from typing import Annotated
 
 import orjson
 import pydantic
 from returns import result
 
+from .. import decoding
 from .. import message
 from ..jobs import api
 from ..jobs import job as jobs
@@ -54,15 +56,15 @@
     headers: dict[str, str] = {}
     body: Base64Bytes = b''
     group: str = ''
-    tokens: int = 0
+    tokens: decoding.Int64 = 0
     scorer: _Reward | None = None
 
 
 class _Submission(pydantic.BaseModel):
-    step: int = 0
+    step: decoding.Int64 = 0
     model: str = ''
-    min_version: int = 0
-    target_groups: int = 0
+    min_version: decoding.Int64 = 0
+    target_groups: decoding.Int64 = 0
     items: list[_Item] = pydantic.Field(min_length=1)
 
 
@@ -138,10 +140,11 @@
 
 def _parse_length_hint(text: str | None) -> float:
     try:
-        return float(text or 0)
+        length = float(text or 0)
     except ValueError:
         # An invalid hint must not fail the job.
         return 0.0
+    return length if math.isfinite(length) else 0.0
 
 
 def _encode_result(job_result: jobs.Result) -> dict:
--- a/pomelopass/platform/rowclient.py
+++ b/pomelopass/platform/rowclient.py
@@ -1,6 +1,8 @@
 """Call the platform's table service over HTTP."""
 
 import base64
+from collections import abc
+import contextlib
 import urllib.parse
 
 import orjson
@@ -44,12 +46,13 @@
             query['to'] = row_range.end
         query['limit'] = str(row_range.limit)
         content = await self._get(names.READ_PATH, query)
-        return rows.Page(
-            _decode_rows(content['rows']),
-            bool(content.get('has_more')),
-            content['ver'],
-            content['now_ms'],
-        )
+        with _reject_malformed():
+            return rows.Page(
+                _decode_rows(content['rows']),
+                bool(content.get('has_more')),
+                _get_number(content, 'ver'),
+                _get_number(content, 'now_ms'),
+            )
 
     async def list_parts(self, table: str) -> tuple[str, ...]:
         """Return the names of all parts of a table."""
@@ -58,9 +61,11 @@
             query = {'table': table}
             if parts:
                 query['after'] = parts[-1]
-            page = await self._get(names.PARTS_PATH, query)
-            parts.extend(page['parts'])
-            if len(page['parts']) < PART_PAGE_SIZE:
+            content = await self._get(names.PARTS_PATH, query)
+            with _reject_malformed():
+                page = [str(name) for name in content['parts']]
+            parts.extend(page)
+            if len(page) < PART_PAGE_SIZE:
                 return tuple(parts)
 
     async def transact(
@@ -90,9 +95,12 @@
             body,
         )
         status, content = await self._send(request, CALL_TIMEOUT_MS, True)
-        if status == 412:
-            return rows.Conflict(_decode_rows(content.get('rows', ())))
-        return rows.Applied(content['ver'], content['now_ms'])
+        with _reject_malformed(is_write=status == 200):
+            if status == 412:
+                return rows.Conflict(_decode_rows(content.get('rows', ())))
+            return rows.Applied(
+                _get_number(content, 'ver'), _get_number(content, 'now_ms')
+            )
 
     async def follow(
         self, table: str, after: int, wait_ms: int
@@ -103,9 +111,12 @@
             {'table': table, 'after': str(after), 'wait_ms': str(wait_ms)},
             wait_ms + FOLLOW_MARGIN_MS,
         )
-        return rows.Changes(
-            _decode_rows(content['rows']), content['ver'], content['now_ms']
-        )
+        with _reject_malformed():
+            return rows.Changes(
+                _decode_rows(content['rows']),
+                _get_number(content, 'ver'),
+                _get_number(content, 'now_ms'),
+            )
 
     async def _get(
         self,
@@ -146,6 +157,30 @@
             raise rows.TableError('unreadable reply', is_write) from None
 
 
+@contextlib.contextmanager
+def _reject_malformed(is_write: bool = False) -> abc.Iterator[None]:
+    """Raise TableError for a reply that lacks a field or has an odd one."""
+    try:
+        yield
+    except (AttributeError, LookupError, TypeError, ValueError) as error:
+        detail = f'unreadable reply: {type(error).__name__}'
+        raise rows.TableError(detail, is_write) from None
+
+
+def _get_number(content: dict, name: str) -> int:
+    number = content[name]
+    if type(number) is not int:
+        raise TypeError(f'{name} is no whole number')
+    return number
+
+
+def _get_text(content: dict, name: str) -> str:
+    text = content.get(name, '')
+    if not isinstance(text, str):
+        raise TypeError(f'{name} is no text')
+    return text
+
+
 def _encode_key(key: rows.Key) -> dict[str, str]:
     return {'table': key.table, 'part': key.part, 'key': key.key}
 
@@ -155,8 +190,10 @@
 
 
 def _decode_row(row: dict) -> rows.Row:
-    key = rows.Key(row['table'], row.get('part', ''), row['key'])
+    key = rows.Key(
+        _get_text(row, 'table'), _get_text(row, 'part'), _get_text(row, 'key')
+    )
     value = None
     if not row.get('removed') and row.get('value') is not None:
         value = base64.b64decode(row['value'])
-    return rows.Row(key, value, row['ver'])
+    return rows.Row(key, value, _get_number(row, 'ver'))
--- a/pomelopass/platform/rowhandlers.py
+++ b/pomelopass/platform/rowhandlers.py
@@ -2,8 +2,9 @@
 
 from collections import abc
 
-import orjson
+import pydantic
 
+from .. import decoding
 from . import configdecode
 from . import endpointdecode
 from . import names
@@ -18,6 +19,14 @@
 ENDPOINT_TABLE = names.ENDPOINT_TABLE
 
 
+class _NamedVersion(pydantic.BaseModel):
+    model: str
+    version: decoding.Count
+
+
+_decode_version = decoding.make_decoder(_NamedVersion)
+
+
 def make_operator_row_handler(
     put_configuration: abc.Callable[[routes.Configuration], object],
     set_target_version: abc.Callable[[str, int], None],
@@ -40,14 +49,13 @@
             put_configuration(configuration)
         elif key.startswith(names.VERSION_KEY_PREFIX):
             try:
-                named_version = orjson.loads(row.value)
-                set_target_version(
-                    str(named_version['model']), int(named_version['version'])
-                )
-            except (KeyError, TypeError, ValueError) as error:
+                named_version = _decode_version(row.value)
+            except ValueError as error:
                 write_event(
                     logevents.VersionUnreadable(key=key, why=str(error))
                 )
+                return
+            set_target_version(named_version.model, named_version.version)
 
     return handle_row
 
--- a/pomelopass/table/relay.py
+++ b/pomelopass/table/relay.py
@@ -57,24 +57,16 @@
             key_range.end,
             key_range.limit,
         )
-        page = await self._call(
+        return await self._call(
             lambda client: client.send_read(query),
-            lambda client: client.recv_read(),
-        )
-        return rows.Page(
-            relaycodec.decode_rows(page.rows),
-            page.has_more,
-            page.version,
-            page.now_ms,
+            lambda client: relaycodec.decode_page(client.recv_read()),
         )
 
     async def list_parts(self, table: str) -> tuple[str, ...]:
         """Return the names of all parts of a table."""
-        return tuple(
-            await self._call(
-                lambda client: client.send_list_parts(table),
-                lambda client: client.recv_list_parts(),
-            )
+        return await self._call(
+            lambda client: client.send_list_parts(table),
+            lambda client: relaycodec.decode_parts(client.recv_list_parts()),
         )
 
     async def transact(
@@ -82,27 +74,19 @@
     ) -> rows.Applied | rows.Conflict:
         """Apply a transaction, or return the rows that conflict."""
         write = relaycodec.encode_write(transaction)
-        outcome = await self._call(
+        return await self._call(
             lambda client: client.send_transact(write),
-            lambda client: client.recv_transact(),
+            lambda client: relaycodec.decode_outcome(client.recv_transact()),
             is_write=True,
         )
-        if outcome.applied:
-            return rows.Applied(outcome.rows.version, outcome.rows.now_ms)
-        return rows.Conflict(relaycodec.decode_rows(outcome.rows.rows))
 
     async def follow(
         self, table: str, after: int, wait_ms: int
     ) -> rows.Changes:
         """Wait for changes; raise HistoryLostError for an old version."""
-        changes = await self._call(
+        return await self._call(
             lambda client: client.send_follow(table, after, wait_ms),
-            lambda client: client.recv_follow(),
-        )
-        return rows.Changes(
-            relaycodec.decode_rows(changes.rows),
-            changes.version,
-            changes.now_ms,
+            lambda client: relaycodec.decode_changes(client.recv_follow()),
         )
 
     async def _call(self, send, receive, is_write: bool = False):
--- a/pomelopass/table/relayserver.py
+++ b/pomelopass/table/relayserver.py
@@ -3,12 +3,12 @@
 import asyncio
 from collections import abc
 import dataclasses
-import struct
 import types
 from typing import Any
 
 from thrift import Thrift
 
+from ..edges import peercall
 from ..edges import peerframe
 from . import relaycodec
 from . import rows
@@ -71,17 +71,7 @@
             if takeover is not None:
                 run, takeover = takeover.run, None
                 await run((reader, writer))
-        except (
-            ArithmeticError,
-            AttributeError,
-            EOFError,
-            LookupError,
-            OSError,
-            TypeError,
-            ValueError,
-            struct.error,
-            Thrift.TException,
-        ):
+        except peercall.CALL_ERRORS:
             # A malformed request gets no answer.
             pass
         finally:
--- a/pomelopass/versions/leader.py
+++ b/pomelopass/versions/leader.py
@@ -4,6 +4,7 @@
 
 import orjson
 
+from .. import decoding
 from ..table import rows
 
 __all__ = ['Leadership', 'LeaderRow', 'decode_leader']
@@ -19,9 +20,9 @@
     # Empty after a release; the name is then that of the last holder.
     holder: str
     holder_name: str
-    fence: int
+    fence: decoding.Int64
     # Grows with each confirmation, so that no two writes are equal.
-    confirmations: int
+    confirmations: decoding.Int64
 
 
 @dataclasses.dataclass(slots=True)
@@ -53,11 +54,14 @@
 def decode_leader(value: bytes) -> LeaderRow | None:
     """Return the decoded row, or None if it is malformed."""
     try:
-        return LeaderRow(**orjson.loads(value))
-    except (TypeError, ValueError):
+        return _decode(value)
+    except ValueError:
         return None
 
 
+_decode = decoding.make_decoder(LeaderRow)
+
+
 async def release(table: rows.RowTable, leadership: Leadership) -> bool:
     """Give the duty up; the fencing token stays for the next leader.
 
--- a/scripts/fuzz.py
+++ b/scripts/fuzz.py
@@ -9,7 +9,13 @@
 __all__ = ['main']
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-PATHS = ('tests/scenarios', 'tests/core', 'tests/edges')
+PATHS = (
+    'tests/scenarios',
+    'tests/core',
+    'tests/edges',
+    'tests/decoders',
+    'tests/platform',
+)
 
 
 def main() -> int:
--- a/standins/links.py
+++ b/standins/links.py
@@ -129,7 +129,7 @@
             await self._connect(target, CONNECT_TIMEOUT_S * 1000)
         except calls.CallFailedError:
             return False
-        return self.pool.endpoint_by_id[target.id].alive
+        return self.pool.find(target.id).alive
 
     def get_silent_ids(self, silent_ms: float) -> set[str]:
         """Return the endpoints whose requests in flight are all silent."""
--- a/standins/modelengines.py
+++ b/standins/modelengines.py
@@ -124,6 +124,11 @@
             loop = asyncio.get_running_loop()
             loop.call_later(RESTART_S, self._restart, endpoint)
 
+    def find(self, endpoint_id: str) -> FakeEndpoint:
+        """Return an endpoint, or a dead one for an unknown id."""
+        endpoint = self.endpoint_by_id.get(endpoint_id)
+        return endpoint or FakeEndpoint(endpoint_id, '', alive=False)
+
     async def open(
         self,
         target: endpoints.Endpoint,
@@ -134,7 +139,7 @@
     ) -> calls.Answer:
         """Return the answer's head and body stream; raise CallFailedError."""
         await asyncio.sleep(0.002)
-        endpoint = self.endpoint_by_id[target.id]
+        endpoint = self.find(target.id)
         self._count_arrival(endpoint)
         answer = await self._answer(endpoint, call, stall_ms)
         answer.limit_per_s = endpoint.limit_per_s
@@ -192,14 +197,14 @@
     async def is_refused(self, target: endpoints.Endpoint) -> bool:
         """Return whether connections to an endpoint are refused."""
         await asyncio.sleep(0.002)
-        return not self.endpoint_by_id[target.id].alive
+        return not self.find(target.id).alive
 
     async def fetch_report(
         self, target: endpoints.Endpoint
     ) -> orders.Report | None:
         """Return an engine's weight report, or None without an answer."""
         await asyncio.sleep(0.002)
-        endpoint = self.endpoint_by_id[target.id]
+        endpoint = self.find(target.id)
         self._count_arrival(endpoint)
         if not endpoint.alive:
             return None
@@ -214,7 +219,7 @@
     ) -> orders.OrderOutcome:
         """Order an endpoint to load a weight version."""
         await asyncio.sleep(0.002)
-        endpoint = self.endpoint_by_id[target.id]
+        endpoint = self.find(target.id)
         self._count_arrival(endpoint)
         if not endpoint.alive:
             return orders.OrderOutcome.UNKNOWN
--- a/tests/entry/test_stale_configuration.py
+++ b/tests/entry/test_stale_configuration.py
@@ -3,8 +3,8 @@
 import asyncio
 import dataclasses
 
-from pomelopass import message
 from pomelopass.jobs import api as jobapi
+from pomelopass import message
 from pomelopass.table import rows
 from standins import virtualloop
 from tests import entrybuilders
