Start old builds beside new ones in the soak, and check each version's lag

Cause: upgrades are new: machines that run an earlier build are replaced one after the other, and all rules hold meanwhile; nothing in the tree ran two builds side by side, and the soak checked no configuration at all. Change: the soak extracts a build of the history, starts every instance as that, replaces them in turn by the present one and then by the old one again, beside kills, freezes and faults of the table; in every run it checks that an instance that has been calm for 3 s has each version in force within 2.0 s of its acknowledgement. Faults that these builds are known not to bear (endpoints that say they leave, cut replies) are left out beside them. Ruled out: a stored copy of old code, since the history holds it.

--- a/scripts/entryfleet.py
+++ b/scripts/entryfleet.py
@@ -32,6 +32,8 @@
         self.table_address = ''
         self.settings_by_name: dict[str, dict] = {}
         self.popen_by_name: dict[str, subprocess.Popen] = {}
+        # Where the package of an instance is, if it is not the present one.
+        self.build_by_name: dict[str, pathlib.Path] = {}
         self.reserved_ports = probe.ReservedPorts()
         folder.mkdir(parents=True, exist_ok=True)
 
@@ -80,7 +82,7 @@
                 '--settings',
                 str(path),
             ],
-            cwd=ROOT,
+            cwd=self.build_by_name.get(name, ROOT),
             stdout=log,
             stderr=subprocess.STDOUT,
         )
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -18,6 +18,9 @@
     parser.add_argument('--runs', type=int, default=1)
     parser.add_argument('--seconds', type=float, default=12.0)
     parser.add_argument('--instances', type=int, default=4)
+    parser.add_argument(
+        '--from', dest='old_commit', help='build that runs beside this one'
+    )
     arguments = parser.parse_args()
     first_seed = arguments.seed
     if first_seed is None:
@@ -26,7 +29,11 @@
     for seed in range(first_seed, first_seed + arguments.runs):
         folder = pathlib.Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
         failures, events = run.run_soak(
-            folder, seed, arguments.seconds, arguments.instances
+            folder,
+            seed,
+            arguments.seconds,
+            arguments.instances,
+            arguments.old_commit,
         )
         print(f'seed {seed}: {len(failures)} failures; {events[-1]}')
         for failure in failures:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -6,9 +6,11 @@
 from pomelopass.reporting import leavingaudit
 from pomelopass.reporting import savedlogs
 from soak import clients
+from soak import disturbance
 from standins import modelengines
 
 __all__ = [
+    'check_configurations',
     'check_jobs',
     'check_orders',
     'check_engine_orders',
@@ -16,6 +18,8 @@
     'check_streams',
 ]
 
+# From the acknowledgement of a version on.
+APPLY_LIMIT_S = 2.0
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
 
@@ -123,6 +127,53 @@
         )
 
 
+def check_configurations(
+    log_files: abc.Iterable[pathlib.Path],
+    acknowledged_at_by_version: dict[int, float],
+    disturbances: list[disturbance.Disturbance],
+    fail: abc.Callable[[str], None],
+) -> None:
+    """Check that calm instances have each version in force in time."""
+    for path in log_files:
+        lines = savedlogs.read_lines(
+            [path.read_text(errors='replace').splitlines()]
+        )
+        for begin, end, takes in _split_starts(lines):
+            for version, acknowledged_at in acknowledged_at_by_version.items():
+                due_at = max(acknowledged_at + APPLY_LIMIT_S, begin)
+                taken_at = min(
+                    (at for at, taken in takes if taken >= version),
+                    default=end,
+                )
+                calm_at = disturbance.find_calm(
+                    disturbances, path.stem, due_at, taken_at
+                )
+                if calm_at is not None:
+                    fail(
+                        f'{path.stem} had no version {version} in force '
+                        f'{calm_at - acknowledged_at:.1f} s after it was '
+                        'acknowledged'
+                    )
+
+
+def _split_starts(
+    lines: list[savedlogs.LogLine],
+) -> list[tuple[float, float, list[tuple[float, int]]]]:
+    """Return begin, end, and times of versions of each start."""
+    starts: list[tuple[float, float, list[tuple[float, int]]]] = []
+    for line in lines:
+        if line.utc_ms is None:
+            continue
+        at = line.utc_ms / 1000
+        if line.event == 'started' or not starts:
+            starts.append((at, at, []))
+        begin, _, takes = starts[-1]
+        starts[-1] = (begin, at, takes)
+        if line.event == 'configuration-in-force':
+            takes.append((at, int(str(line.fields['version']))))
+    return starts
+
+
 def _count_runs(records: dict) -> dict[str, int]:
     run_counts: dict[str, int] = {}
     for name, record in records.items():
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -3,10 +3,13 @@
 import asyncio
 from collections import abc
 import dataclasses
+import pathlib
 import random
 import signal
+import time
 
 from scripts import entryfleet
+from soak import disturbance
 from soak import proxy
 
 __all__ = ['Injector']
@@ -17,6 +20,7 @@
 FAULT_MAX_S = 5.0
 # Longer than a head of the stand-ins.
 MAX_CUT_BYTES = 200
+REPLACE_RETRY_S = 0.1
 
 
 @dataclasses.dataclass(slots=True)
@@ -35,6 +39,11 @@
     # Sends requests to an instance until it is gone.
     stay: abc.Callable[[str], abc.Awaitable[None]]
     faulty_targets: set[str] = dataclasses.field(default_factory=set)
+    # Builds that run in turn on an instance, the one that replaces it first.
+    builds: tuple[pathlib.Path | None, ...] = ()
+    disturbances: list[disturbance.Disturbance] = dataclasses.field(
+        default_factory=list
+    )
 
     async def run(self, seconds: float) -> None:
         """Inject faults for a time, then clear them all."""
@@ -43,27 +52,61 @@
         injections = (
             self._kill,
             self._kill,
-            self._stop,
             self._freeze,
             self._inject_connection_fault,
             self._inject_connection_fault,
             self._inject_table_fault,
             self._inject_endpoint_fault,
-            self._cut_off_endpoints,
-            self._cut_reply,
-            self._leave,
             self._kill_many,
         )
         tasks = set()
+        if self.builds:
+            tasks.add(asyncio.ensure_future(self._replace_builds(seconds)))
+        else:
+            # Earlier builds do not bear these.
+            injections += (
+                self._stop,
+                self._cut_off_endpoints,
+                self._cut_reply,
+                self._leave,
+            )
         while loop.time() < end:
             task = asyncio.ensure_future(self.rng.choice(injections)())
             tasks.add(task)
             await asyncio.sleep(self.rng.uniform(PAUSE_MIN_S, PAUSE_MAX_S))
         await asyncio.gather(*tasks)
+        self.disturb(None)
         for faulty_proxy in self.proxy_by_name.values():
             faulty_proxy.clear_faults()
         await self._set_table()
 
+    def disturb(self, name: str | None) -> disturbance.Disturbance:
+        """Record a disturbance of an instance, or of all, that begins now."""
+        begun = disturbance.Disturbance(name, time.time())
+        self.disturbances.append(begun)
+        return begun
+
+    async def _replace_builds(self, seconds: float) -> None:
+        """Replace each instance by the next build, one after the other."""
+        names = sorted(self.fleet.settings_by_name)
+        pause_s = seconds / (len(names) * len(self.builds) + 1)
+        tasks = []
+        for build in self.builds:
+            for name in names:
+                await asyncio.sleep(pause_s)
+                tasks.append(asyncio.ensure_future(self._replace(name, build)))
+        await asyncio.gather(*tasks)
+
+    async def _replace(self, name: str, build: pathlib.Path | None) -> None:
+        while name in self.faulty_targets:
+            await asyncio.sleep(REPLACE_RETRY_S)
+        self.record(f'{name} is replaced by {build or "the present build"}')
+        if build is None:
+            self.fleet.build_by_name.pop(name, None)
+        else:
+            self.fleet.build_by_name[name] = build
+        await self._signal_and_restart(signal.SIGTERM, name=name)
+
     def get_duration_s(self) -> float:
         """Return a random duration for a fault."""
         return self.rng.uniform(FAULT_MIN_S, FAULT_MAX_S)
@@ -82,11 +125,13 @@
         self,
         number: int,
         stay: abc.Callable[[str], abc.Awaitable[None]] | None = None,
+        name: str | None = None,
     ) -> None:
-        name = self._choose_instance()
+        name = name or self._choose_instance()
         if name is None:
             return
         self.faulty_targets.add(name)
+        disturbed = self.disturb(name)
         self.record(f'{signal.Signals(number).name} {name}')
         self.fleet.signal(name, number)
         popen = self.fleet.popen_by_name[name]
@@ -96,6 +141,7 @@
             await asyncio.sleep(0.1)
         await asyncio.sleep(self.get_duration_s() / 3)
         self.fleet.start_entry(name)
+        disturbed.end()
         await asyncio.sleep(1.0)
         self.faulty_targets.discard(name)
 
@@ -113,9 +159,11 @@
         self.faulty_targets.add(name)
         duration_s = self.get_duration_s()
         self.record(f'freeze {name} for {duration_s:.1f} s')
+        disturbed = self.disturb(name)
         self.fleet.signal(name, signal.SIGSTOP)
         await asyncio.sleep(duration_s)
         self.fleet.signal(name, signal.SIGCONT)
+        disturbed.end()
         self.faulty_targets.discard(name)
 
     async def _inject_connection_fault(self) -> None:
@@ -126,8 +174,10 @@
         )
         duration_s = self.get_duration_s()
         self.record(f'{kind} at the proxy of {name} for {duration_s:.1f} s')
+        disturbed = self.disturb(name)
         if kind == 'reset':
             faulty_proxy.reset_all()
+            disturbed.end()
             return
         value = self.rng.uniform(0.01, 0.4) if kind == 'delay_s' else True
         setattr(faulty_proxy, kind, value)
@@ -138,6 +188,7 @@
             faulty_proxy.stall_requests = faulty_proxy.stall_replies = True
         await asyncio.sleep(duration_s)
         faulty_proxy.clear_faults()
+        disturbed.end()
 
     def _get_endpoint_proxies(self) -> list[proxy.Proxy]:
         return [
@@ -203,9 +254,11 @@
         )
         duration_s = self.get_duration_s()
         self.record(f'table: {faults} for {duration_s:.1f} s')
+        disturbed = self.disturb(None)
         await self._set_table(**faults)
         await asyncio.sleep(duration_s)
         await self._set_table()
+        disturbed.end()
         self.faulty_targets.discard('table')
 
     async def _set_table(self, **faults: object) -> None:
--- a/soak/run.py
+++ b/soak/run.py
@@ -4,9 +4,11 @@
 import json
 import pathlib
 import random
+import time
 
 from pomelopass.edges import httpclient
 from pomelopass import message
+from scripts import builds
 from scripts import entryfleet
 from soak import checks
 from soak import clients
@@ -29,7 +31,13 @@
 
 
 class _Soak:
-    def __init__(self, folder: pathlib.Path, seed: int, instances: int):
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        seed: int,
+        instances: int,
+        old_commit: str | None = None,
+    ):
         self.rng = random.Random(seed)
         self.seed = seed
         self.instances = instances
@@ -38,6 +46,11 @@
         self.proxy_by_name: dict[str, proxy.Proxy] = {}
         self.failures: list[str] = []
         self.events: list[str] = []
+        self.acknowledged_at_by_version: dict[int, float] = {}
+        self.old_build: pathlib.Path | None = None
+        if old_commit is not None:
+            self.old_build = builds.extract_build(old_commit, folder)
+        self.injector: faults.Injector | None = None
 
     def fail(self, description: str) -> None:
         if description not in self.failures:
@@ -76,17 +89,21 @@
                 self.fail,
                 _make_job,
             )
-            injector = faults.Injector(
+            self.injector = faults.Injector(
                 self.fleet,
                 self.proxy_by_name,
                 self.rng,
                 self.post,
                 self.record_event,
                 lambda name: stopcaller.send_until_gone(callers, name),
+                # Replaced by the present build, then back by the old one.
+                builds=(None, self.old_build) if self.old_build else (),
             )
             operator = asyncio.ensure_future(self._operate())
             stall_watch = asyncio.ensure_future(self._record_stalls())
-            await asyncio.gather(callers.run(seconds), injector.run(seconds))
+            await asyncio.gather(
+                callers.run(seconds), self.injector.run(seconds)
+            )
             operator.cancel()
             await self._settle(callers)
             await self._check(callers)
@@ -111,6 +128,8 @@
             table_proxy = proxy.Proxy(self.fleet.platform.address)
             await table_proxy.start()
             self.proxy_by_name[name] = table_proxy
+            if self.old_build is not None:
+                self.fleet.build_by_name[name] = self.old_build
             self.fleet.start_entry(
                 name,
                 table_address=table_proxy.address,
@@ -142,6 +161,7 @@
         value = entrybuilders.make_configuration(version=version)
         row = {'table': 'op', 'key': 'config', 'value': value}
         await self.post('/rows', row)
+        self.acknowledged_at_by_version[version] = time.time()
 
     async def _operate(self) -> None:
         version = 1
@@ -164,6 +184,7 @@
             stall_s = loop.time() - woken_at - STALL_CHECK_S
             if stall_s > MAX_STALL_S:
                 self.record_event(f'the soak stood still for {stall_s:.1f} s')
+                self.injector.disturb(None).end()
 
     async def _settle(self, callers: clients.Clients) -> None:
         loop = asyncio.get_running_loop()
@@ -187,7 +208,14 @@
         checks.check_orders(callers, records, self.fail)
         checks.check_streams(callers, records, self.fail)
         checks.check_engine_orders(records, self.fail)
-        checks.check_leaving(self.fleet.folder.glob('*.log'), self.fail)
+        logs = sorted(self.fleet.folder.glob('entry-*.log'))
+        checks.check_leaving(logs, self.fail)
+        checks.check_configurations(
+            logs,
+            self.acknowledged_at_by_version,
+            self.injector.disturbances,
+            self.fail,
+        )
         accepted = sum(job.accepted for job in callers.job_by_id.values())
         served = sum(
             status == 200 for status in callers.status_by_order.values()
@@ -212,9 +240,17 @@
 
 
 def run_soak(
-    folder: pathlib.Path, seed: int, seconds: float, instances: int
+    folder: pathlib.Path,
+    seed: int,
+    seconds: float,
+    instances: int,
+    old_commit: str | None = None,
 ) -> tuple[list[str], list[str]]:
-    """Return the failures and the recorded events of one run."""
-    soak = _Soak(folder, seed, instances)
+    """Return the failures and the recorded events of one run.
+
+    With an old commit, all instances start as that build, are replaced by
+    the present one in turn, and then by the old one again.
+    """
+    soak = _Soak(folder, seed, instances, old_commit)
     failures = asyncio.run(soak.run(seconds))
     return failures, soak.events
--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -11,6 +11,9 @@
     722007: 'a paused instance ran a job under the record of its adopter',
 }
 SECONDS = 6.0
+# Builds of the last two landings; upgrades start from one of them.
+OLD_COMMITS = ('91e13c7', '6cf06a3')
+UPGRADE_SECONDS = 14.0
 INSTANCES = 3
 
 
@@ -18,3 +21,11 @@
 def test_guarantees_hold_under_random_faults(tmp_path, seed):
     failures, events = run.run_soak(tmp_path, seed, SECONDS, INSTANCES)
     assert failures == [], events
+
+
+@pytest.mark.parametrize('old_commit', OLD_COMMITS)
+def test_guarantees_hold_beside_an_old_build(tmp_path, old_commit):
+    failures, events = run.run_soak(
+        tmp_path, 24, UPGRADE_SECONDS, INSTANCES, old_commit
+    )
+    assert failures == [], events
