--- a/tests/entry/test_eventlog.py
+++ b/tests/entry/test_eventlog.py
@@ -70,3 +70,13 @@
     os.close(write_end)
     os.close(read_end)
     assert len(text.splitlines()) == 2000
+
+
+# A background task would end at the line.
+def test_line_with_a_number_over_64_bits_is_written():
+    log = eventlog.EventLog(1)
+    logger = logging.Logger('test')
+    logger.addHandler(log)
+    write_event = eventlog.make_write_event(logger, 'a')
+    write_event(logevents.VersionNamed(model='\ud800', version=2**64))
+    assert json.loads(log.lines[0])['version'] == 2**64
--- a/tests/entry/test_odd_entries.py
+++ b/tests/entry/test_odd_entries.py
@@ -165,3 +165,29 @@
         await check_service(cluster)
 
     run(scenario)
+
+
+# The rows behind it in the same answer must not wait for a restart.
+def test_row_whose_processing_fails_costs_only_itself():
+    async def scenario(cluster):
+        entry = cluster.entry_by_name['entry-0']
+        put = entry.node.registry.put
+
+        def fail_once(endpoint):
+            if endpoint.id == 'odd':
+                raise OverflowError('an error of ours')
+            put(endpoint)
+
+        entry.node.registry.put = fail_once
+        value = oddvalues.make_entry('good', 'desk')
+        cluster.service.put('servers', 'odd', value)
+        cluster.service.put('servers', 'later', value)
+        await asyncio.sleep(0.05)
+        assert 'later' in entry.node.registry.state_by_id
+        failures = [
+            event for event in entry.events if event['event'] == 'row-failed'
+        ]
+        assert [event['key'] for event in failures] == ['odd']
+        await check_service(cluster)
+
+    run(scenario)
--- a/tests/test_soakchecks.py
+++ b/tests/test_soakchecks.py
@@ -1,11 +1,13 @@
 """Test the checks of the soak on orders."""
 
+import json
 import random
 
 import pytest
 
 from soak import checks
 from soak import clients
+from soak import disturbance
 
 
 def check_order(status, ran, is_cut=False):
@@ -36,3 +38,49 @@
 # It crossed the close of its connection.
 def test_order_that_was_cut_and_did_not_run_is_no_failure():
     assert check_order(0, [], is_cut=True) == []
+
+
+def check_configuration(tmp_path, taken_at_s, disturbances=()):
+    """Check an instance that had version 2, acknowledged at 10 s, then."""
+    lines = [
+        {'event': 'started', 'time': make_time(1)},
+        {'event': 'configuration-in-force', 'time': make_time(1.5)},
+        {'event': 'configuration-in-force', 'time': make_time(taken_at_s)},
+        {'event': 'request-ended', 'time': make_time(30)},
+    ]
+    lines[1]['version'] = 1
+    lines[2]['version'] = 2
+    path = tmp_path / 'entry-0.log'
+    path.write_text('\n'.join(json.dumps(line) for line in lines))
+    failures = []
+    checks.check_configurations(
+        [path], {2: 10.0}, list(disturbances), failures.append
+    )
+    return failures
+
+
+def make_time(at_s):
+    return f'1970-01-01T00:00:{at_s:06.3f}+00:00'
+
+
+def test_version_that_a_calm_instance_has_late_is_a_failure(tmp_path):
+    assert check_configuration(tmp_path, 11.9) == []
+    assert len(check_configuration(tmp_path, 12.2)) == 1
+
+
+# It counts again once it was calm for 3 s.
+@pytest.mark.parametrize(
+    ('name', 'taken_at_s', 'failures'),
+    [
+        ('entry-0', 14.9, 0),
+        (None, 14.9, 0),
+        ('entry-0', 15.2, 1),
+        ('entry-1', 12.2, 1),
+    ],
+)
+def test_version_may_be_late_while_the_instance_is_disturbed(
+    tmp_path, name, taken_at_s, failures
+):
+    disturbed = disturbance.Disturbance(name, 11.0, 12.0)
+    found = check_configuration(tmp_path, taken_at_s, [disturbed])
+    assert len(found) == failures
