Test answers of peers that lack a single field

Change: answers without a version, a time, or the version of a row. Conclusion: an answer of an older or newer peer is used whole or not at all.

--- a/tests/decoders/test_odd_values.py
+++ b/tests/decoders/test_odd_values.py
@@ -331,7 +331,16 @@
 
 
 @pytest.mark.parametrize(
-    'rows_left_out', [ttypes.Rows(), ttypes.Rows([ttypes.RowValue()])]
+    'rows_left_out',
+    [
+        ttypes.Rows(),
+        ttypes.Rows([ttypes.RowValue()], False, 1, 1),
+        ttypes.Rows([], False),
+        ttypes.Rows([ttypes.RowValue(ttypes.RowName('t', '', 'k'))], False, 1),
+        ttypes.Rows(
+            [ttypes.RowValue(ttypes.RowName('t', '', 'k'), b'v')], False, 1, 1
+        ),
+    ],
 )
 async def test_answer_of_a_peer_without_its_fields_is_an_error(rows_left_out):
     async def serve(reader, writer):
