Judge versions from when an instance serves by one, and audit its own lines

The audit counted a start's lines to the next one, but instance-found names the instance that another found, so killed starts seemed to live on. Change: both count from the first version in force, by the rule's words (handled as an older version allows), and the audit leaves these lines out. Ruled out: a longer bound; skipping the first start.

--- a/pomelopass/reporting/configaudit.py
+++ b/pomelopass/reporting/configaudit.py
@@ -76,6 +76,9 @@
     for line in lines:
         if line.steady_ms is None or line.utc_ms is None:
             continue
+        if line.event == 'instance-found':
+            # It names the instance that another one found.
+            continue
         group = current_by_instance.get(line.instance)
         if group is None or line.event == 'started':
             group = current_by_instance[line.instance] = []
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -159,7 +159,10 @@
 def _split_starts(
     lines: list[savedlogs.LogLine],
 ) -> list[tuple[float, float, list[tuple[float, int]]]]:
-    """Return begin, end, and times of versions of each start."""
+    """Return first and last time in service, and versions, of each start.
+
+    Without a configuration an instance refuses all and says so.
+    """
     starts: list[tuple[float, float, list[tuple[float, int]]]] = []
     for line in lines:
         if line.utc_ms is None:
@@ -168,10 +171,11 @@
         if line.event == 'started' or not starts:
             starts.append((at, at, []))
         begin, _, takes = starts[-1]
-        starts[-1] = (begin, at, takes)
         if line.event == 'configuration-in-force':
             takes.append((at, int(str(line.fields['version']))))
-    return starts
+            begin = takes[0][0]
+        starts[-1] = (begin, at, takes)
+    return [start for start in starts if start[2]]
 
 
 def _count_runs(records: dict) -> dict[str, int]:
--- a/tests/test_configaudit.py
+++ b/tests/test_configaudit.py
@@ -83,3 +83,9 @@
     )
     assert lags['entry-0', 2].lag_ms == 0
     assert ('entry-1', 2) not in lags
+
+
+# The line is of another instance, whose clock of steady time differs.
+def test_line_about_a_found_instance_is_not_one_of_it():
+    found = make_line(9.0, 'instance-found', 'entry-1', start='entry-1-1')
+    assert ('entry-1', 2) not in get_lags(*START, make_take(5.0, 2), found)
