--- a/tests/entry/test_eventlog.py
+++ b/tests/entry/test_eventlog.py
@@ -8,13 +8,17 @@
 from pomelopass.reporting import logevents
 
 
+def make_log(descriptor):
+    log = eventlog.EventLog(descriptor)
+    logger = logging.Logger('test')
+    logger.addHandler(log)
+    return log, eventlog.make_write_event(logger, 'a')
+
+
 def test_stalled_reader_drops_lines_without_blocking():
     read_end, write_end = os.pipe()
     os.set_blocking(write_end, False)
-    log = eventlog.EventLog(write_end)
-    logger = logging.Logger('test')
-    logger.addHandler(log)
-    write_event = eventlog.make_write_event(logger, 'a')
+    log, write_event = make_log(write_end)
     for number in range(3 * eventlog.MAX_LINES):
         write_event(logevents.JobEnded(job=str(number)))
         if number % 100 == 0:
@@ -39,10 +43,7 @@
 
 
 def test_lines_have_both_clocks_and_the_event_fields():
-    log = eventlog.EventLog(1)
-    logger = logging.Logger('test')
-    logger.addHandler(log)
-    write_event = eventlog.make_write_event(logger, 'a')
+    log, write_event = make_log(1)
     write_event(logevents.Started(start='a-1', process=7))
     line = json.loads(log.lines[0])
     assert line['event'] == 'started'
@@ -56,10 +57,7 @@
 def test_each_write_to_the_pipe_ends_with_a_whole_line():
     read_end, write_end = os.pipe()
     os.set_blocking(write_end, False)
-    log = eventlog.EventLog(write_end)
-    logger = logging.Logger('test')
-    logger.addHandler(log)
-    write_event = eventlog.make_write_event(logger, 'a')
+    log, write_event = make_log(write_end)
     for number in range(2000):
         write_event(logevents.JobEnded(job=str(number)))
     text = b''
@@ -74,9 +72,6 @@
 
 # A background task would end at the line.
 def test_line_with_a_number_over_64_bits_is_written():
-    log = eventlog.EventLog(1)
-    logger = logging.Logger('test')
-    logger.addHandler(log)
-    write_event = eventlog.make_write_event(logger, 'a')
+    log, write_event = make_log(1)
     write_event(logevents.VersionNamed(model='\ud800', version=2**64))
     assert json.loads(log.lines[0])['version'] == 2**64
