--- a/review/lib/engines.py
+++ b/review/lib/engines.py
@@ -50,6 +50,8 @@
         # Ids of the requests that began to run here, in order.
         self.ran = []
         self.handle_work = None
+        # Whether the text shows which software wrote it.
+        self.names_software = False
         self.server = wire.Server(self._handle)
         self.beating = None
 
@@ -80,6 +82,20 @@
         await self.start()
         self.record('back', engine=self.id)
 
+    async def begin_again(self, software, register_s):
+        """Start again under the same id, with other software."""
+        self.seq = 0
+        self.fence = 0
+        self.running = 0
+        self.software = software
+        self.born = int(time.time() * 1000)
+        self.server = wire.Server(self._handle)
+        host, _, port = self.address.rpartition(':')
+        await self.server.start(host, int(port))
+        await asyncio.sleep(register_s)
+        self.register()
+        self.beating = asyncio.ensure_future(self._beat())
+
     def register(self):
         """Write the entry of this endpoint."""
         entry = {
@@ -205,6 +221,7 @@
 
     async def _stream(self, item_id, first, model, version):
         self.running += 1
+        software = self.software
         try:
             for number in range(first, self.count_events(item_id) + 1):
                 await asyncio.sleep(self.pace_s(item_id))
@@ -214,6 +231,8 @@
                     version = current
                     lines = f'weight-versions: {version}\n'
                 data = make_piece(item_id, number)
+                if self.names_software:
+                    data += f'/{software}'
                 yield f'{lines}id: {number}\ndata: {data}\n\n'.encode()
         finally:
             self.running -= 1
