Give each run of a job a text of its own

Cause: TextCache kept the mutable Progress objects of finished runs and gave them to the runs of later jobs with the same items. Two open jobs with one item at one instance appended to one list.

Ruled out: the parser (ids of events must rise within a run) and resumption at another engine (each run asked with the Last-Event-Id of the shared text).

The rows keep their form.

--- a/pomelopass/jobs/jobrun.py
+++ b/pomelopass/jobs/jobrun.py
@@ -43,18 +43,21 @@
         context: itemcontext.ItemContext,
         stored: jobtable.StoredJob,
         listed: abc.Collection[str],
-        progress_by_item: dict[str, progresses.Progress],
+        snapshot_by_item: dict[str, progresses.Snapshot],
         table: jobtable.JobTable,
         on_change: abc.Callable[[jobtable.StoredJob], None],
     ):
         self.context = context
         self.stored = stored
         self.listed = set(listed)
-        self.progress_by_item = dict(progress_by_item)
+        self.progress_by_item = {
+            item_id: progresses.make_progress(snapshot)
+            for item_id, snapshot in snapshot_by_item.items()
+        }
         # Number of events of each text that are already stored.
         self.saved_count_by_item: dict[str, int] = {
-            item_id: len(progress.texts)
-            for item_id, progress in progress_by_item.items()
+            item_id: len(snapshot.texts)
+            for item_id, snapshot in snapshot_by_item.items()
         }
         self.table = table
         self.on_change = on_change
@@ -100,6 +103,13 @@
         if outcome.is_final:
             self.on_change(outcome.current)
 
+    def take_snapshots(self) -> dict[str, progresses.Snapshot]:
+        """Return the texts by item as they are now."""
+        return {
+            item_id: progress.take_snapshot()
+            for item_id, progress in self.progress_by_item.items()
+        }
+
     def _start_items(self) -> None:
         groups: list[str] = []
         for item in self.context.submission.items:
@@ -151,7 +161,7 @@
             if is_listed or new_count < min_events:
                 continue
             row = rowcodec.encode_progress(
-                self.stored.record.id, item_id, progress
+                self.stored.record.id, item_id, progress.take_snapshot()
             )
             if row is None or len(puts) >= MAX_TEXTS_PER_WRITE:
                 continue
--- a/pomelopass/jobs/jobtable.py
+++ b/pomelopass/jobs/jobtable.py
@@ -71,18 +71,18 @@
 
     async def fetch_progress(
         self, job_id: str
-    ) -> dict[str, progresses.Progress]:
+    ) -> dict[str, progresses.Snapshot]:
         """Return the unfinished texts by item; raise TableError."""
-        progress_by_item = {}
+        snapshot_by_item = {}
         key_range = rowcodec.make_progress_range(job_id)
         async for page in rows.read_all(self.table, key_range):
             for row in page:
                 try:
-                    item_id, progress = rowcodec.decode_progress(row)
+                    item_id, snapshot = rowcodec.decode_progress(row)
                 except ValueError as error:
                     raise rows.TableError(str(error), False) from None
-                progress_by_item[item_id] = progress
-        return progress_by_item
+                snapshot_by_item[item_id] = snapshot
+        return snapshot_by_item
 
     async def save_progress(
         self,
--- a/pomelopass/jobs/manager.py
+++ b/pomelopass/jobs/manager.py
@@ -214,7 +214,7 @@
         stored: jobtable.StoredJob,
         submission: jobs.Submission,
         listed: set[str],
-        texts: dict[str, progresses.Progress],
+        texts: dict[str, progresses.Snapshot],
     ) -> None:
         job_id = submission.id
         context = self.make_context(submission, stored)
@@ -243,7 +243,7 @@
         )
 
         def clean_up(finished_task: asyncio.Task) -> None:
-            self.text_cache.put(run.progress_by_item)
+            self.text_cache.put(run.take_snapshots())
             self.task_by_id.pop(job_id, None)
             self.run_by_id.pop(job_id, None)
             self._report_failure(finished_task)
--- a/pomelopass/jobs/rowcodec.py
+++ b/pomelopass/jobs/rowcodec.py
@@ -132,10 +132,10 @@
 
 
 def encode_progress(
-    job_id: str, item_id: str, progress: progresses.Progress
+    job_id: str, item_id: str, snapshot: progresses.Snapshot
 ) -> tuple[rows.Key, bytes] | None:
     """Return the row of an unfinished text, or None if it is too long."""
-    value = zlib.compress(orjson.dumps(progress), level=1)
+    value = zlib.compress(orjson.dumps(snapshot), level=1)
     if len(value) > CHUNK_BYTES:
         return None
     key = rows.Key(TEXT_TABLE, get_part(job_id), f'{job_id}/{item_id}')
@@ -149,13 +149,13 @@
     )
 
 
-def decode_progress(row: rows.Row) -> tuple[str, progresses.Progress]:
-    """Return the item's id and its progress; raise ValueError if malformed."""
+def decode_progress(row: rows.Row) -> tuple[str, progresses.Snapshot]:
+    """Return the item's id and its text; raise ValueError if malformed."""
     try:
-        progress = _decode_progress(zlib.decompress(row.value))
+        snapshot = _decode_progress(zlib.decompress(row.value))
     except zlib.error as error:
         raise ValueError(str(error)) from None
-    return row.name.key.split('/')[-1], progress
+    return row.name.key.split('/')[-1], snapshot
 
 
 def _encode_bytes(value: object) -> str:
@@ -182,7 +182,7 @@
 _decode_record = decoding.make_decoder(jobs.JobRecord)
 _decode_result = decoding.make_decoder(jobs.Result)
 _decode_submission = decoding.make_decoder(jobs.Submission)
-_decode_progress = decoding.make_decoder(progresses.Progress)
+_decode_progress = decoding.make_decoder(progresses.Snapshot)
 
 
 def next_record(record: jobs.JobRecord, **changes) -> jobs.JobRecord:
--- a/pomelopass/jobs/textcache.py
+++ b/pomelopass/jobs/textcache.py
@@ -12,26 +12,26 @@
     """Cache of the latest texts of finished runs by item."""
 
     def __init__(self) -> None:
-        self.progress_by_item: dict[str, progresses.Progress] = {}
+        self.snapshot_by_item: dict[str, progresses.Snapshot] = {}
 
-    def put(self, progress_by_item: dict[str, progresses.Progress]) -> None:
+    def put(self, snapshot_by_item: dict[str, progresses.Snapshot]) -> None:
         """Store the texts of a run; evict the oldest ones if full."""
-        for item_id, progress in progress_by_item.items():
-            self.progress_by_item.pop(item_id, None)
-            self.progress_by_item[item_id] = progress
-        surplus = len(self.progress_by_item) - MAX_TEXTS
-        for item_id in list(self.progress_by_item)[: max(surplus, 0)]:
-            del self.progress_by_item[item_id]
+        for item_id, snapshot in snapshot_by_item.items():
+            self.snapshot_by_item.pop(item_id, None)
+            self.snapshot_by_item[item_id] = snapshot
+        surplus = len(self.snapshot_by_item) - MAX_TEXTS
+        for item_id in list(self.snapshot_by_item)[: max(surplus, 0)]:
+            del self.snapshot_by_item[item_id]
 
     def find_reusable(
         self, submission: jobs.Submission
-    ) -> dict[str, progresses.Progress]:
+    ) -> dict[str, progresses.Snapshot]:
         """Return the texts by item whose versions the job accepts."""
         reusable_by_item = {}
         for item in submission.items:
-            progress = self.progress_by_item.get(item.id)
-            if progress is None or not progress.versions:
+            snapshot = self.snapshot_by_item.get(item.id)
+            if snapshot is None or not snapshot.versions:
                 continue
-            if min(progress.versions) >= submission.min_version:
-                reusable_by_item[item.id] = progress
+            if min(snapshot.versions) >= submission.min_version:
+                reusable_by_item[item.id] = snapshot
         return reusable_by_item
--- a/scripts/jobmutants.py
+++ b/scripts/jobmutants.py
@@ -47,7 +47,7 @@
     mutant.Mutant(
         'too-old-versions-are-used',
         'pomelopass/jobs/textcache.py',
-        'if min(progress.versions) >= submission.min_version:',
+        'if min(snapshot.versions) >= submission.min_version:',
         'if True:',
         (JOBS,),
     ),
--- a/tests/decoders/test_odd_values.py
+++ b/tests/decoders/test_odd_values.py
@@ -182,9 +182,9 @@
     submission = entrybuilders.make_submission()
     values = [value for _, value in rowcodec.encode_submission(submission)]
     assert rowcodec.decode_submission(values) == submission
-    progress = progresses.Progress(['a'], [1], '1', software='v')
-    key, value = rowcodec.encode_progress('j', 'i', progress)
-    assert rowcodec.decode_progress(rows.Row(key, value, 1)) == ('i', progress)
+    snapshot = progresses.Snapshot(('a',), (1,), '1', software='v')
+    key, value = rowcodec.encode_progress('j', 'i', snapshot)
+    assert rowcodec.decode_progress(rows.Row(key, value, 1)) == ('i', snapshot)
 
 
 NUMBERS = st.sampled_from(
