Carry token and end of a confirmation with each order

Cause: check and effect were apart. The leader confirmed its row, waited for an engine's report, then read the token of the newest row that it had seen, whoever held it, and only then opened a connection.

A confirmation now returns an OrderGrant (service, token, end). It is checked after the connection has opened, before the first byte; else the order is withdrawn. Related paths in the same commit, as they are the same check: the answer to a confirmation does not replace a newer row; a takeover whose answer was lost waits like any other; where engines check no tokens the new leader waits until the last grant of the former one has ended.

--- a/pomelopass/edges/httpclient.py
+++ b/pomelopass/edges/httpclient.py
@@ -60,15 +60,20 @@
         fresh: bool = False,
         stall_ms: float | None = None,
         max_idle_ms: float = math.inf,
+        may_send: abc.Callable[[], bool] = lambda: True,
     ) -> message.OpenReply:
         """Send a request, return the response head; raise ExchangeError.
 
         The stall time limits each wait for more bytes, in milliseconds. A
         connection that was idle for longer than the maximum is not used.
+        Nothing is sent unless may_send agrees once the connection is open.
         """
         loop = asyncio.get_running_loop()
         deadline = loop.time() + timeout_ms / 1000
         connection = await self._connect(address, deadline, fresh, max_idle_ms)
+        if not may_send():
+            connection.close()
+            raise message.ExchangeError(message.WITHDRAWN, 0)
         connection.stall_ms = stall_ms
         connection.is_repeatable = not fresh
         self.pool.begin_use(address, connection)
--- a/pomelopass/message.py
+++ b/pomelopass/message.py
@@ -7,6 +7,7 @@
 __all__ = [
     'DISCONNECT_KINDS',
     'TIMEOUT',
+    'WITHDRAWN',
     'ExchangeError',
     'OpenReply',
     'Reply',
@@ -14,9 +15,11 @@
     'find_header',
 ]
 
-# Kinds of ExchangeError when the remote side closes the connection.
 # Kind of failure of an exchange in which no more bytes came in time.
 TIMEOUT = 'timeout'
+# Kind of failure of a request that might not be sent any more.
+WITHDRAWN = 'withdrawn'
+# Kinds of ExchangeError when the remote side closes the connection.
 DISCONNECT_KINDS = ('reset', 'truncated')
 
 Headers = tuple[tuple[str, str], ...]
--- a/pomelopass/paths/endpointpaths.py
+++ b/pomelopass/paths/endpointpaths.py
@@ -1,6 +1,7 @@
 """Send calls to endpoints over own links, or over those of a peer."""
 
 import asyncio
+from collections import abc
 
 from . import book as books
 from ..fleet import member
@@ -148,13 +149,16 @@
         return report
 
     async def order_version(
-        self, target: endpoints.Endpoint, order: orders.VersionOrder
+        self,
+        target: endpoints.Endpoint,
+        order: orders.VersionOrder,
+        may_send: abc.Callable[[], bool],
     ) -> orders.OrderOutcome:
         """Order an endpoint to load a weight version, over own links only.
 
         An order must come from the instance that its fencing token names.
         """
-        return await self.direct.order_version(target, order)
+        return await self.direct.order_version(target, order, may_send)
 
     def _choose_peers(self, target: endpoints.Endpoint) -> list[member.Member]:
         now = asyncio.get_running_loop().time()
--- a/pomelopass/platform/endpointclient.py
+++ b/pomelopass/platform/endpointclient.py
@@ -138,9 +138,12 @@
         )
 
     async def order_version(
-        self, target: endpoint.Endpoint, order: orders.VersionOrder
+        self,
+        target: endpoint.Endpoint,
+        order: orders.VersionOrder,
+        may_send: abc.Callable[[], bool],
     ) -> orders.OrderOutcome:
-        """Order an endpoint to load a weight version."""
+        """Order an endpoint to load a weight version if it may be sent."""
         body = orjson.dumps(
             {
                 'op': 'version',
@@ -165,11 +168,13 @@
         )
         try:
             reply = await self.http.open(
-                target.address, request, ORDER_TIMEOUT_MS
+                target.address, request, ORDER_TIMEOUT_MS, may_send=may_send
             )
             self._note_leaving(target, reply)
             await reply.read(MAX_REPORT_BYTES)
-        except message.ExchangeError:
+        except message.ExchangeError as error:
+            if error.kind == message.WITHDRAWN:
+                return orders.OrderOutcome.WITHDRAWN
             return orders.OrderOutcome.UNKNOWN
         return ORDER_OUTCOME_BY_STATUS.get(
             reply.status, orders.OrderOutcome.REJECTED
--- a/pomelopass/versions/duty.py
+++ b/pomelopass/versions/duty.py
@@ -10,10 +10,10 @@
 from ..reporting import logevents
 from ..table import rows
 
-__all__ = ['DutySettings', 'OrderDuty']
+__all__ = ['DutySettings', 'OrderDuty', 'OrderGrant']
 
-# Orders are sent only within this time after the duty was confirmed.
-CONFIRMATION_TTL_MS = 800.0
+# Orders are sent only within this time after a confirmation was requested.
+GRANT_MS = 800.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -26,6 +26,16 @@
     engines_check_fences: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class OrderGrant:
+    """What a confirmation of the duty allows: orders with its token."""
+
+    service: str
+    fence: int
+    # On the lease clock, in seconds.
+    ends_at: float
+
+
 class OrderDuty:
     """The duty to order engines, by service, as this instance knows it."""
 
@@ -51,23 +61,17 @@
         # Whether this instance reaches no endpoint over its own links.
         self.is_cut_off = is_cut_off
         self.leadership_by_service: dict[str, leader.Leadership] = {}
-        self.confirmed_at = float('-inf')
 
     def apply_row(self, row: rows.Row) -> None:
         """Update the leader of a service from its changed row."""
         service = row.name.key.removeprefix(leader.LEADER_KEY_PREFIX)
-        leadership = self._get_leadership(service)
-        decoded = leader.decode_leader(row.value) if row.value else None
-        if decoded is not None and decoded.holder_name != self.name:
-            leadership.held_elsewhere_at = self.get_lease_now()
-        if row.version > leadership.version:
-            leadership.put(row)
+        self._get_leadership(service).put(row, self.get_lease_now())
 
     def may_lead(self, service: str) -> bool:
         """Return whether this instance holds the duty or may take it."""
         leadership = self._get_leadership(service)
         row = leadership.row
-        if row is not None and row.holder == self.incarnation:
+        if leadership.is_own:
             return True
         now = asyncio.get_running_loop().time()
         has_holder = row is not None and row.holder
@@ -87,51 +91,55 @@
         their fencing tokens only. Raise TableError.
         """
         leadership = self._get_leadership(service)
-        row = leadership.row
-        if row is None or row.holder != self.incarnation:
+        if not leadership.is_own:
             return False
         now = asyncio.get_running_loop().time()
         if self.name in self._get_candidate_names(now):
             return False
-        is_released = await leader.release(self.table, leadership)
+        is_released = await leader.release(
+            self.table, leadership, self.get_lease_now
+        )
         self.write_event(logevents.DutyLost(service=service))
         return is_released
 
-    async def confirm(self, service: str) -> bool:
-        """Return whether orders may be sent now; raise TableError."""
+    async def confirm(self, service: str) -> OrderGrant | None:
+        """Return a grant if orders may be sent now; raise TableError."""
         leadership = self._get_leadership(service)
         requested_at = self.get_lease_now()
-        is_confirmed = await leader.confirm(
-            self.table, leadership, self.incarnation, self.name, requested_at
-        )
-        if not is_confirmed:
+        row = await leader.confirm(self.table, leadership, self.get_lease_now)
+        if row is None:
             self.write_event(logevents.DutyLost(service=service))
-            return False
-        self.confirmed_at = requested_at
-        return self._has_waited(leadership, requested_at)
-
-    def is_confirmed(self) -> bool:
-        """Return whether an order may be sent on the last confirmation."""
-        age_ms = (self.get_lease_now() - self.confirmed_at) * 1000
-        return age_ms <= CONFIRMATION_TTL_MS
-
-    def get_fence(self, service: str) -> int:
-        """Return the fencing token of a duty that this instance holds."""
-        return self._get_leadership(service).row.fence
+            return None
+        if not self._has_waited(leadership):
+            return None
+        return OrderGrant(service, row.fence, requested_at + GRANT_MS / 1000)
+
+    def is_valid(self, grant: OrderGrant) -> bool:
+        """Return whether an order may still be sent under a grant."""
+        leadership = self._get_leadership(grant.service)
+        return (
+            leadership.is_own
+            and leadership.row.fence == grant.fence
+            and self.get_lease_now() <= grant.ends_at
+        )
 
     def _get_leadership(self, service: str) -> leader.Leadership:
         return self.leadership_by_service.setdefault(
-            service, leader.Leadership(service)
+            service,
+            leader.Leadership(service, self.name, self.incarnation),
         )
 
-    def _has_waited(self, leadership: leader.Leadership, now: float) -> bool:
+    def _has_waited(self, leadership: leader.Leadership) -> bool:
         if leadership.was_released:
             since = leadership.held_elsewhere_at
-        elif leadership.took_over and not self.settings.engines_check_fences:
-            since = leadership.leader_since
+            wait_ms = self.settings.lease_ms
+        elif not self.settings.engines_check_fences:
+            since = leadership.taken_over_at
+            # The leader before may order until its last grant ends.
+            wait_ms = self.settings.lease_ms + GRANT_MS
         else:
             return True
-        return (now - since) * 1000 >= self.settings.lease_ms
+        return (self.get_lease_now() - since) * 1000 >= wait_ms
 
     def _get_candidate_names(self, now: float) -> list[str]:
         """Return the instances that may order, those with links if any."""
--- a/pomelopass/versions/leader.py
+++ b/pomelopass/versions/leader.py
@@ -1,5 +1,6 @@
 """Leader election for the duty to order the engines of a service."""
 
+from collections import abc
 import dataclasses
 
 import orjson
@@ -7,7 +8,7 @@
 from .. import decoding
 from ..table import rows
 
-__all__ = ['Leadership', 'LeaderRow', 'decode_leader']
+__all__ = ['Leadership', 'LeaderRow', 'confirm', 'decode_leader', 'release']
 
 DUTY_TABLE = 'fleet'
 LEADER_KEY_PREFIX = 'weights/'
@@ -27,17 +28,19 @@
 
 @dataclasses.dataclass(slots=True)
 class Leadership:
-    """Last known leader row of a service."""
+    """Last known leader row of a service; times are of the lease clock."""
 
     service: str
+    # Name and incarnation of this instance.
+    name: str
+    incarnation: str
     row: LeaderRow | None = None
-    version: int = 0
-    # On the lease clock, in seconds.
-    leader_since: float = 0.0
-    took_over: bool = False
+    version: int = rows.ABSENT
+    # When the duty came from another leader, in seconds.
+    taken_over_at: float = float('-inf')
     # Whether the leader before gave the duty up and still lives.
     was_released: bool = False
-    # When the row was last seen as that of another instance.
+    # When the row was last seen as that of another instance, in seconds.
     held_elsewhere_at: float = float('-inf')
 
     @property
@@ -45,10 +48,32 @@
         """Return the key of the row."""
         return rows.Key(DUTY_TABLE, '', f'{LEADER_KEY_PREFIX}{self.service}')
 
-    def put(self, row: rows.Row) -> None:
-        """Store a row received from the table service."""
-        self.version = row.version
-        self.row = decode_leader(row.value) if row.value else None
+    @property
+    def is_own(self) -> bool:
+        """Return whether the row names this start of the instance."""
+        return self.row is not None and self.row.holder == self.incarnation
+
+    def put(self, row: rows.Row, now: float) -> None:
+        """Apply a row of the table service unless a newer one is known."""
+        decoded = decode_leader(row.value) if row.value else None
+        if decoded is not None and decoded.holder_name != self.name:
+            self.held_elsewhere_at = now
+        if row.version > self.version:
+            self.set_row(decoded, row.version, now)
+
+    def set_row(self, row: LeaderRow | None, version: int, now: float) -> None:
+        """Replace the row; record when it becomes this instance's own.
+
+        The answer to the write that takes the duty may be lost: then the
+        row comes back as a change.
+        """
+        previous = self.row
+        was_own = self.is_own
+        self.row = row
+        self.version = version
+        if self.is_own and not was_own and row.fence > 1:
+            self.taken_over_at = now
+            self.was_released = previous is not None and not previous.holder
 
 
 def decode_leader(value: bytes) -> LeaderRow | None:
@@ -62,66 +87,70 @@
 _decode = decoding.make_decoder(LeaderRow)
 
 
-async def release(table: rows.RowTable, leadership: Leadership) -> bool:
+async def release(
+    table: rows.RowTable,
+    leadership: Leadership,
+    get_now: abc.Callable[[], float],
+) -> bool:
     """Give the duty up; the fencing token stays for the next leader.
 
     Return False if another write came first. Raise TableError.
     """
     row = dataclasses.replace(leadership.row, holder='')
-    outcome = await table.transact(
-        rows.Transaction(
-            expected=((leadership.key, leadership.version),),
-            puts=((leadership.key, orjson.dumps(row)),),
-        )
-    )
+    outcome = await _write(table, leadership, row)
     if isinstance(outcome, rows.Conflict):
         return False
-    leadership.row = row
-    leadership.version = outcome.version
+    if outcome.version > leadership.version:
+        leadership.set_row(row, outcome.version, get_now())
     return True
 
 
 async def confirm(
     table: rows.RowTable,
     leadership: Leadership,
-    holder: str,
-    holder_name: str,
-    now: float,
-) -> bool:
+    get_now: abc.Callable[[], float],
+) -> LeaderRow | None:
     """Take or confirm the duty by a write conditional on its row's version.
 
-    Return False if another write came first. Raise TableError.
+    Return the row that this call wrote, or None if another write came first.
+    Raise TableError.
     """
     previous = leadership.row or LeaderRow('', '', 0, 0)
-    already_held = previous.holder == holder
+    already_held = leadership.is_own
     row = LeaderRow(
-        holder,
-        holder_name,
+        leadership.incarnation,
+        leadership.name,
         previous.fence if already_held else previous.fence + 1,
         previous.confirmations + 1,
     )
-    outcome = await table.transact(
+    outcome = await _write(table, leadership, row)
+    if isinstance(outcome, rows.Conflict):
+        _apply_conflict(leadership, outcome, get_now())
+        # An earlier attempt of this write may have been applied.
+        is_applied = already_held and leadership.row == row
+        return row if is_applied else None
+    # A change may have brought the row of the next leader already.
+    if outcome.version > leadership.version:
+        leadership.set_row(row, outcome.version, get_now())
+    return row
+
+
+async def _write(
+    table: rows.RowTable, leadership: Leadership, row: LeaderRow
+) -> rows.Applied | rows.Conflict:
+    return await table.transact(
         rows.Transaction(
             expected=((leadership.key, leadership.version),),
             puts=((leadership.key, orjson.dumps(row)),),
         )
     )
-    if isinstance(outcome, rows.Conflict):
-        current_rows = [
-            current_row
-            for current_row in outcome.rows
-            if current_row.name == leadership.key
-        ]
-        leadership.row = None
-        leadership.version = 0
-        for current_row in current_rows:
-            leadership.put(current_row)
-        # An earlier attempt of this write may have been applied.
-        return already_held and leadership.row == row
-    leadership.row = row
-    leadership.version = outcome.version
-    if not already_held:
-        leadership.leader_since = now
-        leadership.took_over = previous.fence > 0
-        leadership.was_released = leadership.took_over and not previous.holder
-    return True
+
+
+def _apply_conflict(
+    leadership: Leadership, conflict: rows.Conflict, now: float
+) -> None:
+    current_rows = [row for row in conflict.rows if row.name == leadership.key]
+    if not current_rows:
+        leadership.set_row(None, rows.ABSENT, now)
+    for row in current_rows:
+        leadership.put(row, now)
--- a/pomelopass/versions/manager.py
+++ b/pomelopass/versions/manager.py
@@ -35,9 +35,16 @@
         """Return the report of an engine, or None if it gave none."""
 
     async def order_version(
-        self, target: endpoints.Endpoint, order: orders.VersionOrder
+        self,
+        target: endpoints.Endpoint,
+        order: orders.VersionOrder,
+        may_send: abc.Callable[[], bool],
     ) -> orders.OrderOutcome:
-        """Order an engine to load a weight version."""
+        """Order an engine to load a weight version.
+
+        may_send is called last before the first byte is sent; without its
+        consent the order is withdrawn.
+        """
 
 
 @dataclasses.dataclass(slots=True)
@@ -129,13 +136,16 @@
             )
             if self.retry_at_by_id.get(load.state.endpoint.id, now) <= now
         ]
-        if not due_loads or not await self.duty.confirm(service):
+        if not due_loads:
             return
-        await asyncio.gather(
-            *(self._order(service, load) for load in due_loads)
-        )
+        grant = await self.duty.confirm(service)
+        if grant is None:
+            return
+        await asyncio.gather(*(self._order(grant, load) for load in due_loads))
 
-    async def _order(self, service: str, load: orders.VersionLoad) -> None:
+    async def _order(
+        self, grant: duty.OrderGrant, load: orders.VersionLoad
+    ) -> None:
         state = load.state
         model = load.model
         version = load.version
@@ -150,10 +160,12 @@
         endpoints.record_version(state, model, reported_version)
         if reported_version >= version or report.busy:
             return
-        if not self.duty.is_confirmed():
+        if not self.duty.is_valid(grant):
             return
-        order = self._make_order(service, load, report)
-        outcome = await self.port.order_version(target, order)
+        order = self._make_order(grant, load, report)
+        outcome = await self.port.order_version(
+            target, order, lambda: self.duty.is_valid(grant)
+        )
         self.write_event(
             logevents.EngineOrdered(
                 endpoint=target.id,
@@ -173,14 +185,17 @@
             )
 
     def _make_order(
-        self, service: str, load: orders.VersionLoad, report: orders.Report
+        self,
+        grant: duty.OrderGrant,
+        load: orders.VersionLoad,
+        report: orders.Report,
     ) -> orders.VersionOrder:
         return orders.VersionOrder(
             model=load.model,
             version=load.version,
             finish_runs_first=self.needs_single_version(load.model),
             holder=self.duty.incarnation,
-            fence=self.duty.get_fence(service),
+            fence=grant.fence,
             expected_count=report.order_count,
         )
 
--- a/pomelopass/versions/orders.py
+++ b/pomelopass/versions/orders.py
@@ -22,6 +22,8 @@
     FENCED = 'fenced'
     REJECTED = 'rejected'
     UNKNOWN = 'unknown'
+    # Not sent: the duty was lost or not confirmed again in time.
+    WITHDRAWN = 'withdrawn'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/scripts/jobmutants.py
+++ b/scripts/jobmutants.py
@@ -11,6 +11,7 @@
 FORWARD = 'tests/requests/test_forward.py'
 STREAM = 'tests/requests/test_stream.py'
 STREAM_ERRORS = 'tests/requests/test_stream_errors.py'
+DUTY = 'tests/versions/test_duty.py'
 ASSIGNMENT = 'tests/versions/test_assignment.py'
 ADOPTION = 'tests/jobs/test_adoption.py'
 
@@ -73,6 +74,44 @@
         'previous.fence,',
         (VERSIONS,),
     ),
+    mutant.Mutant(
+        'grant-outlives-its-duty',
+        'pomelopass/versions/duty.py',
+        'leadership.is_own\n            '
+        'and leadership.row.fence == grant.fence',
+        'True',
+        (DUTY,),
+    ),
+    mutant.Mutant(
+        'order-is-not-checked-once-its-connection-is-open',
+        'pomelopass/edges/httpclient.py',
+        'if not may_send():',
+        'if False:',
+        ('tests/platform/test_endpointclient.py',),
+    ),
+    mutant.Mutant(
+        'late-answer-hides-the-next-leader',
+        'pomelopass/versions/leader.py',
+        'if outcome.version > leadership.version:\n'
+        '        leadership.set_row(row, outcome.version, get_now())\n'
+        '    return row',
+        'leadership.set_row(row, outcome.version, get_now())\n    return row',
+        (DUTY,),
+    ),
+    mutant.Mutant(
+        'new-leader-waits-for-no-grant',
+        'pomelopass/versions/duty.py',
+        'wait_ms = self.settings.lease_ms + GRANT_MS',
+        'wait_ms = self.settings.lease_ms',
+        (DUTY,),
+    ),
+    mutant.Mutant(
+        'takeover-by-a-lost-answer-needs-no-wait',
+        'pomelopass/versions/leader.py',
+        'if self.is_own and not was_own and row.fence > 1:',
+        'if False:',
+        (DUTY,),
+    ),
     mutant.Mutant(
         'every-engine-follows-every-model',
         'pomelopass/versions/orders.py',
--- a/standins/links.py
+++ b/standins/links.py
@@ -50,6 +50,8 @@
         self.uses: list[_Use] = []
         self.last_received_at = float('-inf')
         self.connects: list[str] = []
+        # How long a connection for an order takes to open.
+        self.connect_s = 0.0
         self.on_leaving: abc.Callable[[endpoints.Endpoint], None] = (
             lambda target: None
         )
@@ -174,12 +176,18 @@
         return await self.pool.fetch_report(target)
 
     async def order_version(
-        self, target: endpoints.Endpoint, order: orders.VersionOrder
+        self,
+        target: endpoints.Endpoint,
+        order: orders.VersionOrder,
+        may_send: abc.Callable[[], bool],
     ) -> orders.OrderOutcome:
         """Order an endpoint to load a weight version."""
         if self.cut is not None:
             await asyncio.sleep(CONNECT_TIMEOUT_S)
             return orders.OrderOutcome.UNKNOWN
+        await asyncio.sleep(self.connect_s)
+        if not may_send():
+            return orders.OrderOutcome.WITHDRAWN
         return await self.pool.order_version(target, order)
 
     def _record_received(self, use: _Use) -> None:
--- a/standins/modelengines.py
+++ b/standins/modelengines.py
@@ -19,6 +19,7 @@
 EVENT_S = 0.03
 LOAD_S = 0.9
 WORK_S = 0.02
+REPORT_S = 0.002
 RESTART_S = 1.0
 # An endpoint that runs this body crashes.
 POISON = b'poison'
@@ -35,6 +36,7 @@
     version_by_model: dict[str, int] = dataclasses.field(default_factory=dict)
     checks_fences: bool = True
     load_s: float = LOAD_S
+    report_s: float = REPORT_S
     alive: bool = True
     draining: bool = False
     # Whether its answers say that it leaves, whatever its entry says.
@@ -203,8 +205,8 @@
         self, target: endpoints.Endpoint
     ) -> orders.Report | None:
         """Return an engine's weight report, or None without an answer."""
-        await asyncio.sleep(0.002)
         endpoint = self.find(target.id)
+        await asyncio.sleep(endpoint.report_s)
         self._count_arrival(endpoint)
         if not endpoint.alive:
             return None
--- a/tests/platform/test_endpointclient.py
+++ b/tests/platform/test_endpointclient.py
@@ -70,6 +70,26 @@
 
 async def test_answer_to_an_order_may_say_that_its_engine_leaves():
     async with run_endpoint(409) as (client, target, leaving):
-        outcome = await client.order_version(target, ORDER)
+        outcome = await client.order_version(target, ORDER, lambda: True)
         assert outcome is orders.OrderOutcome.BUSY
         assert leaving == ['e0']
+
+
+# An order that was checked before its connection opened went out late.
+async def test_order_is_withdrawn_when_its_connection_opens_too_late():
+    async with run_endpoint(202) as (client, target, leaving):
+        opened = []
+        open_connection = client.http.open_connection
+
+        async def open_late(address):
+            connection = await open_connection(address)
+            opened.append(connection)
+            return connection
+
+        client.http.open_connection = open_late
+        outcome = await client.order_version(target, ORDER, lambda: not opened)
+        assert outcome is orders.OrderOutcome.WITHDRAWN
+        assert leaving == []
+        # An order that may be sent reaches the endpoint.
+        outcome = await client.order_version(target, ORDER, lambda: True)
+        assert outcome is orders.OrderOutcome.ACCEPTED
