Bound what is kept of all endpoints' answers together

Operators reported that a faulty engine's bytes without end filled the memory of the instance that called it; the requests of other callers ended with it.

The smallest machine has 200 MB.

Cause: each event, each body and the number of events had a bound, the bytes of a text and the sum of all that one process keeps had none.

Change: AnswerMemory counts what is kept (a fifth of the new setting memory_mb). Above that the largest answer of the endpoint with the most bytes is discarded; answers up to 64 KB never are. A text is bounded by 512 KB as stored: a longer one fitted into no transaction, so its job was never listed any more. An engine whose answer to an item was no text is the last choice for it: its events came fast, so that it was chosen again and again, and two items of 24 expired before.

Ruled out: smaller bounds for each answer alone; 64 of them still add up.

Nine new mutants are caught; a tenth, that a run goes on after its text was discarded, survived and was dropped: a text without its software version is begun again anyway.

--- a/pomelopass/edges/clientconnection.py
+++ b/pomelopass/edges/clientconnection.py
@@ -8,10 +8,11 @@
 
 from . import addresses
 from . import keepalive
+from . import receivesize
 
 __all__ = ['Connection', 'Reader', 'open_connection']
 
-READ_BYTES = 65_536
+READ_BYTES = 32_768
 
 
 class Reader(asyncio.StreamReader):
@@ -165,6 +166,7 @@
     host, port = addresses.split_address(address)
     transport, _ = await loop.create_connection(lambda: protocol, host, port)
     keepalive.set_keepalive(transport.get_extra_info('socket'))
+    receivesize.limit_receive_size(transport, READ_BYTES)
     reader.received_at = loop.time()
     writer = asyncio.StreamWriter(transport, protocol, reader, loop)
     return Connection(reader, writer)
--- a/pomelopass/edges/httpserver.py
+++ b/pomelopass/edges/httpserver.py
@@ -167,7 +167,11 @@
             headers.append(('transfer-encoding', 'chunked'))
         head = h11.Response(status_code=reply.status, headers=headers)
         data = state.send(head)
-        if reply.body:
+        if len(reply.body) > WRITE_BUFFER_BYTES:
+            writer.write(data)
+            await _write_large_body(state, writer, reply)
+            data = b''
+        elif reply.body:
             data += state.send(h11.Data(data=reply.body))
         if reply.chunks is None:
             writer.write(data + state.send(h11.EndOfMessage()))
@@ -204,6 +208,18 @@
     writer.close()
 
 
+async def _write_large_body(
+    state: h11.Connection, writer: asyncio.StreamWriter, reply: message.Reply
+) -> None:
+    """Write a body in parts; a caller that reads slowly may lose it."""
+    if reply.kept is not None:
+        reply.kept.discard = writer.transport.abort
+    for start in range(0, len(reply.body), WRITE_BUFFER_BYTES):
+        part = reply.body[start : start + WRITE_BUFFER_BYTES]
+        writer.write(state.send(h11.Data(data=part)))
+        await _drain(writer)
+
+
 async def _write_chunks(
     state: h11.Connection,
     writer: asyncio.StreamWriter,
--- a/pomelopass/entry/itemcontexts.py
+++ b/pomelopass/entry/itemcontexts.py
@@ -76,6 +76,7 @@
             rng=self.forwarder.rng,
             write_event=self.forwarder.write_event,
             remaining_by_group={},
+            memory=self.forwarder.memory,
         )
 
     def _find_route(self, submission: jobs.Submission) -> routes.Route | None:
--- a/pomelopass/entry/node.py
+++ b/pomelopass/entry/node.py
@@ -5,6 +5,7 @@
 import dataclasses
 import random
 
+from .. import answermemory
 from ..fleet import heartbeat
 from ..fleet import member
 from . import itemcontexts
@@ -45,6 +46,10 @@
 __all__ = ['Node', 'NodePorts', 'build_node']
 
 TASK_RESTART_DELAY_MS = 200.0
+BYTES_PER_MB = 1_000_000
+# Shares of the memory limit; the rest is for the process and its buffers.
+ANSWER_SHARE = 0.2
+CACHE_SHARE = 0.03
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -126,6 +131,8 @@
         self.scheduler = schedule.Scheduler(self.registry, self.limits.permits)
         self.limits.permits.on_permit = self.scheduler.dispatch
         self.quarantine = quarantines.Quarantine()
+        memory_bytes = settings.memory_mb * BYTES_PER_MB
+        self.max_cached_bytes = int(CACHE_SHARE * memory_bytes)
         self.forwarder = forward.Forwarder(
             self.registry,
             self.limits.endpoints,
@@ -134,6 +141,7 @@
             ports.write_event,
             self.quarantine,
             self.limits.permits,
+            answermemory.AnswerMemory(int(ANSWER_SHARE * memory_bytes)),
         )
         self._build_jobs()
         self._build_duties()
@@ -189,6 +197,7 @@
             self.membership,
             contexts.make,
             self.ports.write_event,
+            self.max_cached_bytes,
         )
         self.job_api = jobapi.JobApi(
             self.jobs,
@@ -197,6 +206,7 @@
             self.table.get_now_ms,
             lambda model: self.versions.target_version_by_model.get(model, 0),
             self.ports.write_event,
+            self.max_cached_bytes,
         )
         self.cleaner = cleanup.Cleaner(
             self.settings.name,
--- a/pomelopass/entry/settings.py
+++ b/pomelopass/entry/settings.py
@@ -72,6 +72,11 @@
         gt=0,
         description='Speed of that core; 1 is a standard core.',
     )
+    memory_mb: float = pydantic.Field(
+        default=200.0,
+        gt=0,
+        description='Memory limit of the process, in MB.',
+    )
     job_kept_s: float = pydantic.Field(
         gt=0, description='Retention period of jobs, in seconds.'
     )
--- a/pomelopass/jobs/api.py
+++ b/pomelopass/jobs/api.py
@@ -10,6 +10,7 @@
 from . import jobview
 from . import manager as jobmanager
 from ..reporting import logevents
+from . import resultcache
 from . import rowcodec
 from ..table import rows
 
@@ -48,6 +49,7 @@
         get_table_ms: abc.Callable[[], int],
         get_target_version: abc.Callable[[str], int],
         write_event: logevents.WriteEvent,
+        max_cached_bytes: int,
     ):
         self.view = view
         self.job_manager = job_manager
@@ -55,7 +57,7 @@
         self.get_table_ms = get_table_ms
         self.get_target_version = get_target_version
         self.write_event = write_event
-        self.results_by_id: dict[str, dict[int, jobs.Result]] = {}
+        self.cache = resultcache.ResultCache(max_cached_bytes)
 
     async def accept(self, submission: jobs.Submission) -> Acceptance:
         """Store a job durably; repeated submissions are idempotent."""
@@ -182,9 +184,12 @@
     ) -> tuple[jobs.Result, ...]:
         if first >= listed:
             return ()
-        cached = self.results_by_id.setdefault(job_id, {})
+        cached = self.cache.get(job_id)
         if first not in cached:
-            cached.update(await self.table.fetch_results(job_id, first))
+            fetched = await self.table.fetch_results(job_id, first)
+            # The cache may hold none of them.
+            cached = {**cached, **fetched}
+            self.cache.put(job_id, fetched)
         results = []
         size = 0
         for position in range(first, listed):
--- a/pomelopass/jobs/events.py
+++ b/pomelopass/jobs/events.py
@@ -10,6 +10,8 @@
 EVENT_END = b'\n\n'
 # A larger event is no answer; its end may never come.
 MAX_EVENT_BYTES = 262_144
+# It is sent to the next engine in a header.
+MAX_ID_LENGTH = 1024
 
 
 class BadEventError(message.ExchangeError):
@@ -60,6 +62,8 @@
         number = decoding.parse_count(event.id)
         last_number = decoding.parse_count(self.last_id)
         is_rising = None in (number, last_number) or number > last_number
+        if len(event.id) > MAX_ID_LENGTH:
+            raise BadEventError(f'an id of {len(event.id)} characters')
         if not event.id or not is_rising:
             raise BadEventError(f'id {event.id!r} after {self.last_id!r}')
         if number is not None:
--- a/pomelopass/jobs/itemcontext.py
+++ b/pomelopass/jobs/itemcontext.py
@@ -4,6 +4,7 @@
 import dataclasses
 import random
 
+from .. import answermemory
 from . import job as jobs
 from . import progress as progresses
 from ..reporting import logevents
@@ -34,6 +35,7 @@
     rng: random.Random
     write_event: logevents.WriteEvent
     remaining_by_group: dict[str, int]
+    memory: answermemory.AnswerMemory
 
 
 @dataclasses.dataclass(slots=True)
@@ -43,10 +45,13 @@
     item: jobs.Item
     group_index: int
     progress: progresses.Progress
+    kept: answermemory.Share
     errors: int = 0
     # Consecutive runs that added no event.
     failed_runs: int = 0
     avoid: set[str] = dataclasses.field(default_factory=set)
+    # Engines whose answers to this item were no texts.
+    unfit_ids: set[str] = dataclasses.field(default_factory=set)
     terminated: bool = False
     # Whether an engine sent nothing for the length of the stall timeout.
     was_silent: bool = False
--- a/pomelopass/jobs/itemrun.py
+++ b/pomelopass/jobs/itemrun.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 
+from .. import answermemory
 from .. import message
 from ..core import backoff
 from . import itemcontext
@@ -11,6 +12,7 @@
 from . import progress as progresses
 from ..registry import endpoint as endpoints
 from ..reporting import logevents
+from ..requests import answerbody
 from ..requests import attempt as attempts
 from ..requests import call as calls
 from ..requests import routes
@@ -23,6 +25,8 @@
 MAX_PAUSE_MS = 2000.0
 # Retries back off after this many runs in a row without progress.
 FAILED_RUNS_BEFORE_BACKOFF = 3
+# An engine with such an outcome is the last choice for the item.
+UNFIT_OUTCOMES = ('bad-event', itemstream.TEXT_TOO_LONG, answerbody.DISCARDED)
 
 
 async def run_item(
@@ -30,22 +34,29 @@
     item: jobs.Item,
     group_index: int,
     progress: progresses.Progress,
+    kept: answermemory.Share,
 ) -> jobs.Result:
     """Return the result of an item; terminate the item when it expires."""
-    run = itemcontext.ItemRun(item, group_index, progress)
+    run = itemcontext.ItemRun(item, group_index, progress, kept)
     loop = asyncio.get_running_loop()
     remaining_s = max(context.expires_at - loop.time(), 0.0)
     # The event below reports an item that has expired.
     with contextlib.suppress(TimeoutError):
         async with asyncio.timeout(remaining_s):
-            while not run.progress.whole and not run.terminated:
-                await _run_once(context, run)
-            if run.progress.whole:
+            while not run.terminated:
+                if not run.progress.whole:
+                    await _run_once(context, run)
+                    continue
                 # Errors of the reward call are counted separately.
                 run.errors = 0
                 result = await reward.score_item(context, run)
-                if result is not None:
+                if result is None:
+                    break
+                # The text may have been discarded meanwhile.
+                if run.progress.whole and not run.kept.is_discarded:
                     return result
+                run.progress.discard()
+                run.kept.reopen()
     context.write_event(
         logevents.ItemTerminated(
             job=context.submission.id,
@@ -71,6 +82,9 @@
     state = await context.scheduler.acquire(waiting_item)
     started_at = loop.time()
     software = state.endpoint.software
+    if run.kept.is_discarded:
+        run.kept.reopen()
+    run.kept.owner = state.endpoint.id
     if not run.progress.can_resume_at(software):
         run.progress.restart()
     old_count = len(run.progress.texts)
@@ -83,6 +97,8 @@
     except (calls.CallFailedError, message.ExchangeError) as error:
         outcome = error.kind
         run.was_silent |= outcome == message.TIMEOUT
+        if outcome in UNFIT_OUTCOMES:
+            _record_unfit(run, state.endpoint.id)
         attempts.record_failure(state, error.kind)
     finally:
         context.scheduler.release(state)
@@ -108,6 +124,13 @@
     )
 
 
+def _record_unfit(run: itemcontext.ItemRun, endpoint_id: str) -> None:
+    if endpoint_id in run.unfit_ids:
+        # No other engine was there: each may be sound again.
+        run.unfit_ids.clear()
+    run.unfit_ids.add(endpoint_id)
+
+
 def _make_waiting_item(
     context: itemcontext.ItemContext,
     run: itemcontext.ItemRun,
@@ -136,7 +159,7 @@
     outcome: str,
     progressed: bool,
 ) -> None:
-    run.avoid = {state.endpoint.id}
+    run.avoid = {state.endpoint.id, *run.unfit_ids}
     if outcome == 'moved':
         return
     run.failed_runs = 0 if progressed else run.failed_runs + 1
@@ -151,4 +174,4 @@
         )
         await asyncio.sleep(pause_ms / 1000)
     if run.failed_runs > 1:
-        run.avoid = set()
+        run.avoid = set(run.unfit_ids)
--- a/pomelopass/jobs/itemstream.py
+++ b/pomelopass/jobs/itemstream.py
@@ -2,23 +2,26 @@
 
 import asyncio
 
+from .. import answermemory
 from .. import message
 from . import events
 from . import itemcontext
+from . import progress as progresses
 from ..registry import endpoint as endpoints
+from ..requests import answerbody
 from ..requests import call as calls
 from ..requests import routes
 from . import schedule
 
-__all__ = ['stream_item']
+__all__ = ['TEXT_TOO_LONG', 'stream_item']
 
 # Without an event for this long, another engine continues the text.
 STALL_TIMEOUT_MS = 1600.0
 MOVE_CHECK_INTERVAL_MS = 250.0
 # A brief slowdown by a noisy neighbour must not move the run.
 SLOW_CHECKS_TO_MOVE = 3
-# More events than any text has; they may come without an end.
-MAX_EVENTS = 65_536
+# Kind of failure of a run whose text has more bytes than a result may have.
+TEXT_TOO_LONG = 'text-too-long'
 
 
 async def stream_item(
@@ -138,6 +141,8 @@
     slow_checks = 0
     async for chunk in answer.reply.chunks:
         now = loop.time()
+        # The text may have been discarded since the last chunk.
+        _update_share(run, len(parser.unread))
         new_events = parser.feed(chunk)
         if new_events:
             stall_at = now + STALL_TIMEOUT_MS / 1000
@@ -150,6 +155,7 @@
                 endpoints.record_version(state, run.item.model, version)
             if not _append_event(context, run, route, event, version):
                 return 'version'
+        _update_share(run, len(parser.unread))
         if new_events and last_event_at is not None:
             pace_ms = (now - last_event_at) * 1000 / len(new_events)
             endpoints.record_success(state, pace_ms, now)
@@ -165,6 +171,7 @@
     may_be_cut = last_event_at is None and not calls.marks_its_end(answer)
     if parser.unread.strip() or may_be_cut:
         raise message.ExchangeError('truncated', 1)
+    _update_share(run, 0)
     run.progress.whole = True
     return 'done'
 
@@ -179,11 +186,16 @@
     if not _accepts_version(context, run, route, version):
         run.progress.restart()
         return False
-    if len(run.progress.texts) >= MAX_EVENTS:
+    try:
+        run.progress.append(event.data, event.id, version)
+    except progresses.TextTooLongError:
         run.progress.restart()
-        raise message.ExchangeError('too-many-events', 1)
-    run.progress.texts.append(event.data)
-    run.progress.last_event_id = event.id
-    if version is not None and version not in run.progress.versions:
-        run.progress.versions.append(version)
+        raise message.ExchangeError(TEXT_TOO_LONG, 1) from None
     return True
+
+
+def _update_share(run: itemcontext.ItemRun, unread: int) -> None:
+    try:
+        run.kept.resize(run.progress.kept_bytes + unread)
+    except answermemory.AnswerDiscardedError:
+        raise message.ExchangeError(answerbody.DISCARDED, 1) from None
--- a/pomelopass/jobs/jobrun.py
+++ b/pomelopass/jobs/jobrun.py
@@ -4,6 +4,7 @@
 from collections import abc
 import dataclasses
 
+from .. import answermemory
 from . import itemcontext
 from . import itemrun
 from . import job as jobs
@@ -61,6 +62,7 @@
         }
         self.table = table
         self.on_change = on_change
+        self.kept_by_item: dict[str, answermemory.Share] = {}
         self.finished: list[jobs.Result] = []
         self.wake = asyncio.Event()
         self.tasks: set[asyncio.Task] = set()
@@ -82,6 +84,8 @@
             for task in self.tasks:
                 task.cancel()
             await asyncio.gather(*self.tasks, return_exceptions=True)
+            # What is kept of the texts from here on is up to the cache.
+            self.kept_by_item.clear()
 
     async def hand_over(self) -> None:
         """Release the job so that another instance adopts it."""
@@ -126,9 +130,15 @@
         progress = self.progress_by_item.setdefault(
             item.id, progresses.Progress()
         )
+        kept = self.context.memory.open('', progress.discard)
+        self.kept_by_item[item.id] = kept
         result = await itemrun.run_item(
-            self.context, item, group_index, progress
+            self.context, item, group_index, progress, kept
         )
+        if result.completed:
+            # The text stands twice until its result is listed.
+            kept.discard = None
+            kept.resize(2 * progress.kept_bytes)
         self.context.remaining_by_group[item.group] -= 1
         self.finished.append(result)
         self.wake.set()
@@ -219,6 +229,8 @@
     ) -> None:
         self.stored = current
         self.listed.update(result.item_id for result in results)
+        for result in results:
+            self._release_result(result.item_id)
         self.finished = [
             result
             for result in self.finished
@@ -233,6 +245,14 @@
         )
         self.on_change(current)
 
+    def _release_result(self, item_id: str) -> None:
+        kept = self.kept_by_item.get(item_id)
+        progress = self.progress_by_item.get(item_id)
+        if kept is not None and not kept.is_discarded:
+            kept.resize(progress.kept_bytes)
+            # Only a later job of the trainer may use the text again.
+            kept.discard = progress.discard
+
     def _apply_conflict(self, current: jobtable.StoredJob) -> bool:
         record = current.record
         previous = self.stored.record
@@ -264,12 +284,7 @@
     table: jobtable.JobTable, record: jobs.JobRecord
 ) -> set[str]:
     """Return the ids of the items that are listed; raise TableError."""
-    result_by_position = await table.fetch_all_results(record.id)
-    listed = {
-        result.item_id
-        for position, result in result_by_position.items()
-        if position < record.listed
-    }
+    listed = await table.fetch_listed(record.id, record.listed)
     if len(listed) != record.listed:
         raise rows.TableError(
             'listed results are missing from the table', False
--- a/pomelopass/jobs/jobtable.py
+++ b/pomelopass/jobs/jobtable.py
@@ -13,6 +13,8 @@
 RETRY_PAUSE_MS = 60.0
 MAX_PUTS_PER_WRITE = 80
 MAX_BYTES_PER_WRITE = 600_000
+# Texts left out are generated again.
+MAX_FETCHED_TEXT_BYTES = 4_194_304
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -72,8 +74,12 @@
     async def fetch_progress(
         self, job_id: str
     ) -> dict[str, progresses.Snapshot]:
-        """Return the unfinished texts by item; raise TableError."""
+        """Return the unfinished texts by item; raise TableError.
+
+        Those beyond the bytes that a new owner may take are left out.
+        """
         snapshot_by_item = {}
+        size = 0
         key_range = rowcodec.make_progress_range(job_id)
         async for page in rows.read_all(self.table, key_range):
             for row in page:
@@ -81,7 +87,9 @@
                     item_id, snapshot = rowcodec.decode_progress(row)
                 except ValueError as error:
                     raise rows.TableError(str(error), False) from None
-                snapshot_by_item[item_id] = snapshot
+                size += snapshot.kept_bytes
+                if size <= MAX_FETCHED_TEXT_BYTES:
+                    snapshot_by_item[item_id] = snapshot
         return snapshot_by_item
 
     async def save_progress(
@@ -96,13 +104,18 @@
             rows.Transaction(expected=((key, version),), puts=tuple(puts))
         )
 
-    async def fetch_all_results(self, job_id: str) -> dict[int, jobs.Result]:
-        """Return all results by position; raise TableError."""
-        result_rows = []
+    async def fetch_listed(self, job_id: str, count: int) -> set[str]:
+        """Return the items at the first positions; raise TableError.
+
+        The texts of one page are in memory at a time.
+        """
+        item_ids: set[str] = set()
+        pending: list[rows.Row] = []
         key_range = rowcodec.make_result_range(job_id, 0)
         async for page in rows.read_all(self.table, key_range):
-            result_rows.extend(page)
-        return rowcodec.decode_results(result_rows)
+            complete, pending = rowcodec.split_last_result([*pending, *page])
+            item_ids |= _get_item_ids(complete, count)
+        return item_ids | _get_item_ids(pending, count)
 
     async def write(
         self,
@@ -178,3 +191,12 @@
         if row.name.table == rowcodec.JOB_TABLE and row.value is not None:
             return StoredJob(rowcodec.decode_record(row.value), row.version)
     return StoredJob(None, 0)
+
+
+def _get_item_ids(result_rows: list[rows.Row], count: int) -> set[str]:
+    result_by_position = rowcodec.decode_results(result_rows)
+    return {
+        result.item_id
+        for position, result in result_by_position.items()
+        if position < count
+    }
--- a/pomelopass/jobs/manager.py
+++ b/pomelopass/jobs/manager.py
@@ -37,6 +37,7 @@
         membership: member.Membership,
         make_context: MakeContext,
         write_event: logevents.WriteEvent,
+        max_cached_bytes: int,
     ):
         self.name = name
         self.incarnation = incarnation
@@ -48,7 +49,7 @@
         self.run_by_id: dict[str, jobrun.JobRun] = {}
         self.task_by_id: dict[str, asyncio.Task] = {}
         self.submission_by_id: dict[str, jobs.Submission] = {}
-        self.text_cache = textcache.TextCache()
+        self.text_cache = textcache.TextCache(max_cached_bytes)
         self.background: set[asyncio.Task] = set()
         self.stopping = False
 
--- a/pomelopass/jobs/progress.py
+++ b/pomelopass/jobs/progress.py
@@ -1,10 +1,38 @@
 """Progress of the generated text of an item."""
 
 import dataclasses
+import sys
+
+import orjson
 
 from .. import decoding
 
-__all__ = ['Progress', 'Snapshot']
+__all__ = ['Progress', 'Snapshot', 'TextTooLongError', 'make_progress']
+
+# More events than any text has; they may come without an end.
+MAX_EVENTS = 65_536
+# A result must fit into one transaction of the table service.
+MAX_STORED_BYTES = 524_288
+# More weight versions than any text spans.
+MAX_VERSIONS = 256
+# Digits of a version and a comma.
+VERSION_BYTES = 20
+# A reference in a list.
+REFERENCE_BYTES = 8
+
+
+class TextTooLongError(Exception):
+    """Raised when a text has more events or bytes than a result may have."""
+
+
+def count_kept_bytes(text: str) -> int:
+    """Return the bytes that an event's text takes in memory."""
+    return sys.getsizeof(text) + REFERENCE_BYTES
+
+
+def count_stored_bytes(text: str) -> int:
+    """Return the bytes that an event's text takes in a stored result."""
+    return len(orjson.dumps(text))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -18,6 +46,11 @@
     # None if an instance stored the text without its software version.
     software: str | None = None
 
+    @property
+    def kept_bytes(self) -> int:
+        """Return the bytes that the text takes in memory."""
+        return sum(count_kept_bytes(text) for text in self.texts)
+
 
 @dataclasses.dataclass(slots=True)
 class Progress:
@@ -33,6 +66,27 @@
     last_event_id: str | None = None
     whole: bool = False
     software: str | None = None
+    # Bytes in memory, and as stored in the table.
+    kept_bytes: int = 0
+    stored_bytes: int = 0
+
+    def append(self, text: str, event_id: str, version: int | None) -> None:
+        """Append an event; raise TextTooLongError if it does not fit."""
+        size = count_stored_bytes(text)
+        if version is not None and version not in self.versions:
+            size += VERSION_BYTES
+        if (
+            len(self.texts) >= MAX_EVENTS
+            or len(self.versions) >= MAX_VERSIONS
+            or self.stored_bytes + size > MAX_STORED_BYTES
+        ):
+            raise TextTooLongError
+        self.stored_bytes += size
+        self.kept_bytes += count_kept_bytes(text)
+        self.texts.append(text)
+        self.last_event_id = event_id
+        if version is not None and version not in self.versions:
+            self.versions.append(version)
 
     def restart(self) -> None:
         """Discard the text so that generation starts again."""
@@ -40,6 +94,13 @@
         self.versions.clear()
         self.last_event_id = None
         self.software = None
+        self.kept_bytes = 0
+        self.stored_bytes = 0
+
+    def discard(self) -> None:
+        """Discard a text that may be whole."""
+        self.restart()
+        self.whole = False
 
     def can_resume_at(self, software: str) -> bool:
         """Return whether an endpoint of this software may resume the text."""
@@ -64,4 +125,7 @@
         snapshot.last_event_id,
         snapshot.whole,
         snapshot.software,
+        snapshot.kept_bytes,
+        sum(count_stored_bytes(text) for text in snapshot.texts)
+        + len(snapshot.versions) * VERSION_BYTES,
     )
--- a/pomelopass/jobs/rowcodec.py
+++ b/pomelopass/jobs/rowcodec.py
@@ -121,7 +121,7 @@
     """Return results by position, without an incomplete last one."""
     values_by_position: dict[int, list[bytes]] = {}
     for row in result_rows:
-        position = int(row.name.key.split('/')[-2])
+        position = _get_position(row)
         values_by_position.setdefault(position, []).append(row.value)
     decoded = {}
     for position, values in values_by_position.items():
@@ -131,6 +131,23 @@
     return decoded
 
 
+def split_last_result(
+    result_rows: list[rows.Row],
+) -> tuple[list[rows.Row], list[rows.Row]]:
+    """Return rows of results, and those of the last one by themselves."""
+    if not result_rows:
+        return [], []
+    last_position = _get_position(result_rows[-1])
+    first = len(result_rows) - 1
+    while first and _get_position(result_rows[first - 1]) == last_position:
+        first -= 1
+    return result_rows[:first], result_rows[first:]
+
+
+def _get_position(row: rows.Row) -> int:
+    return int(row.name.key.split('/')[-2])
+
+
 def encode_progress(
     job_id: str, item_id: str, snapshot: progresses.Snapshot
 ) -> tuple[rows.Key, bytes] | None:
--- a/pomelopass/jobs/textcache.py
+++ b/pomelopass/jobs/textcache.py
@@ -11,17 +11,22 @@
 class TextCache:
     """Cache of the latest texts of finished runs by item."""
 
-    def __init__(self) -> None:
+    def __init__(self, max_bytes: int) -> None:
+        self.max_bytes = max_bytes
         self.snapshot_by_item: dict[str, progresses.Snapshot] = {}
+        self.bytes_by_item: dict[str, int] = {}
 
     def put(self, snapshot_by_item: dict[str, progresses.Snapshot]) -> None:
         """Store the texts of a run; evict the oldest ones if full."""
         for item_id, snapshot in snapshot_by_item.items():
             self.snapshot_by_item.pop(item_id, None)
             self.snapshot_by_item[item_id] = snapshot
-        surplus = len(self.snapshot_by_item) - MAX_TEXTS
-        for item_id in list(self.snapshot_by_item)[: max(surplus, 0)]:
+            self.bytes_by_item[item_id] = snapshot.kept_bytes
+        size = sum(self.bytes_by_item.values())
+        while len(self.bytes_by_item) > MAX_TEXTS or size > self.max_bytes:
+            item_id = next(iter(self.snapshot_by_item))
             del self.snapshot_by_item[item_id]
+            size -= self.bytes_by_item.pop(item_id)
 
     def find_reusable(
         self, submission: jobs.Submission
--- a/pomelopass/limits/observer.py
+++ b/pomelopass/limits/observer.py
@@ -30,7 +30,6 @@
         self.write_event = write_event
         self.logged_limit_by_id: dict[str, float] = {}
         # The other calls pass unchanged.
-        self.read = port.read
         self.is_refused = port.is_refused
         self.fetch_report = port.fetch_report
         self.order_version = port.order_version
--- a/pomelopass/message.py
+++ b/pomelopass/message.py
@@ -4,6 +4,8 @@
 from collections import abc
 import dataclasses
 
+from . import answermemory
+
 __all__ = [
     'DISCONNECT_KINDS',
     'TIMEOUT',
@@ -43,6 +45,8 @@
     headers: Headers = ()
     body: bytes = b''
     chunks: abc.AsyncGenerator[bytes, None] | None = None
+    # Counts the body in the memory of the instance.
+    kept: answermemory.Share | None = None
 
 
 class OpenReply:
--- a/pomelopass/paths/endpointpaths.py
+++ b/pomelopass/paths/endpointpaths.py
@@ -41,7 +41,6 @@
         self.watch = watch
         self.search = search
         self.peer_book = search.peer_book
-        self.read = direct.read
         self.reported: set[tuple[str, str, int]] = set()
         self.reports: set[asyncio.Task] = set()
 
--- a/pomelopass/paths/tunnelclient.py
+++ b/pomelopass/paths/tunnelclient.py
@@ -11,6 +11,7 @@
 from ..edges import keepalive
 from ..edges import peercall
 from ..edges import peerframe
+from ..edges import receivesize
 from ..fleet import member
 from . import peers as peerbooks
 from . import ports
@@ -103,6 +104,7 @@
     protocol = _TunnelProtocol(reader, loop)
     transport, _ = await loop.create_connection(lambda: protocol, host, port)
     keepalive.set_keepalive(transport.get_extra_info('socket'))
+    receivesize.limit_receive_size(transport, clientconnection.READ_BYTES)
     writer = asyncio.StreamWriter(transport, protocol, reader, loop)
     is_open = False
     try:
--- a/pomelopass/paths/tunnelserver.py
+++ b/pomelopass/paths/tunnelserver.py
@@ -9,6 +9,7 @@
 from . import book as books
 from ..edges import addresses
 from ..edges import peerframe
+from ..edges import receivesize
 from ..registry import endpoint as endpoints
 from ..table import relayserver
 from ..wire.gen.tunnels import EndpointTunnel
@@ -19,7 +20,7 @@
 CONNECT_TIMEOUT_MS = 150.0
 # Bounds the memory that peers may take.
 MAX_TUNNELS = 128
-READ_BYTES = 65_536
+READ_BYTES = 16_384
 IDLE_LIMIT_MS = 60_000.0
 # A tunnel with bytes this recent may carry a request.
 BUSY_MS = 1500.0
@@ -109,6 +110,7 @@
                 stream = await asyncio.open_connection(
                     host, port, limit=READ_BYTES
                 )
+                receivesize.limit_receive_size(stream[1].transport, READ_BYTES)
         except (OSError, TimeoutError):
             self.on_unreachable(target.id)
             return ttypes.TunnelOutcome.UNREACHABLE
--- a/pomelopass/platform/endpointclient.py
+++ b/pomelopass/platform/endpointclient.py
@@ -80,13 +80,6 @@
             raise calls.CallFailedError('crossed', True)
         return answer
 
-    async def read(self, answer: calls.Answer, limit: int) -> bytes:
-        """Return the complete body; raise CallFailedError."""
-        try:
-            return await answer.reply.read(limit)
-        except message.ExchangeError as error:
-            raise calls.CallFailedError(error.kind, True) from None
-
     async def is_refused(self, target: endpoint.Endpoint) -> bool:
         """Return whether an endpoint's address refuses connections."""
         return await self.http.is_refused(target.address, CONNECT_TIMEOUT_MS)
--- a/pomelopass/platform/ingress.py
+++ b/pomelopass/platform/ingress.py
@@ -172,7 +172,12 @@
         else:
             outcome = await self.forwarder.forward(call, route)
         if outcome.kind is outcomes.OutcomeKind.ANSWERED:
-            return message.Reply(outcome.status, outcome.headers, outcome.body)
+            return message.Reply(
+                outcome.status,
+                outcome.headers,
+                outcome.body,
+                kept=outcome.kept,
+            )
         status = STATUS_BY_OUTCOME[outcome.kind]
         return make_refusal(
             status,
--- a/pomelopass/requests/attempt.py
+++ b/pomelopass/requests/attempt.py
@@ -3,6 +3,8 @@
 import asyncio
 import dataclasses
 
+from .. import answermemory
+from . import answerbody
 from . import call as calls
 from . import outcome as outcomes
 from . import quarantine as quarantines
@@ -16,9 +18,6 @@
     'run_attempt',
 ]
 
-# Several answers at a time must fit into the memory of an instance.
-MAX_ANSWER_BYTES = 8_388_608
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AttemptContext:
@@ -27,6 +26,7 @@
     port: calls.EndpointPort
     quarantine: quarantines.Quarantine
     write_event: logevents.WriteEvent
+    memory: answermemory.AnswerMemory
 
 
 async def run_attempt(
@@ -41,7 +41,7 @@
     loop = asyncio.get_running_loop()
     started_at = loop.time()
     try:
-        answer, body = await _exchange(
+        answer, body, kept = await _exchange(
             context, state, call, (give_up_at - started_at) * 1000, fresh
         )
     except calls.CallFailedError as error:
@@ -51,7 +51,7 @@
         return outcomes.Attempt(
             state.endpoint.id, not error.may_have_run, reason=error.kind
         )
-    return _classify_answer(state, answer, body, started_at)
+    return _classify_answer(state, answer, body, kept, started_at)
 
 
 def record_failure(state: endpoints.EndpointState, kind: str) -> None:
@@ -67,6 +67,7 @@
     state: endpoints.EndpointState,
     answer: calls.Answer,
     body: bytes,
+    kept: answermemory.Share | None,
     started_at: float,
 ) -> outcomes.Attempt:
     loop = asyncio.get_running_loop()
@@ -81,7 +82,7 @@
     if answer.status < 500:
         took_ms = (loop.time() - started_at) * 1000
         endpoints.record_success(state, took_ms, loop.time())
-    outcome = outcomes.make_answered_outcome(answer, body)
+    outcome = outcomes.make_answered_outcome(answer, body, kept)
     return outcomes.Attempt(endpoint_id, False, outcome)
 
 
@@ -91,7 +92,7 @@
     call: calls.Call,
     timeout_ms: float,
     fresh: bool,
-) -> tuple[calls.Answer, bytes]:
+) -> tuple[calls.Answer, bytes, answermemory.Share | None]:
     answer = None
     complete = False
     state.in_flight += 1
@@ -104,10 +105,12 @@
                 calls.MAX_DISCARDED_BYTES, calls.DISCARD_TIMEOUT_MS
             )
             complete = True
-            return answer, b''
-        body = await context.port.read(answer, MAX_ANSWER_BYTES)
+            return answer, b'', None
+        body, kept = await answerbody.read_body(
+            answer, context.memory, state.endpoint.id
+        )
         complete = True
-        return answer, body
+        return answer, body, kept
     finally:
         state.in_flight -= 1
         if answer is not None and not complete:
--- a/pomelopass/requests/call.py
+++ b/pomelopass/requests/call.py
@@ -116,6 +116,3 @@
 
     async def is_refused(self, target: endpoint.Endpoint) -> bool:
         """Return whether the endpoint's address refuses connections."""
-
-    async def read(self, answer: Answer, limit: int) -> bytes:
-        """Return the complete body; raise CallFailedError."""
--- a/pomelopass/requests/forward.py
+++ b/pomelopass/requests/forward.py
@@ -5,6 +5,7 @@
 import dataclasses
 import random
 
+from .. import answermemory
 from . import attempt as attempts
 from . import call as calls
 from . import callstate
@@ -39,10 +40,14 @@
         write_event: logevents.WriteEvent,
         quarantine: quarantines.Quarantine,
         permits: permitpools.PermitPool,
+        memory: answermemory.AnswerMemory,
     ):
+        self.memory = memory
         self.permits = permits
         self.quarantine = quarantine
-        self.attempts = attempts.AttemptContext(port, quarantine, write_event)
+        self.attempts = attempts.AttemptContext(
+            port, quarantine, write_event, memory
+        )
         self.registry = registry
         self.port = port
         self.availability_zone = availability_zone
--- a/pomelopass/requests/outcome.py
+++ b/pomelopass/requests/outcome.py
@@ -3,6 +3,7 @@
 import dataclasses
 import enum
 
+from .. import answermemory
 from .. import message
 from . import call as calls
 
@@ -30,6 +31,8 @@
     signature: str | None = None
     errors: int = 0
     retry_after_ms: float = 0.0
+    # Counts the body in the memory of the instance.
+    kept: answermemory.Share | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -42,7 +45,9 @@
     reason: str = ''
 
 
-def make_answered_outcome(answer: calls.Answer, body: bytes) -> Outcome:
+def make_answered_outcome(
+    answer: calls.Answer, body: bytes, kept: answermemory.Share | None
+) -> Outcome:
     """Return the outcome for a complete answer of an endpoint."""
     return Outcome(
         OutcomeKind.ANSWERED,
@@ -51,4 +56,5 @@
         answer.headers,
         body,
         answer.signature,
+        kept=kept,
     )
--- a/pomelopass/requests/stream.py
+++ b/pomelopass/requests/stream.py
@@ -4,7 +4,9 @@
 from collections import abc
 import contextlib
 
+from .. import answermemory
 from .. import message
+from . import answerbody
 from . import call as calls
 from . import callstate
 from . import forward
@@ -111,6 +113,9 @@
         is_complete = False
         has_events = False
         stall_at = loop.time() + stream.stall_ms / 1000
+        kept = self.forwarder.memory.open(
+            opened.endpoint_state.endpoint.id, lambda: None
+        )
         opened.endpoint_state.in_flight += 1
         try:
             async for chunk in opened.answer.reply.chunks:
@@ -129,6 +134,7 @@
                 elif loop.time() >= stall_at:
                     # Bytes keep arriving, but no event.
                     raise message.ExchangeError(message.TIMEOUT, 1)
+                kept.resize(len(pending) + len(parser.unread))
                 if separator:
                     yield complete_events + separator
             may_be_cut = stream.state.route.resumable and not (
@@ -137,6 +143,8 @@
             if pending or may_be_cut:
                 raise message.ExchangeError('truncated', 1)
             is_complete = True
+        except answermemory.AnswerDiscardedError:
+            raise message.ExchangeError(answerbody.DISCARDED, 1) from None
         finally:
             opened.endpoint_state.in_flight -= 1
             if not is_complete:
--- a/pomelopass/requests/streamopen.py
+++ b/pomelopass/requests/streamopen.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from .. import message
+from . import answerbody
 from . import attempt as attempts
 from . import call as calls
 from . import callstate
@@ -127,7 +128,7 @@
                 continue
             if _is_success(answer.status):
                 return OpenedStream(answer, endpoint_state)
-            await self._store_error(stream, answer)
+            await self._store_error(stream, answer, endpoint_state.endpoint.id)
             if answer.status < 500:
                 break
         return callstate.get_final_outcome(state)
@@ -174,18 +175,22 @@
             return None
         return answer
 
-    async def _store_error(self, stream: Stream, answer: calls.Answer) -> None:
+    async def _store_error(
+        self, stream: Stream, answer: calls.Answer, owner: str
+    ) -> None:
         try:
             async with asyncio.timeout(ERROR_BODY_TIMEOUT_MS / 1000):
-                body = await self.forwarder.port.read(
-                    answer, attempts.MAX_ANSWER_BYTES
+                body, kept = await answerbody.read_body(
+                    answer, self.forwarder.memory, owner
                 )
         except (calls.CallFailedError, TimeoutError) as error:
             await answer.reply.close()
             stream.state.reason = getattr(error, 'kind', 'timeout')
             return
         stream.state.errors += 1
-        stream.state.last_error = outcomes.make_answered_outcome(answer, body)
+        stream.state.last_error = outcomes.make_answered_outcome(
+            answer, body, kept
+        )
 
     async def record_break(
         self,
--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -14,6 +14,7 @@
 from scripts import fleetmutants
 from scripts import jobmutants
 from scripts import leavingmutants
+from scripts import memorymutants
 from scripts import mutant
 from scripts import pathmutants
 from scripts import requestmutants
@@ -57,6 +58,7 @@
         *leavingmutants.MUTANTS,
         *endmutants.MUTANTS,
         *configmutants.MUTANTS,
+        *memorymutants.MUTANTS,
     )
     selected = [mutation for mutation in mutants if name_part in mutation.name]
     with concurrent.futures.ThreadPoolExecutor(WORKERS) as pool:
--- a/standins/endlessbodies.py
+++ b/standins/endlessbodies.py
@@ -13,6 +13,14 @@
     pause_s: float
     status: int = 200
     not_run: bool = False
+    # Whether the pieces are events whose ids rise.
+    is_rising: bool = False
+
+    def make_piece(self, number: int) -> bytes:
+        """Return the piece at a position, counted from 1."""
+        if not self.is_rising:
+            return self.piece
+        return b'id: %d\ndata: %b\n\n' % (number, self.piece)
 
 
 ENDLESS = {
@@ -24,5 +32,7 @@
     'large-event': EndlessBody(b'x' * 65_536, 0.001),
     'blank-lines': EndlessBody(b'\n\n', 0.01),
     'comments': EndlessBody(b': x\n\n', 0.01),
+    'rising-events': EndlessBody(b'x' * 200_000, 0.01, is_rising=True),
+    'fast-body': EndlessBody(b'x' * 65_536, 0.0),
     'junk-events': EndlessBody(b'x\n\ndata: y\n\n', 0.01),
 }
--- a/standins/links.py
+++ b/standins/links.py
@@ -122,10 +122,6 @@
         await self._connect(target, timeout_ms)
         return await self.pool.open(target, call, timeout_ms, stall_ms)
 
-    async def read(self, answer: calls.Answer, limit: int) -> bytes:
-        """Return the complete body; raise CallFailedError."""
-        return await self.pool.read(answer, limit)
-
     async def is_refused(self, target: endpoints.Endpoint) -> bool:
         """Return whether connections to an endpoint are refused."""
         if self.cut is None:
--- a/standins/modelengines.py
+++ b/standins/modelengines.py
@@ -189,13 +189,6 @@
             raise calls.CallFailedError('reset', True)
         return _make_answer(200, b'done', signature=f's-{call.id}')
 
-    async def read(self, answer: calls.Answer, limit: int) -> bytes:
-        """Return the complete body; raise CallFailedError."""
-        try:
-            return await answer.reply.read(limit)
-        except message.ExchangeError as error:
-            raise calls.CallFailedError(error.kind, True) from None
-
     async def is_refused(self, target: endpoints.Endpoint) -> bool:
         """Return whether connections to an endpoint are refused."""
         await asyncio.sleep(0.002)
@@ -348,10 +341,13 @@
     body = endlessbodies.ENDLESS[endpoint.endless]
 
     async def make_chunks() -> abc.AsyncGenerator[bytes, None]:
+        number = int(call.last_event_id or 0)
         while True:
+            number += 1
             await asyncio.sleep(body.pause_s)
-            endpoint.endless_bytes += len(body.piece)
-            yield body.piece
+            piece = body.make_piece(number)
+            endpoint.endless_bytes += len(piece)
+            yield piece
 
     answer = _make_answer(
         body.status, b'', body.not_run, None if body.not_run else call.id
--- a/standins/platformendpoints.py
+++ b/standins/platformendpoints.py
@@ -120,6 +120,9 @@
             headers.append(('server-limit', str(answer.limit_per_s)))
         if answer.signature is not None:
             headers.append(('server-stamp', answer.signature))
+        if self.endpoint.endless is not None:
+            chunks = answer.reply.chunks
+            return message.Reply(answer.status, tuple(headers), chunks=chunks)
         if answer.weight_version is not None:
             version = str(answer.weight_version)
             headers.append(('weight-versions', version))
--- a/tests/core/test_backoff.py
+++ b/tests/core/test_backoff.py
@@ -45,7 +45,9 @@
         started_at = loop.time()
         await itemrun._pause(
             types.SimpleNamespace(rng=random.Random(1)),
-            types.SimpleNamespace(failed_runs=MANY_FAILURES, avoid=set()),
+            types.SimpleNamespace(
+                failed_runs=MANY_FAILURES, avoid=set(), unfit_ids=set()
+            ),
             make_state(0),
             'reset',
             False,
--- a/tests/edges/test_httpserver.py
+++ b/tests/edges/test_httpserver.py
@@ -8,6 +8,7 @@
 from pomelopass.edges import httpserver
 from pomelopass import message
 from pomelopass.reporting import problemdetails
+from tests import entrybuilders
 
 MAX_BODY_BYTES = 1000
 
@@ -152,3 +153,44 @@
     for writer in writers:
         writer.close()
     await server.close()
+
+
+# The whole body went into the connection's buffer, once more.
+async def test_body_for_a_caller_that_reads_nothing_is_not_buffered_whole():
+    memory = entrybuilders.make_memory()
+    kept = memory.open('endpoint', lambda: None)
+    body = b'x' * 8_000_000
+    kept.resize(len(body))
+    reply = message.Reply(200, (), body, kept=kept)
+    served = []
+
+    async def handle(request):
+        served.append(request)
+        return reply
+
+    server = httpserver.HttpServer(
+        handle, problemdetails.make_status_refusal, MAX_BODY_BYTES, 2
+    )
+    writers = []
+    serve = server.serve
+
+    async def serve_noted(reader, writer):
+        writers.append(writer)
+        await serve(reader, writer)
+
+    server.serve = serve_noted
+    address, _ = await httpserver.start_server(server, '127.0.0.1:0')
+    port = int(address.rpartition(':')[2])
+    reader, writer = await asyncio.open_connection('127.0.0.1', port)
+    writer.write(b'GET / HTTP/1.1\r\nhost: a\r\n\r\n')
+    async with asyncio.timeout(5):
+        # The caller's own buffers are full when the server waits.
+        while not (writers and writers[0].transport.get_write_buffer_size()):
+            await asyncio.sleep(0.01)
+        assert writers[0].transport.get_write_buffer_size() < 200_000
+        # Memory is short: the reply is broken off, and looks so.
+        kept.drop()
+        with pytest.raises((asyncio.IncompleteReadError, OSError)):
+            await reader.readexactly(len(body))
+    writer.close()
+    await server.close()
--- a/tests/entrybuilders.py
+++ b/tests/entrybuilders.py
@@ -5,6 +5,7 @@
 from collections import abc
 import random
 
+from pomelopass import answermemory
 from pomelopass.fleet import member
 from pomelopass.jobs import job as jobs
 from pomelopass.limits import allocator
@@ -183,6 +184,11 @@
     return allocator.Reservation(count, 0.0)
 
 
+def make_memory(max_bytes: int = 40_000_000) -> answermemory.AnswerMemory:
+    """Return the account of the answers that an instance keeps."""
+    return answermemory.AnswerMemory(max_bytes)
+
+
 def make_permits() -> permits.PermitPool:
     """Return the permits of an instance without limited endpoints."""
     return permits.PermitPool(book.LimitBook(), _grant_all, lambda: 0)
--- a/tests/requests/test_forward.py
+++ b/tests/requests/test_forward.py
@@ -33,9 +33,6 @@
     async def is_refused(self, target):
         return False
 
-    async def read(self, answer, limit):
-        return await answer.reply.read(limit)
-
 
 def make_answer(status=200, body=b'x', not_run=False, signature='s'):
     async def make_chunks():
@@ -101,6 +98,7 @@
             lambda event: None,
             quarantine.Quarantine(),
             entrybuilders.make_permits(),
+            entrybuilders.make_memory(),
         )
         loop = asyncio.get_running_loop()
         started_at = loop.time()
--- a/tests/requests/test_stream.py
+++ b/tests/requests/test_stream.py
@@ -57,6 +57,7 @@
         lambda event: None,
         quarantine.Quarantine(),
         entrybuilders.make_permits(),
+        entrybuilders.make_memory(),
     )
     origin_recorder = entrybuilders.make_origins(registry)
     return pool, streams.StreamForwarder(
--- a/tests/requests/test_stream_errors.py
+++ b/tests/requests/test_stream_errors.py
@@ -65,12 +65,6 @@
     async def is_refused(self, target):
         return False
 
-    async def read(self, answer, limit):
-        try:
-            return await answer.reply.read(limit)
-        except message.ExchangeError as error:
-            raise calls.CallFailedError(error.kind, True) from None
-
 
 def make_route(resumable, max_attempts=4):
     return routes.Route(
@@ -96,6 +90,7 @@
         forwarder = forward.Forwarder(
             *(registry, port, 'north', random.Random(1), lambda event: None),
             *(quarantine.Quarantine(), entrybuilders.make_permits()),
+            entrybuilders.make_memory(),
         )
         forwarder = streams.StreamForwarder(
             forwarder, entrybuilders.make_origins(registry), 'weight-versions'
--- a/tests/test_mutants.py
+++ b/tests/test_mutants.py
@@ -9,6 +9,7 @@
 from scripts import fleetmutants
 from scripts import jobmutants
 from scripts import leavingmutants
+from scripts import memorymutants
 from scripts import pathmutants
 from scripts import requestmutants
 from scripts import sharedmutants
@@ -23,6 +24,7 @@
     *leavingmutants.MUTANTS,
     *endmutants.MUTANTS,
     *configmutants.MUTANTS,
+    *memorymutants.MUTANTS,
 )
 
 
