Send headers as the bytes that were received

Cause: headers are read as Latin-1 text, and h11 writes text as ASCII: UnicodeEncodeError, which neither side of HTTP expected. On the way to an endpoint the caller got 500 and the connection leaked.

Evidence: the new tests in tests/edges failed before with an empty response and with UnicodeEncodeError.

--- a/pomelopass/edges/httpclient.py
+++ b/pomelopass/edges/httpclient.py
@@ -249,7 +249,9 @@
         headers.insert(0, ('host', address))
     headers.append(('content-length', str(len(request.body))))
     head = h11.Request(
-        method=request.method, target=request.target, headers=headers
+        method=request.method,
+        target=request.target,
+        headers=message.encode_headers(headers),
     )
     data = state.send(head)
     if request.body:
--- a/pomelopass/edges/httpserver.py
+++ b/pomelopass/edges/httpserver.py
@@ -165,7 +165,9 @@
             headers.append(('content-length', str(len(reply.body))))
         else:
             headers.append(('transfer-encoding', 'chunked'))
-        head = h11.Response(status_code=reply.status, headers=headers)
+        head = h11.Response(
+            status_code=reply.status, headers=message.encode_headers(headers)
+        )
         data = state.send(head)
         if len(reply.body) > WRITE_BUFFER_BYTES:
             writer.write(data)
--- a/pomelopass/message.py
+++ b/pomelopass/message.py
@@ -14,6 +14,7 @@
     'OpenReply',
     'Reply',
     'Request',
+    'encode_headers',
     'find_header',
 ]
 
@@ -104,6 +105,24 @@
         self.bytes_written = bytes_written
 
 
+def encode_headers(headers: Headers) -> list[tuple[bytes, bytes]]:
+    """Return headers as they are sent.
+
+    Received bytes are kept as Latin-1 text. Other text, of a trainer's items,
+    is sent as UTF-8.
+    """
+    return [
+        (_encode_text(name), _encode_text(value)) for name, value in headers
+    ]
+
+
+def _encode_text(text: str) -> bytes:
+    try:
+        return text.encode('latin-1')
+    except UnicodeEncodeError:
+        return text.encode('utf-8', 'replace')
+
+
 def find_header(headers: Headers, name: str) -> str | None:
     """Return the first header with the lower-case name, or None."""
     for key, value in headers:
--- a/tests/edges/test_httpclient.py
+++ b/tests/edges/test_httpclient.py
@@ -297,3 +297,25 @@
         server_socket.sendall(REPLY[-5:])
         assert [chunk async for chunk in reply.chunks] == []
         server_socket.close()
+
+
+# Such a request got no connection back, and its caller 500.
+@pytest.mark.parametrize(
+    ('value', 'sent'),
+    [
+        ('peças'.encode().decode('latin-1'), 'peças'.encode()),
+        ('\u6f22', '\u6f22'.encode()),
+    ],
+)
+async def test_request_header_that_is_not_ascii_is_sent(client, value, sent):
+    received = []
+
+    async def answer(reader, writer):
+        received.append(await reader.readuntil(b'\r\n\r\n'))
+        writer.write(b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok')
+
+    async with serve(answer) as address:
+        request = message.Request('GET', '/', (('x-name', value),))
+        reply = await client.open(address, request, 3000)
+        assert await reply.read(10) == b'ok'
+    assert b'x-name: ' + sent + b'\r\n' in received[0]
--- a/tests/edges/test_httpserver.py
+++ b/tests/edges/test_httpserver.py
@@ -194,3 +194,18 @@
             await reader.readexactly(len(body))
     writer.close()
     await server.close()
+
+
+# h11 refused such a header as text: the connection closed unanswered.
+async def test_reply_with_a_header_that_is_not_ascii_is_sent_unchanged():
+    name = 'peças.csv'.encode()
+
+    async def handle(request):
+        value = message.find_header(request.headers, 'x-name')
+        return message.Reply(200, (('x-name', value),), b'ok')
+
+    data = b'GET / HTTP/1.1\r\nhost: a\r\nx-name: ' + name + b'\r\n\r\n'
+    response = await exchange(data, handle)
+    assert response.startswith(b'HTTP/1.1 200')
+    assert b'x-name: ' + name + b'\r\n' in response
+    assert response.endswith(b'\r\n\r\nok')
