Ask an engine for its start before a text resumes there

Cause: resumption goes by the software in an engine's entry, the request names the engine's id, and the new start has the same id before it writes its entry.

Before a resume the client now asks for the report on a new connection, compares the time of start with the entry, and sends the request on that connection, which can't lead to another start. Another start is not sent the request: the stream waits for the new entry, an item goes on elsewhere.

Ruled out: a check after the answer, as the events are on their way then; asking on another connection, as a restart may come in between.

Cost: a connection and a report for each resume.

--- a/pomelopass/edges/clientconnection.py
+++ b/pomelopass/edges/clientconnection.py
@@ -94,6 +94,9 @@
         self.idle_limit_ms = 0.0
         self.stall_ms: float | None = None
         self.request_sent_at = 0.0
+        # When the process at the other end started, in Unix milliseconds,
+        # if it was asked on this connection.
+        self.peer_started_at_ms: int | None = None
         # Whether a request that breaks off may be sent again.
         self.is_repeatable = False
 
--- a/pomelopass/edges/connectionpool.py
+++ b/pomelopass/edges/connectionpool.py
@@ -34,19 +34,29 @@
         return max(busy_received_at, self.last_received_at)
 
     def take_idle(
-        self, address: str, max_idle_ms: float = math.inf
+        self,
+        address: str,
+        max_idle_ms: float = math.inf,
+        started_at_ms: int | None = None,
     ) -> clientconnection.Connection | None:
         """Return an idle connection that can carry a request, or None.
 
-        The one that was used last comes first.
+        The one that was used last comes first. With a time of start, only
+        connections whose other end is known to have started then are used.
         """
         now = asyncio.get_running_loop().time()
-        connections = self.idle_by_address.get(address, [])
+        all_connections = self.idle_by_address.get(address, [])
+        connections = [
+            connection
+            for connection in all_connections
+            if started_at_ms in (None, connection.peer_started_at_ms)
+        ]
         while connections:
             idle_ms = (now - connections[-1].idle_since) * 1000
             if idle_ms > max_idle_ms:
                 return None
             connection = connections.pop()
+            all_connections.remove(connection)
             expired = idle_ms > connection.idle_limit_ms
             # Unread bytes do not belong to any request of this client.
             dirty = connection.reader.at_eof() or connection.reader.unread
--- a/pomelopass/edges/httpclient.py
+++ b/pomelopass/edges/httpclient.py
@@ -61,16 +61,21 @@
         stall_ms: float | None = None,
         max_idle_ms: float = math.inf,
         may_send: abc.Callable[[], bool] = lambda: True,
+        started_at_ms: int | None = None,
     ) -> message.OpenReply:
         """Send a request, return the response head; raise ExchangeError.
 
         The stall time limits each wait for more bytes, in milliseconds. A
         connection that was idle for longer than the maximum is not used.
         Nothing is sent unless may_send agrees once the connection is open.
+        With a time of start, only an idle connection to a process that is
+        known to have started then is used.
         """
         loop = asyncio.get_running_loop()
         deadline = loop.time() + timeout_ms / 1000
-        connection = await self._connect(address, deadline, fresh, max_idle_ms)
+        connection = await self._connect(
+            address, deadline, fresh, max_idle_ms, started_at_ms
+        )
         if not may_send():
             connection.close()
             raise message.ExchangeError(message.WITHDRAWN, 0)
@@ -104,7 +109,7 @@
         connection.idle_limit_ms = get_idle_limit_ms(headers)
         chunks = self._read_chunks(address, connection, deadline, len(data))
         return message.OpenReply(
-            head.status_code, headers, chunks, len(data), end
+            head.status_code, headers, chunks, len(data), end, connection
         )
 
     async def can_connect(self, address: str) -> bool:
@@ -149,11 +154,16 @@
         deadline: float,
         fresh: bool,
         max_idle_ms: float = math.inf,
+        started_at_ms: int | None = None,
     ) -> clientconnection.Connection:
         if not fresh:
-            connection = self.pool.take_idle(address, max_idle_ms)
+            connection = self.pool.take_idle(
+                address, max_idle_ms, started_at_ms
+            )
             if connection is not None:
                 return connection
+        if started_at_ms is not None:
+            raise message.ExchangeError(message.NOT_CONNECTED, 0)
         loop = asyncio.get_running_loop()
         connect_deadline = min(
             deadline, loop.time() + self.connect_timeout_ms / 1000
--- a/pomelopass/message.py
+++ b/pomelopass/message.py
@@ -8,6 +8,7 @@
 
 __all__ = [
     'DISCONNECT_KINDS',
+    'NOT_CONNECTED',
     'TIMEOUT',
     'WITHDRAWN',
     'ExchangeError',
@@ -20,6 +21,8 @@
 
 # Kind of failure of an exchange in which no more bytes came in time.
 TIMEOUT = 'timeout'
+# Kind of failure of a request for which no connection was open.
+NOT_CONNECTED = 'not-connected'
 # Kind of failure of a request that might not be sent any more.
 WITHDRAWN = 'withdrawn'
 # Kinds of ExchangeError when the remote side closes the connection.
@@ -60,12 +63,15 @@
         chunks: abc.AsyncGenerator[bytes, None],
         bytes_written: int,
         abort: abc.Callable[[], None] | None = None,
+        connection: object = None,
     ):
         self.status = status
         self.headers = headers
         self.chunks = chunks
         self.bytes_written = bytes_written
         self.abort = abort
+        # What carries it, for its client.
+        self.connection = connection
 
     async def close(self) -> None:
         """Discard the rest of the reply and close its connection."""
--- a/pomelopass/platform/endpointclient.py
+++ b/pomelopass/platform/endpointclient.py
@@ -59,14 +59,18 @@
         request = message.Request(
             call.method, call.target, _make_headers(target, call), call.body
         )
+        started_at_ms = None
+        if call.last_event_id is not None:
+            started_at_ms = await self._check_start(target, timeout_ms)
         try:
             reply = await self.http.open(
                 target.address,
                 request,
                 timeout_ms,
-                fresh,
+                fresh and started_at_ms is None,
                 stall_ms,
                 PROVEN_IDLE_MS if call.avoids_idle else math.inf,
+                started_at_ms=started_at_ms,
             )
         except message.ExchangeError as error:
             raise calls.CallFailedError(
@@ -80,6 +84,40 @@
             raise calls.CallFailedError('crossed', True)
         return answer
 
+    async def _check_start(
+        self, target: endpoint.Endpoint, timeout_ms: float
+    ) -> int | None:
+        """Ask for the start of the endpoint on a connection that is kept.
+
+        Return the time of start that the connection must have, or None if
+        any will do. Raise CallFailedError.
+        """
+        request = message.Request(
+            'GET', names.REPORT_PATH, ((names.EXPECTED_ENDPOINT, target.id),)
+        )
+        try:
+            reply = await self.http.open(
+                target.address,
+                request,
+                min(timeout_ms, ORDER_TIMEOUT_MS),
+                fresh=True,
+            )
+            body = await reply.read(MAX_REPORT_BYTES)
+        except message.ExchangeError as error:
+            raise calls.CallFailedError(error.kind, False) from None
+        report = endpointdecode.decode_report(body).value_or(None)
+        if reply.status != 200 or report is None:
+            raise calls.CallFailedError('no-report', False)
+        if not (report.born and target.started_at_ms):
+            return None
+        if report.born != target.started_at_ms:
+            raise calls.CallFailedError(calls.RESTARTED, False)
+        if message.find_header(reply.headers, 'connection') == 'close':
+            # The endpoint keeps no connections; it has just answered.
+            return None
+        reply.connection.peer_started_at_ms = report.born
+        return report.born
+
     async def is_refused(self, target: endpoint.Endpoint) -> bool:
         """Return whether an endpoint's address refuses connections."""
         return await self.http.is_refused(target.address, CONNECT_TIMEOUT_MS)
--- a/pomelopass/platform/endpointdecode.py
+++ b/pomelopass/platform/endpointdecode.py
@@ -36,6 +36,7 @@
     seq: decoding.Int64 = 0
     in_flight: decoding.Int64 = 0
     queue_depth: decoding.Int64 = 0
+    born: decoding.Int64 = 0
 
 
 def decode_endpoint(
--- a/pomelopass/requests/call.py
+++ b/pomelopass/requests/call.py
@@ -9,6 +9,7 @@
 __all__ = [
     'DISCARD_TIMEOUT_MS',
     'MAX_DISCARDED_BYTES',
+    'RESTARTED',
     'UNPROCESSABLE_STATUS',
     'UNREACHABLE',
     'Answer',
@@ -22,6 +23,9 @@
 UNPROCESSABLE_STATUS = 422
 # Kind of failure if no path leads to an endpoint.
 UNREACHABLE = 'unreachable'
+# Kind of failure of a resumed request whose endpoint started again since its
+# entry was written, perhaps with other software.
+RESTARTED = 'restarted'
 # Longer bodies that are not needed cost more to read than a new connection.
 MAX_DISCARDED_BYTES = 65_536
 DISCARD_TIMEOUT_MS = 100.0
--- a/pomelopass/requests/streamopen.py
+++ b/pomelopass/requests/streamopen.py
@@ -151,6 +151,11 @@
             )
         except calls.CallFailedError as error:
             state.may_have_run += error.may_have_run
+            if error.kind == calls.RESTARTED:
+                # Its new entry will say whether it may resume the stream.
+                state.reason = error.kind
+                callstate.record_refusal(state, endpoint_state.endpoint.id)
+                return None
             await self.record_break(
                 stream, endpoint_state, error.kind, error.connection_broken
             )
--- a/scripts/jobmutants.py
+++ b/scripts/jobmutants.py
@@ -11,6 +11,7 @@
 FORWARD = 'tests/requests/test_forward.py'
 STREAM = 'tests/requests/test_stream.py'
 STREAM_ERRORS = 'tests/requests/test_stream_errors.py'
+RESTARTED = 'tests/platform/test_restarted_endpoint.py'
 DUTY = 'tests/versions/test_duty.py'
 ASSIGNMENT = 'tests/versions/test_assignment.py'
 ADOPTION = 'tests/jobs/test_adoption.py'
@@ -74,6 +75,20 @@
         'previous.fence,',
         (VERSIONS,),
     ),
+    mutant.Mutant(
+        'text-resumes-at-any-start-of-an-engine',
+        'pomelopass/platform/endpointclient.py',
+        'if report.born != target.started_at_ms:',
+        'if False:',
+        (RESTARTED,),
+    ),
+    mutant.Mutant(
+        'text-resumes-on-any-connection',
+        'pomelopass/edges/connectionpool.py',
+        'if started_at_ms in (None, connection.peer_started_at_ms)',
+        'if True',
+        ('tests/edges/test_httpclient.py',),
+    ),
     mutant.Mutant(
         'grant-outlives-its-duty',
         'pomelopass/versions/duty.py',
--- a/standins/modelengines.py
+++ b/standins/modelengines.py
@@ -143,6 +143,12 @@
         await asyncio.sleep(0.002)
         endpoint = self.find(target.id)
         self._count_arrival(endpoint)
+        if (
+            call.last_event_id is not None
+            and endpoint.alive
+            and target.started_at_ms != endpoint.started_at_ms
+        ):
+            raise calls.CallFailedError(calls.RESTARTED, False)
         answer = await self._answer(endpoint, call, stall_ms)
         answer.limit_per_s = endpoint.limit_per_s
         answer.is_leaving = endpoint.says_leaving
--- a/standins/platformendpoints.py
+++ b/standins/platformendpoints.py
@@ -75,6 +75,7 @@
                 'seq': self.endpoint.order_count,
                 'in_flight': self.endpoint.running,
                 'queue_depth': 0,
+                'born': self.endpoint.started_at_ms,
             },
         )
 
--- a/tests/edges/test_httpclient.py
+++ b/tests/edges/test_httpclient.py
@@ -319,3 +319,32 @@
         reply = await client.open(address, request, 3000)
         assert await reply.read(10) == b'ok'
     assert b'x-name: ' + sent + b'\r\n' in received[0]
+
+
+async def test_request_goes_only_to_the_start_that_it_names(client):
+    served = []
+
+    async def answer(reader, writer):
+        number = len(served)
+        served.append(0)
+        with contextlib.suppress(asyncio.IncompleteReadError):
+            while await reader.readuntil(b'\r\n\r\n'):
+                served[number] += 1
+                writer.write(b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok')
+
+    async with serve(answer) as address:
+        replies = [await client.open(address, GET, 3000) for _ in range(2)]
+        replies[0].connection.peer_started_at_ms = 7
+        for reply in replies:
+            await reply.read(10)
+        assert served == [1, 1]
+        # The connection that was used last leads to an unknown start.
+        reply = await client.open(address, GET, 3000, started_at_ms=7)
+        await reply.read(10)
+        assert served == [2, 1]
+        with pytest.raises(message.ExchangeError) as failure:
+            await client.open(address, GET, 3000, started_at_ms=8)
+        assert failure.value.kind == message.NOT_CONNECTED
+        assert failure.value.bytes_written == 0
+        assert served == [2, 1]
+        await client.close()
