--- a/pomelopass/jobs/jobrun.py
+++ b/pomelopass/jobs/jobrun.py
@@ -84,7 +84,7 @@
             for task in self.tasks:
                 task.cancel()
             await asyncio.gather(*self.tasks, return_exceptions=True)
-            # What is kept of the texts from here on is up to the cache.
+            # The text cache has its own limit.
             self.kept_by_item.clear()
 
     async def hand_over(self) -> None:
@@ -136,7 +136,7 @@
             self.context, item, group_index, progress, kept
         )
         if result.completed:
-            # The text stands twice until its result is listed.
+            # Two copies of the text exist until its result is listed.
             kept.discard = None
             kept.resize(2 * progress.kept_bytes)
         self.context.remaining_by_group[item.group] -= 1
--- a/pomelopass/jobs/progress.py
+++ b/pomelopass/jobs/progress.py
@@ -26,12 +26,12 @@
 
 
 def count_kept_bytes(text: str) -> int:
-    """Return the bytes that an event's text takes in memory."""
+    """Return the bytes that an event's text occupies in memory."""
     return sys.getsizeof(text) + REFERENCE_BYTES
 
 
 def count_stored_bytes(text: str) -> int:
-    """Return the bytes that an event's text takes in a stored result."""
+    """Return the bytes that an event's text occupies in a stored result."""
     return len(orjson.dumps(text))
 
 
@@ -48,7 +48,7 @@
 
     @property
     def kept_bytes(self) -> int:
-        """Return the bytes that the text takes in memory."""
+        """Return the bytes that the text occupies in memory."""
         return sum(count_kept_bytes(text) for text in self.texts)
 
 
@@ -118,7 +118,7 @@
 
 
 def make_progress(snapshot: Snapshot) -> Progress:
-    """Return the progress of a new run that goes on from a snapshot."""
+    """Return the progress of a new run that continues a snapshot."""
     return Progress(
         list(snapshot.texts),
         list(snapshot.versions),
--- a/pomelopass/requests/quarantine.py
+++ b/pomelopass/requests/quarantine.py
@@ -25,7 +25,7 @@
 
 @dataclasses.dataclass(slots=True)
 class _Block:
-    """How often a content was blocked, and until when, in seconds."""
+    """Number of blocks of a content; end of the last one, in seconds."""
 
     rounds: int
     until: float
--- a/pomelopass/requests/streamopen.py
+++ b/pomelopass/requests/streamopen.py
@@ -152,7 +152,7 @@
         except calls.CallFailedError as error:
             state.may_have_run += error.may_have_run
             if error.kind == calls.RESTARTED:
-                # Its new entry will say whether it may resume the stream.
+                # Its new entry decides whether it may resume the stream.
                 state.reason = error.kind
                 callstate.record_refusal(state, endpoint_state.endpoint.id)
                 return None
