--- a/pomelopass/entry/node.py
+++ b/pomelopass/entry/node.py
@@ -16,6 +16,8 @@
 from ..jobs import manager as jobmanager
 from ..jobs import rewardgate
 from ..jobs import schedule
+from ..leadership import duty
+from ..leadership import leader
 from . import limitparts
 from ..limits import sharing
 from . import originparts
@@ -39,7 +41,6 @@
 from . import tableclock
 from . import tablewatch
 from ..versions import assignment
-from ..versions import duty
 from ..versions import manager as versionmanagers
 from . import view as views
 
@@ -219,7 +220,8 @@
         )
 
     def _build_duties(self) -> None:
-        order_duty = duty.OrderDuty(
+        order_duty = duty.Duty(
+            leader.WEIGHTS_PREFIX,
             self.settings.name,
             self.ports.incarnation,
             duty.DutySettings(
@@ -228,7 +230,9 @@
             ),
             self.table,
             self.membership,
-            self.ports.write_event,
+            lambda service: self.write_event(
+                logevents.DutyLost(service=service)
+            ),
             self.ports.get_lease_now,
             lambda: self.paths.book.is_cut_off,
         )
--- a/pomelopass/entry/tablewatch.py
+++ b/pomelopass/entry/tablewatch.py
@@ -10,6 +10,7 @@
 from ..jobs import manager as jobmanager
 from ..jobs import rowcodec
 from ..jobs import schedule
+from ..leadership import leader
 from ..limits import book as limitbooks
 from ..origins import bases
 from ..origins import origin as origins
@@ -22,7 +23,6 @@
 from ..table import fallback
 from ..table import follower as followers
 from ..table import rows
-from ..versions import leader
 from ..versions import manager as versionmanagers
 from . import view as views
 
@@ -196,7 +196,7 @@
     def _put_fleet_row(self, row: rows.Row) -> None:
         listeners = self.listeners
         key = row.name.key
-        if key.startswith(leader.LEADER_KEY_PREFIX):
+        if key.startswith(leader.WEIGHTS_PREFIX):
             listeners.versions.duty.apply_row(row)
             return
         if key.startswith(origins.BASE_KEY_PREFIX):
--- /dev/null
+++ b/pomelopass/leadership/__init__.py
@@ -0,0 +1,1 @@
+"""Elect the instance that performs each duty of the fleet."""
--- a/pomelopass/versions/leader.py
+++ b/pomelopass/leadership/leader.py
@@ -1,4 +1,4 @@
-"""Leader election for the duty to order the engines of a service."""
+"""Elect one leader for each subject of a duty by a conditional write."""
 
 from collections import abc
 import dataclasses
@@ -8,15 +8,27 @@
 from .. import decoding
 from ..table import rows
 
-__all__ = ['Leadership', 'LeaderRow', 'confirm', 'decode_leader', 'release']
+__all__ = [
+    'SCALING_PREFIX',
+    'USAGE_PREFIX',
+    'WEIGHTS_PREFIX',
+    'LeaderRow',
+    'Leadership',
+    'confirm',
+    'decode_leader',
+    'release',
+]
 
 DUTY_TABLE = 'fleet'
-LEADER_KEY_PREFIX = 'weights/'
+# Prefixes of the row keys of each duty; the name of the subject follows.
+WEIGHTS_PREFIX = 'weights/'
+USAGE_PREFIX = 'usage/'
+SCALING_PREFIX = 'scaling/'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LeaderRow:
-    """Row that names the leader and the fencing token of its orders."""
+    """Row that names the leader and the fencing token of its calls."""
 
     # Empty after a release; the name is then that of the last holder.
     holder: str
@@ -28,9 +40,10 @@
 
 @dataclasses.dataclass(slots=True)
 class Leadership:
-    """Last known leader row of a service; times are of the lease clock."""
+    """Last known leader row of a subject; times are of the lease clock."""
 
-    service: str
+    # Key of the row: the prefix of the duty and the name of the subject.
+    row_key: str
     # Name and incarnation of this instance.
     name: str
     incarnation: str
@@ -46,7 +59,7 @@
     @property
     def key(self) -> rows.Key:
         """Return the key of the row."""
-        return rows.Key(DUTY_TABLE, '', f'{LEADER_KEY_PREFIX}{self.service}')
+        return rows.Key(DUTY_TABLE, '', self.row_key)
 
     @property
     def is_own(self) -> bool:
--- a/pomelopass/versions/manager.py
+++ b/pomelopass/versions/manager.py
@@ -6,7 +6,7 @@
 from typing import Protocol
 
 from . import assignment
-from . import duty
+from ..leadership import duty
 from . import orders
 from ..registry import endpoint as endpoints
 from ..registry import registry as registries
@@ -62,7 +62,7 @@
         self,
         registry: registries.Registry,
         port: OrderPort,
-        order_duty: duty.OrderDuty,
+        order_duty: duty.Duty,
         needs_single_version: abc.Callable[[str], bool],
         is_limited: abc.Callable[[str], bool],
         get_demand: abc.Callable[[], dict[str, assignment.Demand]],
@@ -144,7 +144,7 @@
         await asyncio.gather(*(self._order(grant, load) for load in due_loads))
 
     async def _order(
-        self, grant: duty.OrderGrant, load: orders.VersionLoad
+        self, grant: duty.Grant, load: orders.VersionLoad
     ) -> None:
         state = load.state
         model = load.model
@@ -186,7 +186,7 @@
 
     def _make_order(
         self,
-        grant: duty.OrderGrant,
+        grant: duty.Grant,
         load: orders.VersionLoad,
         report: orders.Report,
     ) -> orders.VersionOrder:
--- a/scripts/jobmutants.py
+++ b/scripts/jobmutants.py
@@ -13,7 +13,7 @@
 STREAM_ERRORS = 'tests/requests/test_stream_errors.py'
 RESTARTED = 'tests/platform/test_restarted_endpoint.py'
 QUARANTINE = 'tests/requests/test_quarantine.py'
-DUTY = 'tests/versions/test_duty.py'
+DUTY = 'tests/leadership/test_duty.py'
 ASSIGNMENT = 'tests/versions/test_assignment.py'
 ADOPTION = 'tests/jobs/test_adoption.py'
 
@@ -71,7 +71,7 @@
     ),
     mutant.Mutant(
         'fence-does-not-grow',
-        'pomelopass/versions/leader.py',
+        'pomelopass/leadership/leader.py',
         'previous.fence if already_held else previous.fence + 1,',
         'previous.fence,',
         (VERSIONS,),
@@ -99,7 +99,7 @@
     ),
     mutant.Mutant(
         'grant-outlives-its-duty',
-        'pomelopass/versions/duty.py',
+        'pomelopass/leadership/duty.py',
         'leadership.is_own\n            '
         'and leadership.row.fence == grant.fence',
         'True',
@@ -114,7 +114,7 @@
     ),
     mutant.Mutant(
         'late-answer-hides-the-next-leader',
-        'pomelopass/versions/leader.py',
+        'pomelopass/leadership/leader.py',
         'if outcome.version > leadership.version:\n'
         '        leadership.set_row(row, outcome.version, get_now())\n'
         '    return row',
@@ -123,14 +123,14 @@
     ),
     mutant.Mutant(
         'new-leader-waits-for-no-grant',
-        'pomelopass/versions/duty.py',
+        'pomelopass/leadership/duty.py',
         'wait_ms = self.settings.lease_ms + GRANT_MS',
         'wait_ms = self.settings.lease_ms',
         (DUTY,),
     ),
     mutant.Mutant(
         'takeover-by-a-lost-answer-needs-no-wait',
-        'pomelopass/versions/leader.py',
+        'pomelopass/leadership/leader.py',
         'if self.is_own and not was_own and row.fence > 1:',
         'if False:',
         (DUTY,),
--- a/scripts/pathmutants.py
+++ b/scripts/pathmutants.py
@@ -217,14 +217,14 @@
     ),
     mutant.Mutant(
         'cut-instances-take-the-duty',
-        'pomelopass/versions/duty.py',
+        'pomelopass/leadership/duty.py',
         'return linked or [peer.name for peer in alive]',
         'return [peer.name for peer in alive]',
         (CUTS,),
     ),
     mutant.Mutant(
         'leaders-that-are-cut-order-in-turn',
-        'pomelopass/versions/duty.py',
+        'pomelopass/leadership/duty.py',
         'since = leadership.held_elsewhere_at',
         "since = float('-inf')",
         (CUTS,),
--- a/tests/decoders/test_odd_values.py
+++ b/tests/decoders/test_odd_values.py
@@ -17,6 +17,7 @@
 from pomelopass.jobs import events
 from pomelopass.jobs import progress as progresses
 from pomelopass.jobs import rowcodec
+from pomelopass.leadership import leader
 from pomelopass.limits import book
 from pomelopass import message
 from pomelopass.origins import origin
@@ -31,7 +32,6 @@
 from pomelopass.table import relay
 from pomelopass.table import relayserver
 from pomelopass.table import rows
-from pomelopass.versions import leader
 from pomelopass.wire.gen.relay import TableRelay
 from pomelopass.wire.gen.relay import ttypes
 from standins import rowtable
--- a/tests/entry/test_cut_instances.py
+++ b/tests/entry/test_cut_instances.py
@@ -183,7 +183,7 @@
         cluster.set_target_version(entrybuilders.MODEL, 2)
         await asyncio.sleep(4)
         leader_row = next(
-            entry.node.versions.duty.leadership_by_service['engines'].row
+            entry.node.versions.duty.leadership_by_subject['engines'].row
             for entry in cluster.entry_by_name.values()
         )
         cut(cluster, [leader_row.holder_name], kind)
@@ -201,9 +201,9 @@
 
 def get_leader_name(cluster):
     leaders = [
-        entry.node.versions.duty.leadership_by_service['engines'].row
+        entry.node.versions.duty.leadership_by_subject['engines'].row
         for entry in cluster.entry_by_name.values()
-        if entry.node.versions.duty.leadership_by_service
+        if entry.node.versions.duty.leadership_by_subject
     ]
     held_rows = [row for row in leaders if row is not None]
     newest = max(held_rows, key=lambda row: row.confirmations)
--- /dev/null
+++ b/tests/leadership/__init__.py
@@ -0,0 +1,1 @@
+"""Test the folder of the same name."""
--- a/tests/versions/test_duty.py
+++ b/tests/leadership/test_duty.py
@@ -7,16 +7,16 @@
 import pytest
 
 from pomelopass.fleet import member
+from pomelopass.leadership import duty
+from pomelopass.leadership import leader
 from pomelopass.table import rows
-from pomelopass.versions import duty
-from pomelopass.versions import leader
 from standins import rowtable
 from standins import virtualloop
 from tests import entrybuilders
 
 MODEL = entrybuilders.MODEL
 SERVICE = 'engines'
-KEY = leader.Leadership(SERVICE, '', '').key
+KEY = leader.Leadership(f'{leader.WEIGHTS_PREFIX}{SERVICE}', '', '').key
 LEASE_MS = 3000.0
 # Within the validity of a grant.
 REPORT_S = 0.4
@@ -33,13 +33,14 @@
 
 
 def make_duty(table, is_checked=True):
-    return duty.OrderDuty(
+    return duty.Duty(
+        leader.WEIGHTS_PREFIX,
         'entry-0',
         'entry-0-1',
         duty.DutySettings(LEASE_MS, is_checked),
         table,
         member.Membership('entry-0'),
-        lambda event: None,
+        lambda subject: None,
         asyncio.get_running_loop().time,
     )
 
