--- a/pomelopass/entry/settings.py
+++ b/pomelopass/entry/settings.py
@@ -1,6 +1,7 @@
 """Read and check the settings of an entry instance."""
 
 import pathlib
+from typing import Annotated
 
 import pydantic
 from returns import result
@@ -9,11 +10,44 @@
 from ..configuring import document
 from ..configuring import problem
 from ..configuring import validation
+from ..platform import names
 from ..running import settings
 
 __all__ = ['EntrySettings', 'check_entry_settings', 'load_entry_settings']
 
 
+KNOWN_DUTIES = frozenset((names.USAGE_DUTY, names.SCALING_DUTY))
+# Counts come with heartbeats, twice a second.
+MIN_USAGE_LATE_S = 1.0
+
+
+def _parse_number(value: object) -> object:
+    """Return the number in a text of the template; None if it is empty."""
+    if not isinstance(value, str):
+        return value
+    return float(value) if value.strip() else None
+
+
+def _parse_names(value: object) -> object:
+    """Return the names that a text of the template joins by commas."""
+    if not isinstance(value, str):
+        return value
+    return [name.strip() for name in value.split(',') if name.strip()]
+
+
+def _parse_optional(value: object) -> object:
+    """Return None for an empty text of the template."""
+    return value or None
+
+
+OptionalAddress = Annotated[
+    settings.Address | None, pydantic.BeforeValidator(_parse_optional)
+]
+OptionalNumber = Annotated[
+    decoding.FiniteFloat | None, pydantic.BeforeValidator(_parse_number)
+]
+
+
 class EntrySettings(decoding.CheckedModel):
     """Settings that the platform provides to an entry instance."""
 
@@ -88,6 +122,61 @@
         pattern='^(DEBUG|INFO|WARNING|ERROR)$',
         description='Lowest level that is logged.',
     )
+    duties: Annotated[
+        tuple[str, ...], pydantic.BeforeValidator(_parse_names)
+    ] = pydantic.Field(
+        default=(),
+        strict=False,
+        description='Duties that one instance at a time performs: '
+        '`usage_report`, `autoscale`.',
+    )
+    duty_address: OptionalAddress = pydantic.Field(
+        default=None,
+        validate_default=True,
+        description="Address of the platform's API for duties.",
+    )
+    duty_calls_per_s: OptionalNumber = pydantic.Field(
+        default=None,
+        validate_default=True,
+        gt=0,
+        description='Calls of that API per second, of all instances together.',
+    )
+    usage_window_s: OptionalNumber = pydantic.Field(
+        default=None,
+        validate_default=True,
+        gt=0,
+        description='Length of a window of usage reports, in seconds.',
+    )
+    usage_late_s: OptionalNumber = pydantic.Field(
+        default=None,
+        validate_default=True,
+        ge=MIN_USAGE_LATE_S,
+        description='Time from the end of a window until its report is due, '
+        'in seconds.',
+    )
+
+    @property
+    def reports_usage(self) -> bool:
+        """Return whether the instances report the usage of workspaces."""
+        return names.USAGE_DUTY in self.duties
+
+    @pydantic.field_validator('duty_address', 'duty_calls_per_s')
+    @classmethod
+    def _check_duty_field(
+        cls, value: object, info: pydantic.ValidationInfo
+    ) -> object:
+        if value is None and KNOWN_DUTIES & set(info.data.get('duties', ())):
+            raise ValueError('The duties need this field')
+        return value
+
+    @pydantic.field_validator('usage_window_s', 'usage_late_s')
+    @classmethod
+    def _check_usage_field(
+        cls, value: float | None, info: pydantic.ValidationInfo
+    ) -> float | None:
+        if value is None and names.USAGE_DUTY in info.data.get('duties', ()):
+            raise ValueError('Usage reports need this field')
+        return value
 
 
 def load_entry_settings(
--- a/pomelopass/platform/names.py
+++ b/pomelopass/platform/names.py
@@ -36,3 +36,11 @@
 ENDPOINT_TABLE = 'servers'
 CONFIG_KEY = 'config'
 VERSION_KEY_PREFIX = 'version/'
+
+USAGE_PATH = '/usage'
+SCALING_PATH = '/scale'
+# Name of the instance that holds a duty, and the number of its holding.
+DUTY_HOLDER = 'duty-holder'
+FENCE_TOKEN = 'fence-token'
+USAGE_DUTY = 'usage_report'
+SCALING_DUTY = 'autoscale'
--- a/pomelopass/requests/call.py
+++ b/pomelopass/requests/call.py
@@ -50,6 +50,8 @@
     resumes: str | None = None
     # An attempt before was silent: idle connections may have died as well.
     avoids_idle: bool = False
+    # Name of the workspace for which it runs; empty for none.
+    workspace: str = ''
 
 
 @dataclasses.dataclass(slots=True)
--- /dev/null
+++ b/pomelopass/scaling/__init__.py
@@ -0,0 +1,1 @@
+"""Order as many engines as the demand needs."""
--- /dev/null
+++ b/pomelopass/usage/__init__.py
@@ -0,0 +1,1 @@
+"""Count the requests of workspaces and report them by window."""
