--- a/pomelopass/leadership/duty.py
+++ b/pomelopass/leadership/duty.py
@@ -23,6 +23,9 @@
     lease_ms: float
     # Receivers that check fencing tokens refuse those of a dead leader.
     fences_are_checked: bool
+    # Whether holders must be a lease apart however the duty changed hands,
+    # and the platform counts an instance that started again as the same.
+    separates_holders: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -87,7 +90,37 @@
         names = self._get_candidate_names(now)
         if self.name not in names:
             return False
-        return rendezvous.rank(leadership.key.key, names)[0] == self.name
+        if not self.settings.separates_holders:
+            return rendezvous.rank(leadership.key.key, names)[0] == self.name
+        return self.name == _choose_next(leadership, names)
+
+    def is_own(self, subject: str) -> bool:
+        """Return whether this start of the instance holds the duty."""
+        return self._get_leadership(subject).is_own
+
+    def get_condition(self, subject: str) -> tuple[rows.Key, int]:
+        """Return the leader row as last known, for conditional writes.
+
+        A write on this condition is applied only while no other instance
+        took the duty, however late it arrives.
+        """
+        leadership = self._get_leadership(subject)
+        return leadership.key, leadership.version
+
+    async def release(self, subject: str) -> bool:
+        """Give the duty up; return whether it was held until then.
+
+        No call of this instance may be in flight. Raise TableError.
+        """
+        leadership = self._get_leadership(subject)
+        if not leadership.is_own:
+            return False
+        return await leader.release(self.table, leadership, self.get_lease_now)
+
+    def refuse(self, grant: Grant) -> None:
+        """Record that a call was refused for a newer token."""
+        leadership = self._get_leadership(grant.subject)
+        leadership.refused_fence = max(leadership.refused_fence, grant.fence)
 
     async def release_if_cut_off(self, subject: str) -> bool:
         """Give the duty up if others reach endpoints; return whether done.
@@ -110,6 +143,13 @@
     async def confirm(self, subject: str) -> Grant | None:
         """Return a grant if calls may be sent now; raise TableError."""
         leadership = self._get_leadership(subject)
+        if (
+            leadership.is_own
+            and leadership.row.fence <= leadership.refused_fence
+        ):
+            # The next holder, perhaps this instance, gets a new token.
+            await self.release(subject)
+            return None
         requested_at = self.get_lease_now()
         row = await leader.confirm(self.table, leadership, self.get_lease_now)
         if row is None:
@@ -125,6 +165,7 @@
         return (
             leadership.is_own
             and leadership.row.fence == grant.fence
+            and grant.fence > leadership.refused_fence
             and self.get_lease_now() <= grant.ends_at
         )
 
@@ -137,6 +178,10 @@
         )
 
     def _has_waited(self, leadership: leader.Leadership) -> bool:
+        if self.settings.separates_holders:
+            elapsed_s = self.get_lease_now() - leadership.held_elsewhere_at
+            if elapsed_s * 1000 < self.settings.lease_ms:
+                return False
         if leadership.was_released:
             since = leadership.held_elsewhere_at
             wait_ms = self.settings.lease_ms
@@ -160,3 +205,17 @@
         if name == self.name:
             return self.is_cut_off()
         return self.membership.is_cut_off(name)
+
+
+def _choose_next(leadership: leader.Leadership, names: list[str]) -> str:
+    """Return the instance that takes a duty without a holder.
+
+    The choice differs with each holder: one that cannot call the platform
+    gives the duty up, and the next must not be the same again.
+    """
+    row = leadership.row
+    fence = 0 if row is None else row.fence
+    others = names
+    if row is not None and not row.holder:
+        others = [name for name in names if name != row.holder_name] or names
+    return rendezvous.rank(f'{leadership.key.key}/{fence}', others)[0]
--- a/pomelopass/leadership/leader.py
+++ b/pomelopass/leadership/leader.py
@@ -55,6 +55,8 @@
     was_released: bool = False
     # When the row was last seen as that of another instance, in seconds.
     held_elsewhere_at: float = float('-inf')
+    # Highest own token that was refused for a newer one.
+    refused_fence: int = 0
 
     @property
     def key(self) -> rows.Key:
