--- a/pomelopass/requests/attempt.py
+++ b/pomelopass/requests/attempt.py
@@ -10,6 +10,7 @@
 from . import quarantine as quarantines
 from ..registry import endpoint as endpoints
 from ..reporting import logevents
+from . import start as starts
 
 __all__ = [
     'AttemptContext',
@@ -49,7 +50,10 @@
         if error.connection_broken:
             await record_if_crashed(context, state, fingerprint)
         return outcomes.Attempt(
-            state.endpoint.id, not error.may_have_run, reason=error.kind
+            state.endpoint.id,
+            not error.may_have_run,
+            reason=error.kind,
+            began_at=started_at,
         )
     return _classify_answer(state, answer, body, kept, started_at)
 
@@ -76,14 +80,17 @@
         endpoints.record_load(state, answer.load, loop.time())
     if answer.not_run:
         return outcomes.Attempt(endpoint_id, True, reason='endpoint-refused')
+    began_at = starts.estimate_start(started_at, loop.time(), answer.load)
     if 200 <= answer.status < 300 and answer.signature is None:
         endpoints.record_failure(state, loop.time())
-        return outcomes.Attempt(endpoint_id, False, reason='no-signature')
+        return outcomes.Attempt(
+            endpoint_id, False, reason='no-signature', began_at=began_at
+        )
     if answer.status < 500:
         took_ms = (loop.time() - started_at) * 1000
         endpoints.record_success(state, took_ms, loop.time())
     outcome = outcomes.make_answered_outcome(answer, body, kept)
-    return outcomes.Attempt(endpoint_id, False, outcome)
+    return outcomes.Attempt(endpoint_id, False, outcome, began_at=began_at)
 
 
 async def _exchange(
--- a/pomelopass/requests/callstate.py
+++ b/pomelopass/requests/callstate.py
@@ -15,6 +15,7 @@
 from ..registry import registry as registries
 from ..reporting import logevents
 from . import routes
+from . import start as starts
 
 __all__ = [
     'CallState',
@@ -64,6 +65,8 @@
     software: str | None = None
     # When an endpoint may take a request again, if limits exclude them all.
     permit_expected_at: float | None = None
+    # Recorded where the usage of workspaces is reported.
+    start: starts.Start = starts.NO_START
 
 
 def make_state(
--- a/pomelopass/requests/forward.py
+++ b/pomelopass/requests/forward.py
@@ -16,6 +16,7 @@
 from ..registry import registry as registries
 from ..reporting import logevents
 from . import routes
+from . import start as starts
 
 __all__ = ['Forwarder']
 
@@ -41,7 +42,9 @@
         quarantine: quarantines.Quarantine,
         permits: permitpools.PermitPool,
         memory: answermemory.AnswerMemory,
+        start_book: starts.StartBook = starts.NO_STARTS,
     ):
+        self.start_book = start_book
         self.memory = memory
         self.permits = permits
         self.quarantine = quarantine
@@ -65,6 +68,7 @@
         state = callstate.make_state(
             call, route, deadline_at, ANSWER_MARGIN_MS / 1000, self.rng
         )
+        state.start = self.start_book.open(state.call)
         if not may_quarantine:
             state.fingerprint = None
         outcome = await self._run(state)
@@ -89,6 +93,9 @@
                 if not tasks:
                     endpoint_state = self._choose_endpoint(state)
                     if endpoint_state is not None:
+                        if not state.may_have_run:
+                            # Known at once, should this instance be lost.
+                            state.start.place(now)
                         tasks.add(self._start_attempt(state, endpoint_state))
                     elif await callstate.wait_for_capacity(
                         state, capacity_deadline_at
@@ -99,6 +106,8 @@
                 done_tasks = await self._wait(state, tasks, now)
                 tasks -= done_tasks
                 outcome = self._process_results(state, done_tasks)
+                if not (tasks or state.may_have_run):
+                    state.start.withdraw()
                 if outcome is not None:
                     return outcome
                 if not done_tasks:
@@ -185,6 +194,7 @@
                 callstate.record_refusal(state, attempt.endpoint_id)
                 continue
             state.may_have_run += 1
+            state.start.place(attempt.began_at)
             if attempt.outcome is None:
                 continue
             if attempt.outcome.status < 500:
--- a/pomelopass/requests/outcome.py
+++ b/pomelopass/requests/outcome.py
@@ -43,6 +43,8 @@
     not_run: bool
     outcome: Outcome | None = None
     reason: str = ''
+    # When its endpoint began to run it, in seconds of the event loop.
+    began_at: float = 0.0
 
 
 def make_answered_outcome(
--- a/pomelopass/requests/stream.py
+++ b/pomelopass/requests/stream.py
@@ -57,6 +57,7 @@
             _get_stall_timeout_ms(route),
             last_event_id=call.last_event_id,
         )
+        stream.state.start = self.forwarder.start_book.open(call)
         opened = await self.opener.begin(stream, open_deadline_at)
         if isinstance(opened, outcomes.Outcome):
             self._log_end(stream, opened.kind.value, opened.status)
@@ -119,6 +120,10 @@
         opened.endpoint_state.in_flight += 1
         try:
             async for chunk in opened.answer.reply.chunks:
+                if not stream.has_begun:
+                    # The first event tells that the endpoint began.
+                    stream.has_begun = True
+                    stream.state.start.place(loop.time())
                 if not stream.state.route.resumable:
                     yield chunk
                     continue
--- a/pomelopass/requests/streamopen.py
+++ b/pomelopass/requests/streamopen.py
@@ -33,6 +33,8 @@
     stall_ms: float
     status: int = 0
     last_event_id: str | None = None
+    # Whether an endpoint sent the first event.
+    has_begun: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -138,6 +140,7 @@
     ) -> calls.Answer | None:
         state = stream.state
         remaining_s = state.give_up_at - asyncio.get_running_loop().time()
+        sent_at = asyncio.get_running_loop().time()
         call = dataclasses.replace(
             state.call, last_event_id=stream.last_event_id
         )
@@ -151,6 +154,8 @@
             )
         except calls.CallFailedError as error:
             state.may_have_run += error.may_have_run
+            if error.may_have_run:
+                self._place_start(stream, sent_at)
             if error.kind == calls.RESTARTED:
                 # Its new entry decides whether it may resume the stream.
                 state.reason = error.kind
@@ -166,6 +171,7 @@
             callstate.record_refusal(state, endpoint_state.endpoint.id)
             return None
         state.may_have_run += 1
+        self._place_start(stream, asyncio.get_running_loop().time())
         state.tried.add(endpoint_state.endpoint.id)
         if _is_success(answer.status) and answer.signature is None:
             await answer.reply.close()
@@ -180,6 +186,11 @@
             return None
         return answer
 
+    def _place_start(self, stream: Stream, at: float) -> None:
+        """Record that an endpoint may have begun, until an event tells."""
+        if not stream.has_begun:
+            stream.state.start.place(at)
+
     async def _store_error(
         self, stream: Stream, answer: calls.Answer, owner: str
     ) -> None:
