--- a/pomelopass/fleet/heartbeat.py
+++ b/pomelopass/fleet/heartbeat.py
@@ -40,7 +40,8 @@
     """Writer of this instance's member row and of further rows with it.
 
     A further row exists while its function returns a value; its key is a
-    prefix and the name of the instance.
+    prefix and the name of the instance. A kept row is written only when its
+    value changed, and stays.
     """
 
     def __init__(
@@ -53,7 +54,11 @@
         get_value_by_prefix: dict[str, abc.Callable[[], bytes | None]],
         on_written: abc.Callable[[float], None],
         rng: random.Random,
+        get_value_by_kept_key: dict[rows.Key, abc.Callable[[], bytes | None]]
+        | None = None,
     ):
+        self.get_value_by_kept_key = get_value_by_kept_key or {}
+        self.kept_value_by_key: dict[rows.Key, bytes] = {}
         self.on_written = on_written
         self.get_value_by_prefix = get_value_by_prefix
         self.stored_keys: set[rows.Key] = set()
@@ -72,6 +77,18 @@
         self.own = dataclasses.replace(self.own, accepting=False)
         self.wake.set()
 
+    async def write_last(self, timeout_ms: float) -> None:
+        """Write the kept rows once more after the end of the task."""
+        try:
+            async with asyncio.timeout(timeout_ms / 1000):
+                version = self.version
+                await self._write()
+                if self.wake.is_set() and self.version != version:
+                    # The last heartbeat was applied without an answer.
+                    await self._write()
+        except TimeoutError:
+            return
+
     async def run(self) -> None:
         """Write heartbeats until cancelled."""
         while True:
@@ -98,6 +115,12 @@
             for prefix, get_value in self.get_value_by_prefix.items()
             if (value := get_value()) is not None
         }
+        kept_value_by_key = {
+            kept_key: value
+            for kept_key, get_value in self.get_value_by_kept_key.items()
+            if (value := get_value()) is not None
+            and value != self.kept_value_by_key.get(kept_key)
+        }
         removes = tuple(self.stored_keys - value_by_key.keys())
         # A write without an answer may have stored them.
         self.stored_keys.update(value_by_key)
@@ -106,6 +129,7 @@
             puts=(
                 (key, member.encode_member(self.own)),
                 *value_by_key.items(),
+                *kept_value_by_key.items(),
             ),
             removes=removes,
         )
@@ -123,6 +147,7 @@
             self.on_written((loop.time() - sent_at) * 1000)
             self.version = outcome.version
             self.stored_keys = set(value_by_key)
+            self.kept_value_by_key.update(kept_value_by_key)
             return
         versions = [row.version for row in outcome.rows if row.name == key]
         self.version = versions[0] if versions else 0
