--- a/pomelopass/platform/configdecode.py
+++ b/pomelopass/platform/configdecode.py
@@ -7,6 +7,7 @@
 
 from .. import decoding
 from ..requests import routes
+from ..workspaces import directory
 
 __all__ = ['decode_configuration']
 
@@ -40,6 +41,14 @@
     single_version: bool = False
     result_deadline_ms: decoding.FiniteFloat = 0.0
     item_ttl_s: decoding.FiniteFloat = 0.0
+    anonymous: bool | None = None
+    priority: decoding.Int64 | None = None
+
+
+class _Workspace(decoding.CheckedModel):
+    name: str
+    api_keys: list[str] | None = None
+    priority: decoding.Int64 | None = None
 
 
 class _Model(decoding.CheckedModel):
@@ -67,6 +76,7 @@
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = _Limits()
+    tenants: list[_Workspace] | None = None
 
 
 def decode_configuration(
@@ -76,7 +86,12 @@
     try:
         configuration = _Configuration.model_validate_json(value)
     except pydantic.ValidationError as error:
-        return result.Failure(str(error.errors()[0]))
+        # The input may hold keys.
+        return result.Failure(str(error.errors(include_input=False)[0]))
+    try:
+        workspaces = _build_workspaces(configuration.tenants)
+    except ValueError as error:
+        return result.Failure(f'tenants.{error}')
     by_host = collections.defaultdict(list)
     for route in configuration.routes:
         if route.route_type in REPEAT_BY_ROUTE_TYPE:
@@ -101,6 +116,7 @@
                 limits.header_timeout_ms,
                 limits.idle_timeout_ms,
             ),
+            workspaces=workspaces,
         )
     )
 
@@ -109,6 +125,21 @@
     return -len(route.path_prefix)
 
 
+def _build_workspaces(
+    workspaces: list[_Workspace] | None,
+) -> directory.Directory | None:
+    # An empty list leaves no valid key; it does not open the routes.
+    if workspaces is None:
+        return None
+    return directory.build_directory(
+        (
+            directory.Workspace(workspace.name, workspace.priority),
+            workspace.api_keys or (),
+        )
+        for workspace in workspaces
+    )
+
+
 def _decode_service(service: _Service) -> routes.ServiceTarget:
     models = service.engine.models if service.engine is not None else []
     return routes.ServiceTarget(
@@ -137,4 +168,6 @@
         job_deadline_ms=route.result_deadline_ms,
         item_ttl_ms=route.item_ttl_s * 1000,
         configuration_version=version,
+        is_anonymous=bool(route.anonymous),
+        priority=route.priority,
     )
--- a/pomelopass/platform/endpointclient.py
+++ b/pomelopass/platform/endpointclient.py
@@ -15,7 +15,7 @@
 from ..requests import call as calls
 from ..versions import orders
 
-__all__ = ['CONNECT_TIMEOUT_MS', 'EndpointClient']
+__all__ = ['CONNECT_TIMEOUT_MS', 'EndpointClient', 'make_headers']
 
 MAX_REPORT_BYTES = 1_048_576
 ORDER_TIMEOUT_MS = 700
@@ -57,7 +57,7 @@
             self.id_by_address.clear()
         self.id_by_address[target.address] = target.id
         request = message.Request(
-            call.method, call.target, _make_headers(target, call), call.body
+            call.method, call.target, make_headers(target, call), call.body
         )
         started_at_ms = None
         if call.last_event_id is not None:
@@ -70,6 +70,7 @@
                 fresh and started_at_ms is None,
                 stall_ms,
                 PROVEN_IDLE_MS if call.avoids_idle else math.inf,
+                call.may_send or _always,
                 started_at_ms=started_at_ms,
             )
         except message.ExchangeError as error:
@@ -226,12 +227,22 @@
 }
 
 
-def _make_headers(
+def _always() -> bool:
+    return True
+
+
+def make_headers(
     target: endpoint.Endpoint, call: calls.Call
 ) -> message.Headers:
+    """Return the headers that an endpoint gets with a call."""
     headers = [
         ('host', call.host),
-        *call.headers,
+        *(
+            header
+            for header in call.headers
+            if not call.drops_credentials
+            or header[0].lower() not in names.CREDENTIALS
+        ),
         (names.REQUEST_ID, call.id),
         (names.EXPECTED_ENDPOINT, target.id),
     ]
@@ -242,4 +253,8 @@
         )
     if call.last_event_id is not None:
         headers.append((names.LAST_EVENT_ID, call.last_event_id))
+    if call.workspace:
+        # Received bytes are Latin-1 text here; the name is sent as UTF-8.
+        name = call.workspace.strip().encode().decode('latin-1')
+        headers.append((names.WORKSPACE, name))
     return tuple(headers)
--- a/pomelopass/platform/names.py
+++ b/pomelopass/platform/names.py
@@ -17,6 +17,12 @@
 # Id of the caller's request that brought the first event of the stream.
 RESUMED_REQUEST_ID = 'resumes'
 WEIGHT_VERSION = 'weight-versions'
+# The key of a workspace, after the scheme Bearer.
+AUTHORIZATION = 'authorization'
+# Name of the workspace; only instances set it.
+WORKSPACE = 'tenant'
+# What a request presents of its workspace; never passed on.
+CREDENTIALS = frozenset((AUTHORIZATION, WORKSPACE))
 WAIT_MS = 'wait-ms'
 LENGTH_HINT = 'length-hint'
 
--- a/pomelopass/requests/call.py
+++ b/pomelopass/requests/call.py
@@ -1,5 +1,6 @@
 """Define a request to an endpoint and its answer."""
 
+from collections import abc
 import dataclasses
 from typing import Protocol
 
@@ -50,6 +51,12 @@
     resumes: str | None = None
     # An attempt before was silent: idle connections may have died as well.
     avoids_idle: bool = False
+    # Name of the workspace for which it runs; empty for none.
+    workspace: str = ''
+    # Whether headers that could hold a key or a workspace are left out.
+    drops_credentials: bool = False
+    # Called right before the first byte is sent to an endpoint.
+    may_send: abc.Callable[[], bool] | None = None
 
 
 @dataclasses.dataclass(slots=True)
--- a/pomelopass/requests/quarantine.py
+++ b/pomelopass/requests/quarantine.py
@@ -165,4 +165,7 @@
     """Return a hash of the content of a request, independent of its id."""
     digest = xxhash.xxh3_64(call.body)
     digest.update(f'\0{call.method}\0{call.host}\0{call.target}'.encode())
+    if call.workspace:
+        # One workspace must not block the requests of another.
+        digest.update(f'\0{call.workspace}'.encode())
     return digest.hexdigest()
--- a/pomelopass/requests/routes.py
+++ b/pomelopass/requests/routes.py
@@ -5,6 +5,8 @@
 import enum
 import random
 
+from ..workspaces import directory
+
 __all__ = [
     'APPLY_LIMIT_MS',
     'Configuration',
@@ -59,6 +61,10 @@
     item_ttl_ms: float = 0.0
     # Version of the configuration that the route belongs to.
     configuration_version: int = 0
+    # Whether requests without a valid key are served.
+    is_anonymous: bool = False
+    # That of a workspace takes precedence; 0 is served first.
+    priority: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -87,6 +93,8 @@
     routes_by_host: dict[str, tuple[Route, ...]]
     service_by_name: dict[str, ServiceTarget]
     limits: CallerLimits
+    # None if the configuration has no workspaces: keys are not checked.
+    workspaces: directory.Directory | None = None
 
 
 def find_route(
@@ -100,7 +108,7 @@
 
 
 def proves_absence(age_ms: float) -> bool:
-    """Return whether a route that a copy of this age lacks does not exist."""
+    """Return whether what a copy of this age lacks does not exist."""
     return age_ms <= APPLY_LIMIT_MS
 
 
--- /dev/null
+++ b/pomelopass/workspaces/__init__.py
@@ -0,0 +1,1 @@
+"""Workspaces, their keys, and what requests may do with them."""
--- /dev/null
+++ b/pomelopass/workspaces/directory.py
@@ -0,0 +1,73 @@
+"""Find the workspace of a key."""
+
+from collections import abc
+import dataclasses
+import hashlib
+
+__all__ = ['Directory', 'Workspace', 'build_directory', 'make_digest']
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Workspace:
+    """A group of callers that share keys; priority 0 is served first."""
+
+    name: str
+    priority: int | None = None
+
+
+class Directory:
+    """Workspaces of one version of the configuration, by key.
+
+    Only the digests of keys are kept, so that no dump or log can show a key.
+    """
+
+    def __init__(self, workspace_by_digest: dict[bytes, Workspace]):
+        self.workspace_by_digest = workspace_by_digest
+
+    def find(self, key: str) -> Workspace | None:
+        """Return the workspace of a key, or None if it is unknown."""
+        return self.find_by_digest(make_digest(key.encode()))
+
+    def find_by_digest(self, digest: bytes | None) -> Workspace | None:
+        """Return the workspace of a key's digest, or None if unknown."""
+        return self.workspace_by_digest.get(digest)
+
+
+def make_digest(key: bytes) -> bytes:
+    """Return the digest by which a key is looked up."""
+    return hashlib.sha256(key).digest()
+
+
+def build_directory(
+    keys_by_workspace: abc.Iterable[tuple[Workspace, abc.Iterable[str]]],
+) -> Directory:
+    """Return the directory of all workspaces; raise ValueError with a place.
+
+    A key that stands twice in one workspace is harmless.
+    """
+    names: set[str] = set()
+    workspace_by_digest: dict[bytes, Workspace] = {}
+    for index, (workspace, keys) in enumerate(keys_by_workspace):
+        _check_name(workspace.name, names, index)
+        names.add(workspace.name)
+        for position, key in enumerate(keys):
+            place = f'{index}.api_keys.{position}'
+            if not key:
+                raise ValueError(f'{place}: the key is empty')
+            digest = make_digest(key.encode())
+            known = workspace_by_digest.setdefault(digest, workspace)
+            if known.name != workspace.name:
+                raise ValueError(f'{place}: {known.name!r} has the same key')
+    return Directory(workspace_by_digest)
+
+
+def _check_name(name: str, names: set[str], index: int) -> None:
+    if not name.strip():
+        raise ValueError(f'{index}.name: the name is empty')
+    if any(
+        ord(character) < ord(' ') or character == '\x7f' for character in name
+    ):
+        # No header could carry it.
+        raise ValueError(f'{index}.name: the name has control characters')
+    if name in names:
+        raise ValueError(f'{index}.name: {name!r} stands twice')
