--- a/pomelopass/paths/endpointpaths.py
+++ b/pomelopass/paths/endpointpaths.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import abc
 
+from .. import message
 from . import book as books
 from ..fleet import member
 from . import peers as peerbooks
@@ -112,7 +113,7 @@
                 peer, target, call, remaining_ms, stall_ms, fresh
             )
         except calls.CallFailedError as error:
-            if error.may_have_run:
+            if error.may_have_run or error.kind == message.WITHDRAWN:
                 raise
             self._record_failure(peer, target, error.kind, remaining_ms)
             return None
--- a/pomelopass/platform/ingress.py
+++ b/pomelopass/platform/ingress.py
@@ -23,6 +23,9 @@
 from ..requests import stopgate
 from ..requests import stream as streams
 from ..table import rows
+from ..workspaces import access as accesses
+from ..workspaces import credentials
+from ..workspaces import refusals
 
 __all__ = ['Ingress', 'make_refusal']
 
@@ -50,6 +53,9 @@
     )
 )
 MAX_WAIT_MS = 1000.0
+# Versions of the configuration that may change what a waiting request is
+# granted before it is refused.
+MAX_DECISIONS = 4
 STATUS_BY_ACCEPTANCE = {
     jobapi.Acceptance.ACCEPTED: 202,
     jobapi.Acceptance.NOT_ACCEPTED: 503,
@@ -78,6 +84,11 @@
     stop_gate: stopgate.StopGate
     # Time since the table confirmed the configuration, in milliseconds.
     get_configuration_age_ms: abc.Callable[[], float]
+    refusal_log: refusals.RefusalLog = dataclasses.field(init=False)
+
+    def __post_init__(self) -> None:
+        """Create the log of refused keys."""
+        self.refusal_log = refusals.RefusalLog(self.write_event)
 
     async def handle_readiness(
         self, request: message.Request
@@ -122,6 +133,21 @@
             return await self._handle_job(request, path)
         if path.startswith(names.ITEM_PATH):
             return await self._read_item(request, path)
+        deadline_at = _get_deadline(request)
+        for _ in range(MAX_DECISIONS):
+            reply = await self._handle_routed(request, path, deadline_at)
+            if reply is not None:
+                return reply
+        return make_refusal(503, 'The configuration keeps changing.')
+
+    async def _handle_routed(
+        self, request: message.Request, path: str, deadline_at: float | None
+    ) -> message.Reply | None:
+        """Return the answer, or None if it is to be decided again.
+
+        Then nothing was sent, and the newest configuration grants the request
+        something else than the one before.
+        """
         configuration = self.get_configuration()
         if configuration is None:
             return make_refusal(503, 'No configuration is known yet.')
@@ -132,11 +158,37 @@
             return self._refuse_unrouted(
                 request_id or '', host, configuration.version
             )
+        access = _decide(request, configuration, route)
+        if not access.is_granted:
+            return self._refuse_key(request_id or '', configuration.version)
         if request_id is None:
             return make_refusal(400, 'The request has no id.')
         if route.route_type is routes.RouteType.JOBS:
             return await self._submit(request, request_id, host)
-        return await self._forward(request, request_id, host, route)
+
+        def may_send() -> bool:
+            newest = self.get_configuration()
+            if newest is configuration:
+                return True
+            # The route may be gone: a request that waits is still served.
+            newest_route = routes.find_route(newest, host, path) or route
+            return access == _decide(request, newest, newest_route)
+
+        call = _make_call(request, request_id, host, deadline_at, access)
+        return await self._forward(
+            dataclasses.replace(call, may_send=may_send), route
+        )
+
+    def _refuse_key(
+        self, request_id: str, configuration_version: int
+    ) -> message.Reply:
+        age_ms = self.get_configuration_age_ms()
+        # The key may have been added since: another instance will know.
+        status = 401 if routes.proves_absence(age_ms) else 503
+        self.refusal_log.record(
+            request_id, status, configuration_version, age_ms
+        )
+        return make_refusal(status, 'The request has no valid key.')
 
     def _refuse_unrouted(
         self, request_id: str, host: str, configuration_version: int
@@ -156,13 +208,8 @@
         return make_refusal(status, 'No route matches.')
 
     async def _forward(
-        self,
-        request: message.Request,
-        request_id: str,
-        host: str,
-        route: routes.Route,
-    ) -> message.Reply:
-        call = _make_call(request, request_id, host)
+        self, call: calls.Call, route: routes.Route
+    ) -> message.Reply | None:
         if not self.stop_gate.admits(route, _get_time_limit(call, route)):
             return make_refusal(503, 'The instance stops before the deadline.')
         if route.route_type is routes.RouteType.STREAMING:
@@ -178,6 +225,8 @@
                 outcome.body,
                 kept=outcome.kept,
             )
+        if outcome.kind is outcomes.OutcomeKind.WITHDRAWN:
+            return None
         status = STATUS_BY_OUTCOME[outcome.kind]
         return make_refusal(
             status,
@@ -269,21 +318,46 @@
     headers = [('content-type', 'application/json')]
     if status in (429, 503):
         headers.append(('retry-after', f'{retry_after_s:.2f}'))
+    if status == 401:
+        headers.append(('www-authenticate', 'Bearer'))
     return message.Reply(
         status, tuple(headers), orjson.dumps({'error': detail})
     )
 
 
-def _make_call(
-    request: message.Request, request_id: str, host: str
-) -> calls.Call:
+def _decide(
+    request: message.Request,
+    configuration: routes.Configuration,
+    route: routes.Route,
+) -> accesses.Access:
+    digest = None
+    if configuration.workspaces is not None:
+        digest = credentials.find_key_digest(
+            value
+            for name, value in request.headers
+            if name == names.AUTHORIZATION
+        )
+    return accesses.decide(
+        configuration.workspaces, digest, route.is_anonymous
+    )
+
+
+def _get_deadline(request: message.Request) -> float | None:
     deadline_ms = decoding.parse_count(
         message.find_header(request.headers, names.DEADLINE_MS)
     )
-    deadline_at = None
-    if deadline_ms is not None:
-        now = asyncio.get_running_loop().time()
-        deadline_at = now + deadline_ms / 1000
+    if deadline_ms is None:
+        return None
+    return asyncio.get_running_loop().time() + deadline_ms / 1000
+
+
+def _make_call(
+    request: message.Request,
+    request_id: str,
+    host: str,
+    deadline_at: float | None,
+    access: accesses.Access,
+) -> calls.Call:
     connection_options = (
         message.find_header(request.headers, 'connection') or ''
     )
@@ -301,6 +375,7 @@
             if header[0] not in HOP_BY_HOP_HEADERS
             and header[0] not in RESERVED_HEADERS
             and header[0] not in hop_by_hop_names
+            and not (access.checks_keys and header[0] in names.CREDENTIALS)
         ),
         body=request.body,
         deadline_at=deadline_at,
@@ -308,6 +383,8 @@
             request.headers, names.LAST_EVENT_ID
         ),
         resumes=message.find_header(request.headers, names.RESUMED_REQUEST_ID),
+        workspace=access.workspace,
+        drops_credentials=access.checks_keys,
     )
 
 
--- a/pomelopass/reporting/logevents.py
+++ b/pomelopass/reporting/logevents.py
@@ -36,6 +36,7 @@
     'JobStarted',
     'JobSubmitted',
     'JobUnreadable',
+    'KeysRefused',
     'LeavingNotReported',
     'LinesDropped',
     'ListenFailed',
@@ -106,6 +107,7 @@
     'problems': 'validation errors of the settings, each with its place',
     'process': 'process id',
     'reason': 'why the last attempt failed',
+    'refusals': 'requests refused since the line before',
     'refused_by': 'ids of the endpoints that reported that they ran nothing',
     'resumed_after': 'id of the event after which a text was to be resumed',
     'resumes': 'id of the request that brought the first event of a stream',
@@ -126,6 +128,7 @@
     'versions': 'weight versions, by model or in the order of the text',
     'waited_ms': 'milliseconds until an engine had a free slot',
     'why': 'why it is invalid',
+    'workspace': 'name of the workspace of the caller or the job',
 }
 
 
@@ -358,6 +361,7 @@
     configuration: int | None = None
     # Only of a stream: requests for the same one share it.
     fingerprint: str | None = None
+    workspace: str | None = None
 
 
 @_event
@@ -371,6 +375,17 @@
     age_ms: float
 
 
+@_event
+class KeysRefused(Event):
+    """Requests had no valid key; the id is that of the first of them."""
+
+    id: str
+    refusals: int
+    status: int
+    configuration: int
+    age_ms: float
+
+
 @_event
 class RequestFailed(Event):
     """An internal error ended a request; please report it."""
--- a/pomelopass/requests/attempt.py
+++ b/pomelopass/requests/attempt.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from .. import answermemory
+from .. import message
 from . import answerbody
 from . import call as calls
 from . import outcome as outcomes
@@ -56,6 +57,8 @@
 
 def record_failure(state: endpoints.EndpointState, kind: str) -> None:
     """Start the backoff of an endpoint after a failure of that kind."""
+    if kind == message.WITHDRAWN:
+        return
     now = asyncio.get_running_loop().time()
     if kind == calls.UNREACHABLE:
         endpoints.record_unreachable(state, now)
--- a/pomelopass/requests/callstate.py
+++ b/pomelopass/requests/callstate.py
@@ -24,8 +24,10 @@
     'make_ended_event',
     'make_state',
     'may_attempt',
+    'may_send',
     'record_refusal',
     'record_unreachable',
+    'record_withdrawal',
     'wait_for_capacity',
 ]
 
@@ -91,6 +93,11 @@
     return state.may_have_run < state.route.max_attempts
 
 
+def may_send(state: CallState) -> bool:
+    """Return whether the newest configuration still grants the request."""
+    return state.call.may_send is None or state.call.may_send()
+
+
 def choose_endpoint(
     state: CallState,
     registry: registries.Registry,
@@ -160,6 +167,12 @@
     state.unreachable.add(endpoint_id)
 
 
+def record_withdrawal(state: CallState, endpoint_id: str) -> None:
+    """Record that the request was not sent, for its key was removed."""
+    state.tried.discard(endpoint_id)
+    state.reason = message.WITHDRAWN
+
+
 def get_capacity_deadline(state: CallState) -> float:
     """Return until when the request may wait for capacity."""
     now = asyncio.get_running_loop().time()
@@ -195,6 +208,10 @@
         return outcomes.Outcome(
             outcomes.OutcomeKind.MAY_HAVE_RUN, state.reason
         )
+    if state.reason == message.WITHDRAWN:
+        return outcomes.Outcome(
+            outcomes.OutcomeKind.WITHDRAWN, message.WITHDRAWN
+        )
     return outcomes.Outcome(
         outcomes.OutcomeKind.NOT_RUN,
         state.reason or 'no-endpoint',
@@ -233,4 +250,5 @@
         software=state.software,
         configuration=state.route.configuration_version,
         fingerprint=state.fingerprint if last_event_id is not None else None,
+        workspace=state.call.workspace or None,
     )
--- a/pomelopass/requests/forward.py
+++ b/pomelopass/requests/forward.py
@@ -6,6 +6,7 @@
 import random
 
 from .. import answermemory
+from .. import message
 from . import attempt as attempts
 from . import call as calls
 from . import callstate
@@ -86,6 +87,9 @@
                 if self.quarantine.is_quarantined(state.fingerprint, now):
                     state.reason = 'crashes-endpoints'
                     return callstate.get_final_outcome(state)
+                if not tasks and not callstate.may_send(state):
+                    state.reason = message.WITHDRAWN
+                    return callstate.get_final_outcome(state)
                 if not tasks:
                     endpoint_state = self._choose_endpoint(state)
                     if endpoint_state is not None:
@@ -177,6 +181,9 @@
     ) -> outcomes.Outcome | None:
         for task in done_tasks:
             attempt = task.result()
+            if attempt.reason == message.WITHDRAWN:
+                callstate.record_withdrawal(state, attempt.endpoint_id)
+                continue
             state.reason = attempt.reason or state.reason
             if attempt.reason == calls.UNREACHABLE:
                 callstate.record_unreachable(state, attempt.endpoint_id)
--- a/pomelopass/requests/outcome.py
+++ b/pomelopass/requests/outcome.py
@@ -17,6 +17,8 @@
     NOT_RUN = 'not-run'
     MAY_HAVE_RUN = 'may-have-run'
     TIMED_OUT = 'timed-out'
+    # Nothing was sent: the configuration no longer grants what it granted.
+    WITHDRAWN = 'withdrawn'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/pomelopass/requests/streamopen.py
+++ b/pomelopass/requests/streamopen.py
@@ -111,6 +111,9 @@
             ):
                 state.reason = 'crashes-endpoints'
                 break
+            if not callstate.may_send(state):
+                state.reason = message.WITHDRAWN
+                break
             endpoint_state = callstate.choose_endpoint(
                 state,
                 self.forwarder.registry,
@@ -151,6 +154,9 @@
             )
         except calls.CallFailedError as error:
             state.may_have_run += error.may_have_run
+            if error.kind == message.WITHDRAWN:
+                callstate.record_withdrawal(state, endpoint_state.endpoint.id)
+                return None
             if error.kind == calls.RESTARTED:
                 # Its new entry decides whether it may resume the stream.
                 state.reason = error.kind
--- a/standins/modelengines.py
+++ b/standins/modelengines.py
@@ -1,6 +1,7 @@
 """Simulate model engines and plain services for entry instances."""
 
 import asyncio
+import collections
 from collections import abc
 import dataclasses
 import random
@@ -8,6 +9,7 @@
 import orjson
 
 from pomelopass import message
+from pomelopass.platform import endpointclient
 from pomelopass.registry import endpoint as endpoints
 from pomelopass.requests import call as calls
 from pomelopass.versions import orders
@@ -21,6 +23,7 @@
 WORK_S = 0.02
 REPORT_S = 0.002
 RESTART_S = 1.0
+MAX_RECEIVED = 10_000
 # An endpoint that runs this body crashes.
 POISON = b'poison'
 ENDPOINT_TABLE = 'servers'
@@ -73,6 +76,12 @@
     # Where bytes come without end until the caller closes, by name.
     endless: str | None = None
     endless_bytes: int = 0
+    # Id and headers of the newest requests.
+    received: collections.deque[tuple[str, message.Headers]] = (
+        dataclasses.field(
+            default_factory=lambda: collections.deque(maxlen=MAX_RECEIVED)
+        )
+    )
 
 
 class EndpointPool:
@@ -149,6 +158,11 @@
             and target.started_at_ms != endpoint.started_at_ms
         ):
             raise calls.CallFailedError(calls.RESTARTED, False)
+        if call.may_send is not None and not call.may_send():
+            raise calls.CallFailedError(message.WITHDRAWN, False)
+        if endpoint.alive:
+            headers = endpointclient.make_headers(target, call)
+            endpoint.received.append((call.id, headers))
         answer = await self._answer(endpoint, call, stall_ms)
         answer.limit_per_s = endpoint.limit_per_s
         answer.is_leaving = endpoint.says_leaving
--- a/tests/paths/test_endpointpaths.py
+++ b/tests/paths/test_endpointpaths.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from pomelopass import message
 from pomelopass.paths import book as books
 from pomelopass.paths import endpointpaths
 from pomelopass.paths import peers as peerbooks
@@ -119,3 +120,19 @@
     paths, _ = make_paths({'north': ['n1']}, endpoint_count)
     target = pathbuilders.make_endpoint('e0')
     assert await paths.is_refused(target) == is_refused
+
+
+# The peer is well: the key of the request was removed meanwhile.
+async def test_withdrawn_request_is_no_failure_of_a_peer():
+    paths, peers = make_paths({'north': ['a', 'b']})
+
+    async def open_withdrawn(peer, *arguments):
+        peers.asked.append(peer.name)
+        raise calls.CallFailedError(message.WITHDRAWN, False)
+
+    peers.open = open_withdrawn
+    for _ in range(2):
+        with pytest.raises(calls.CallFailedError) as caught:
+            await paths.open(pathbuilders.make_endpoint('e'), CALL, 1000)
+        assert caught.value.kind == message.WITHDRAWN
+    assert len(peers.asked) == 2
--- a/tests/platform/test_endpointclient.py
+++ b/tests/platform/test_endpointclient.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import contextlib
+import dataclasses
 
 import pytest
 
 from pomelopass.edges import httpclient
+from pomelopass import message
 from pomelopass.platform import endpointclient
 from pomelopass.registry import endpoint as endpoints
 from pomelopass.requests import call as calls
@@ -13,6 +15,7 @@
 
 ORDER = orders.VersionOrder('m', 2, True, 'holder', 1, 0)
 CALL = calls.Call('id-1', 'h', 'POST', '/', (), b'x', None)
+TARGET = endpoints.Endpoint('e0', 'desk', '1.2.3.4:5', 'n', 8, False, {}, 7)
 
 
 @contextlib.asynccontextmanager
@@ -93,3 +96,31 @@
         # An order that may be sent reaches the endpoint.
         outcome = await client.order_version(target, ORDER, lambda: True)
         assert outcome is orders.OrderOutcome.ACCEPTED
+
+
+# A key may be removed while the connection to the endpoint opens.
+async def test_request_is_withdrawn_when_its_connection_opens_too_late():
+    async with run_endpoint(200) as (client, target, _):
+        opened = []
+        open_connection = client.http.open_connection
+
+        async def open_late(address):
+            opened.append(await open_connection(address))
+            return opened[-1]
+
+        client.http.open_connection = open_late
+        call = dataclasses.replace(CALL, may_send=lambda: not opened)
+        with pytest.raises(calls.CallFailedError) as caught:
+            await client.open(target, call, 1000)
+        assert caught.value.kind == message.WITHDRAWN
+        assert not caught.value.may_have_run
+
+
+# The bytes of the configuration, and nothing that splits the head.
+def test_name_of_a_workspace_is_sent_as_utf_8():
+    async def make():
+        call = dataclasses.replace(CALL, workspace=' цех é ')
+        return endpointclient.make_headers(TARGET, call)
+
+    sent = message.encode_headers(asyncio.run(make()))
+    assert dict(sent)[b'tenant'] == 'цех é'.encode()
