--- a/pomelopass/jobs/api.py
+++ b/pomelopass/jobs/api.py
@@ -13,6 +13,7 @@
 from . import resultcache
 from . import rowcodec
 from ..table import rows
+from ..workspaces import access as accesses
 
 __all__ = ['Acceptance', 'JobApi', 'ResultPage']
 
@@ -27,6 +28,8 @@
     ACCEPTED = 'accepted'
     NOT_ACCEPTED = 'not-accepted'
     UNKNOWN = 'unknown'
+    # A job of another workspace has its id.
+    FOREIGN = 'foreign'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -59,17 +62,26 @@
         self.write_event = write_event
         self.cache = resultcache.ResultCache(max_cached_bytes)
 
-    async def accept(self, submission: jobs.Submission) -> Acceptance:
+    async def accept(
+        self,
+        submission: jobs.Submission,
+        access: accesses.Access = accesses.OPEN,
+    ) -> Acceptance:
         """Store a job durably; repeated submissions are idempotent."""
-        if self.view.get(submission.id) is not None:
-            return Acceptance.ACCEPTED
+        viewed = self.view.get(submission.id)
+        if viewed is not None:
+            if accesses.may_use(access, viewed.record.workspace):
+                return Acceptance.ACCEPTED
+            return Acceptance.FOREIGN
         puts = rowcodec.encode_submission(submission)
         record = self._make_record(submission, len(puts))
         *batches, last_batch = jobtable.split_writes(puts)
         loop = asyncio.get_running_loop()
         try:
             for batch in batches:
-                await self.table.write_unreferenced(batch)
+                await self.table.write_unreferenced(
+                    batch, submission.id if submission.workspace else None
+                )
         except rows.TableError:
             return Acceptance.NOT_ACCEPTED
         write = await self.table.write(
@@ -78,6 +90,13 @@
         if write.applied:
             self.job_manager.start(write.current, submission)
         outcome = Acceptance.ACCEPTED
+        stored = write.current.record
+        if (
+            write.is_final
+            and stored is not None
+            and not accesses.may_use(access, stored.workspace)
+        ):
+            outcome = Acceptance.FOREIGN
         if not write.is_final:
             outcome = Acceptance.NOT_ACCEPTED
             if write.may_be_applied:
@@ -90,10 +109,18 @@
                 min_version=submission.min_version,
                 outcome=outcome.value,
                 owner=record.owner_name,
+                workspace=submission.workspace or None,
             )
         )
         return outcome
 
+    async def find(self, job_id: str) -> jobs.JobRecord | None:
+        """Return the state of a job, or None if absent; raise TableError."""
+        viewed = self.view.get(job_id)
+        if viewed is not None:
+            return viewed.record
+        return await self._fetch_record(job_id)
+
     async def read(
         self, job_id: str, first: int, wait_ms: float
     ) -> ResultPage | None:
@@ -164,6 +191,7 @@
             model=submission.model,
             tokens=sum(item.tokens for item in submission.items),
             allowed_lag=self._get_allowed_lag(submission),
+            workspace=submission.workspace,
         )
 
     def _get_allowed_lag(self, submission: jobs.Submission) -> int:
--- a/pomelopass/jobs/itemstream.py
+++ b/pomelopass/jobs/itemstream.py
@@ -87,9 +87,19 @@
         deadline_at=context.expires_at,
         last_event_id=run.progress.last_event_id,
         avoids_idle=run.was_silent,
+        workspace=context.submission.workspace,
+        drops_credentials=_drops_credentials(context),
     )
 
 
+def _drops_credentials(context: itemcontext.ItemContext) -> bool:
+    if context.submission.workspace:
+        return True
+    # It may have been submitted before there were workspaces.
+    configuration = context.get_configuration()
+    return configuration is not None and configuration.workspaces is not None
+
+
 def _record_refusal(
     run: itemcontext.ItemRun,
     answer: calls.Answer,
--- a/pomelopass/jobs/job.py
+++ b/pomelopass/jobs/job.py
@@ -46,6 +46,8 @@
     min_version: decoding.Int64
     target_groups: decoding.Int64
     items: tuple[Item, ...]
+    # Name of the workspace that submitted it; empty for none.
+    workspace: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -68,6 +70,8 @@
     listed: decoding.Count = 0
     ended: bool = False
     writes: decoding.Count = 0
+    # Name of the workspace that it belongs to; empty for none.
+    workspace: str = ''
 
     @property
     def is_open(self) -> bool:
--- a/pomelopass/jobs/jobtable.py
+++ b/pomelopass/jobs/jobtable.py
@@ -149,12 +149,18 @@
             await asyncio.sleep(RETRY_PAUSE_MS / 1000)
 
     async def write_unreferenced(
-        self, puts: list[tuple[rows.Key, bytes]]
+        self, puts: list[tuple[rows.Key, bytes]], absent_job: str | None = None
     ) -> None:
-        """Write rows that no record refers to yet; raise TableError."""
+        """Write rows that no record refers to yet; raise TableError.
+
+        With the id of a job, nothing is written once its record exists.
+        """
+        expected = ()
+        if absent_job is not None:
+            expected = ((rowcodec.make_record_key(absent_job), 0),)
         for batch in split_writes(puts):
             await self.table.transact_repeatable(
-                rows.Transaction(puts=tuple(batch))
+                rows.Transaction(expected=expected, puts=tuple(batch))
             )
 
 
--- a/pomelopass/jobs/manager.py
+++ b/pomelopass/jobs/manager.py
@@ -244,7 +244,7 @@
         )
 
         def clean_up(finished_task: asyncio.Task) -> None:
-            self.text_cache.put(run.take_snapshots())
+            self.text_cache.put(run.take_snapshots(), submission.workspace)
             self.task_by_id.pop(job_id, None)
             self.run_by_id.pop(job_id, None)
             self._report_failure(finished_task)
--- a/pomelopass/jobs/rowcodec.py
+++ b/pomelopass/jobs/rowcodec.py
@@ -47,7 +47,7 @@
 
 def encode_record(record: jobs.JobRecord) -> bytes:
     """Return the row value for the state of a job."""
-    return orjson.dumps(record)
+    return orjson.dumps(_get_fields(record))
 
 
 def decode_record(value: bytes) -> jobs.JobRecord:
@@ -60,7 +60,7 @@
 ) -> list[tuple[rows.Key, bytes]]:
     """Return the rows that store a submission."""
     packed = zlib.compress(
-        orjson.dumps(submission, default=_encode_bytes), level=1
+        orjson.dumps(_get_fields(submission), default=_encode_bytes), level=1
     )
     part = get_part(submission.id)
     return [
@@ -175,6 +175,15 @@
     return row.name.key.split('/')[-1], snapshot
 
 
+def _get_fields(stored: jobs.JobRecord | jobs.Submission) -> dict[str, object]:
+    # Without workspaces the rows stay as earlier builds wrote them.
+    return {
+        field.name: getattr(stored, field.name)
+        for field in dataclasses.fields(stored)
+        if field.name != 'workspace' or stored.workspace
+    }
+
+
 def _encode_bytes(value: object) -> str:
     if isinstance(value, bytes):
         return value.decode('latin-1')
--- a/pomelopass/platform/ingress.py
+++ b/pomelopass/platform/ingress.py
@@ -164,7 +164,7 @@
         if request_id is None:
             return make_refusal(400, 'The request has no id.')
         if route.route_type is routes.RouteType.JOBS:
-            return await self._submit(request, request_id, host)
+            return await self._submit(request, request_id, host, access)
 
         def may_send() -> bool:
             newest = self.get_configuration()
@@ -235,11 +235,15 @@
         )
 
     async def _submit(
-        self, request: message.Request, job_id: str, host: str
+        self,
+        request: message.Request,
+        job_id: str,
+        host: str,
+        access: accesses.Access,
     ) -> message.Reply:
         if request.method != 'POST':
             return make_refusal(405, 'Submit a job with POST.')
-        decoded = jobdecode.decode_submission(job_id, host, request)
+        decoded = jobdecode.decode_submission(job_id, host, request, access)
         submission = decoded.value_or(None)
         if submission is None:
             self.write_event(
@@ -250,8 +254,10 @@
             return make_refusal(503, 'The instance stops.')
         # Acceptance is completed even if the trainer disconnects.
         outcome = await asyncio.shield(
-            asyncio.ensure_future(self.job_api.accept(submission))
+            asyncio.ensure_future(self.job_api.accept(submission, access))
         )
+        if outcome is jobapi.Acceptance.FOREIGN:
+            return self._refuse_foreign(access, 'There is no such job.')
         status = STATUS_BY_ACCEPTANCE[outcome]
         if status == 202:
             return _make_json({}, 202)
@@ -262,6 +268,9 @@
     ) -> message.Reply:
         job_id = urllib.parse.unquote(path.removeprefix(names.JOB_PATH))
         try:
+            refusal = await self._check_job(request, job_id)
+            if refusal is not None:
+                return refusal
             if request.method == 'DELETE':
                 if await self.job_api.end(job_id):
                     return _make_json({})
@@ -274,6 +283,10 @@
             page = await self.job_api.read(
                 job_id, max(first_index, 0), min(wait_ms, MAX_WAIT_MS)
             )
+            # The key may have been removed meanwhile.
+            refusal = await self._check_job(request, job_id)
+            if refusal is not None:
+                return refusal
         except ValueError:
             return make_refusal(400, 'A number is not a number.')
         except rows.TableError as error:
@@ -286,12 +299,49 @@
             jobdecode.encode_page(page),
         )
 
+    async def _check_job(
+        self, request: message.Request, job_id: str
+    ) -> message.Reply | None:
+        """Return a refusal unless the caller may use a job.
+
+        Without a valid key it is the same whether there is such a job or not.
+        Raise TableError.
+        """
+        configuration = self.get_configuration()
+        if configuration is None:
+            if message.find_header(request.headers, names.AUTHORIZATION):
+                return make_refusal(503, 'No configuration is known yet.')
+            return None
+        access = _decide(request, configuration)
+        if not access.checks_keys:
+            return None
+        record = await self.job_api.find(job_id)
+        if record is None and access.workspace:
+            return make_refusal(404, 'There is no such job.')
+        if record is not None and accesses.may_use(access, record.workspace):
+            return None
+        return self._refuse_foreign(access, 'There is no such job.')
+
+    def _refuse_foreign(
+        self, access: accesses.Access, detail: str
+    ) -> message.Reply:
+        """Refuse what belongs to another workspace as if it did not exist."""
+        if not access.workspace:
+            configuration = self.get_configuration()
+            return self._refuse_key('', configuration.version)
+        # The key may be that of another workspace since.
+        is_absent = routes.proves_absence(self.get_configuration_age_ms())
+        return make_refusal(404 if is_absent else 503, detail)
+
     async def _read_item(
         self, request: message.Request, path: str
     ) -> message.Reply:
         job_id = urllib.parse.unquote(path.removeprefix(names.ITEM_PATH))
         item_id = _get_query(request).get('id', '')
         try:
+            refusal = await self._check_job(request, job_id)
+            if refusal is not None:
+                return refusal
             body = await self.job_api.read_item(job_id, item_id)
         except rows.TableError as error:
             return make_refusal(503, f'The state is unknown: {error.detail}.')
@@ -328,7 +378,7 @@
 def _decide(
     request: message.Request,
     configuration: routes.Configuration,
-    route: routes.Route,
+    route: routes.Route | None = None,
 ) -> accesses.Access:
     digest = None
     if configuration.workspaces is not None:
@@ -338,7 +388,9 @@
             if name == names.AUTHORIZATION
         )
     return accesses.decide(
-        configuration.workspaces, digest, route.is_anonymous
+        configuration.workspaces,
+        digest,
+        route is not None and route.is_anonymous,
     )
 
 
--- a/pomelopass/platform/jobdecode.py
+++ b/pomelopass/platform/jobdecode.py
@@ -14,6 +14,7 @@
 from ..jobs import api
 from ..jobs import job as jobs
 from . import names
+from ..workspaces import access as accesses
 
 __all__ = ['decode_submission', 'encode_page']
 
@@ -69,9 +70,15 @@
 
 
 def decode_submission(
-    job_id: str, host: str, request: message.Request
+    job_id: str,
+    host: str,
+    request: message.Request,
+    access: accesses.Access = accesses.OPEN,
 ) -> result.Result[jobs.Submission, str]:
     """Return the submitted job, or its first error with the place."""
+    dropped_headers = RESERVED_HEADERS
+    if access.checks_keys:
+        dropped_headers |= names.CREDENTIALS
     try:
         submission = _Submission.model_validate_json(request.body)
     except pydantic.ValidationError as error:
@@ -91,9 +98,10 @@
             min_version=submission.min_version,
             target_groups=submission.target_groups,
             items=tuple(
-                _decode_item(item, submission.model)
+                _decode_item(item, submission.model, dropped_headers)
                 for item in submission.items
             ),
+            workspace=access.workspace,
         )
     )
 
@@ -111,11 +119,13 @@
     )
 
 
-def _decode_item(item: _Item, model: str) -> jobs.Item:
+def _decode_item(
+    item: _Item, model: str, dropped_headers: frozenset[str]
+) -> jobs.Item:
     headers = tuple(
         (name.lower(), value)
         for name, value in item.headers.items()
-        if name.lower() not in RESERVED_HEADERS
+        if name.lower() not in dropped_headers
     )
     reward = None
     if item.scorer is not None:
--- a/pomelopass/reporting/logevents.py
+++ b/pomelopass/reporting/logevents.py
@@ -403,6 +403,7 @@
     min_version: int
     outcome: str
     owner: str
+    workspace: str | None = None
 
 
 @_event
--- a/pomelopass/workspaces/access.py
+++ b/pomelopass/workspaces/access.py
@@ -4,7 +4,7 @@
 
 from . import directory as directories
 
-__all__ = ['Access', 'decide']
+__all__ = ['OPEN', 'Access', 'decide', 'may_use']
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -18,6 +18,10 @@
     workspace: str = ''
 
 
+# Granted where the configuration has no workspaces.
+OPEN = Access()
+
+
 def decide(
     directory: directories.Directory | None,
     digest: bytes | None,
@@ -25,8 +29,17 @@
 ) -> Access:
     """Return what a request with the digest of its key is granted."""
     if directory is None:
-        return Access()
+        return OPEN
     workspace = directory.find_by_digest(digest)
     if workspace is None:
         return Access(True, is_anonymous)
     return Access(True, True, workspace.name)
+
+
+def may_use(access: Access, workspace: str) -> bool:
+    """Return whether a caller may use what belongs to a workspace.
+
+    What belongs to none is open to all, and so is everything where the
+    configuration has no workspaces.
+    """
+    return not access.checks_keys or workspace in ('', access.workspace)
