--- a/pomelopass/origins/origin.py
+++ b/pomelopass/origins/origin.py
@@ -34,6 +34,8 @@
 
     service: str
     software: str
+    # Name of the workspace for which it runs; empty if none is known.
+    workspace: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -43,11 +45,12 @@
     service: str
     software: str
     created_ms: decoding.Int64
+    workspace: str = ''
 
     @property
     def origin(self) -> Origin:
         """Return the origin without its time."""
-        return Origin(self.service, self.software)
+        return Origin(self.service, self.software, self.workspace)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -89,8 +92,12 @@
 
 
 def encode_record(record: RecordedOrigin) -> bytes:
-    """Return the row value of a stream's origin."""
-    return orjson.dumps(record)
+    """Return the row value of a stream's origin, with a workspace if any."""
+    content = {'service': record.service, 'software': record.software}
+    content['created_ms'] = record.created_ms
+    if record.workspace:
+        content['workspace'] = record.workspace
+    return orjson.dumps(content)
 
 
 def encode_base(base: Base) -> bytes:
--- a/pomelopass/origins/recorder.py
+++ b/pomelopass/origins/recorder.py
@@ -227,7 +227,9 @@
         key = origins.make_record_key(request_id)
         now_ms = self.get_table_ms()
         self.remove_after_ms_by_key[key] = now_ms + MAX_STREAM_MS
-        row = origins.RecordedOrigin(origin.service, origin.software, now_ms)
+        row = origins.RecordedOrigin(
+            origin.service, origin.software, now_ms, origin.workspace
+        )
         return rows.Transaction(
             expected=((key, rows.ABSENT),),
             puts=((key, origins.encode_record(row)),),
--- a/pomelopass/platform/ingress.py
+++ b/pomelopass/platform/ingress.py
@@ -227,6 +227,10 @@
             )
         if outcome.kind is outcomes.OutcomeKind.WITHDRAWN:
             return None
+        if outcome.kind is outcomes.OutcomeKind.FOREIGN:
+            return self._refuse_foreign(
+                call.workspace, 'There is no such stream.'
+            )
         status = STATUS_BY_OUTCOME[outcome.kind]
         return make_refusal(
             status,
@@ -257,7 +261,9 @@
             asyncio.ensure_future(self.job_api.accept(submission, access))
         )
         if outcome is jobapi.Acceptance.FOREIGN:
-            return self._refuse_foreign(access, 'There is no such job.')
+            return self._refuse_foreign(
+                access.workspace, 'There is no such job.'
+            )
         status = STATUS_BY_ACCEPTANCE[outcome]
         if status == 202:
             return _make_json({}, 202)
@@ -320,13 +326,11 @@
             return make_refusal(404, 'There is no such job.')
         if record is not None and accesses.may_use(access, record.workspace):
             return None
-        return self._refuse_foreign(access, 'There is no such job.')
+        return self._refuse_foreign(access.workspace, 'There is no such job.')
 
-    def _refuse_foreign(
-        self, access: accesses.Access, detail: str
-    ) -> message.Reply:
+    def _refuse_foreign(self, workspace: str, detail: str) -> message.Reply:
         """Refuse what belongs to another workspace as if it did not exist."""
-        if not access.workspace:
+        if not workspace:
             configuration = self.get_configuration()
             return self._refuse_key('', configuration.version)
         # The key may be that of another workspace since.
--- a/pomelopass/requests/outcome.py
+++ b/pomelopass/requests/outcome.py
@@ -19,6 +19,8 @@
     TIMED_OUT = 'timed-out'
     # Nothing was sent: the configuration no longer grants what it granted.
     WITHDRAWN = 'withdrawn'
+    # Nothing was sent: the stream to resume is that of another workspace.
+    FOREIGN = 'foreign'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/pomelopass/requests/streamopen.py
+++ b/pomelopass/requests/streamopen.py
@@ -25,6 +25,10 @@
     return 200 <= status < 300
 
 
+class _ForeignStreamError(Exception):
+    """Raised when a caller resumes a stream of another workspace."""
+
+
 @dataclasses.dataclass(slots=True)
 class Stream:
     """A stream across the endpoints that run it."""
@@ -67,6 +71,8 @@
             except origins.OriginUnknownError:
                 state.reason = 'origin-unknown'
                 return callstate.get_final_outcome(state)
+            except _ForeignStreamError:
+                return outcomes.Outcome(outcomes.OutcomeKind.FOREIGN)
             return await self.open(stream, open_deadline_at)
         state.software = self.origins.get_required_software(state.service)
         opened = await self.open(stream, open_deadline_at)
@@ -77,7 +83,9 @@
         try:
             is_recorded = await self.origins.record(
                 state.call.id,
-                origin.Origin(state.service, state.software),
+                origin.Origin(
+                    state.service, state.software, state.call.workspace
+                ),
                 len(state.route.shares) == 1,
             )
         finally:
@@ -90,11 +98,20 @@
         return callstate.get_final_outcome(state)
 
     async def _bind_origin(self, state: callstate.CallState) -> None:
-        """Let only the software that began a stream resume it."""
+        """Let only the software that began a stream resume it.
+
+        Raise OriginUnknownError, or _ForeignStreamError where the stream is
+        known as that of another workspace.
+        """
         began = await self.origins.find(
             state.call.resumes,
             [share.service for share in state.route.shares],
         )
+        call = state.call
+        if call.drops_credentials and (
+            began.workspace not in ('', call.workspace)
+        ):
+            raise _ForeignStreamError
         state.service = began.service
         state.software = began.software
 
