--- a/pomelopass/commands/logs.py
+++ b/pomelopass/commands/logs.py
@@ -10,6 +10,7 @@
 from .. import command
 from ..reporting import clockskew
 from ..reporting import configaudit
+from ..reporting import keyaudit
 from ..reporting import leavingaudit
 from ..reporting import limitaudit
 from ..reporting import savedlogs
@@ -87,8 +88,9 @@
     help='Compare what endpoints got with their limits, find texts that '
     'several software versions wrote, compare how instances without links '
     'to endpoints served their callers, find requests to endpoints that had '
-    'said that they leave, and measure how late instances had each '
-    'configuration in force.',
+    'said that they leave, measure how late instances had each '
+    'configuration in force, and find requests that were sent with a key '
+    'after its end.',
 )
 @dataclasses.dataclass
 class AuditLogs:
@@ -110,6 +112,7 @@
                 ('callers were served unequally', _audit_served),
                 ('requests reached leaving endpoints', _audit_leaving),
                 ('a configuration was late', _audit_configurations),
+                ('a key was used after its end', _audit_keys),
             )
             if check(lines)
         ]
@@ -201,6 +204,18 @@
     return any(lag.is_late for lag in lags)
 
 
+def _audit_keys(lines: list[savedlogs.LogLine]) -> bool:
+    """Print late uses of keys; return whether there is one."""
+    uses = keyaudit.find_uses_of_ended_keys(lines)
+    for use in uses:
+        print(
+            f'key ENDED: {use.instance} sent {use.id} for {use.workspace} by '
+            f'version {use.granted_by}, {use.late_ms:.0f} ms after version '
+            f'{use.ended_by} took keys from it'
+        )
+    return bool(uses)
+
+
 def _read_files(names: list[str]) -> list[savedlogs.LogLine]:
     sources = []
     for name in names:
--- a/pomelopass/entry/view.py
+++ b/pomelopass/entry/view.py
@@ -7,6 +7,7 @@
 from ..registry import registry as registries
 from ..reporting import logevents
 from ..requests import routes
+from ..workspaces import directory
 
 __all__ = ['View']
 
@@ -38,6 +39,16 @@
         self.write_event(
             logevents.ConfigurationInForce(version=configuration.version)
         )
+        ended = directory.find_ended(
+            current.workspaces if current is not None else None,
+            configuration.workspaces,
+        )
+        if ended:
+            self.write_event(
+                logevents.KeysEnded(
+                    version=configuration.version, workspaces=ended
+                )
+            )
         return True
 
     def put_member(self, instance: member.Member) -> None:
--- a/pomelopass/platform/endpointclient.py
+++ b/pomelopass/platform/endpointclient.py
@@ -70,7 +70,7 @@
                 fresh and started_at_ms is None,
                 stall_ms,
                 PROVEN_IDLE_MS if call.avoids_idle else math.inf,
-                call.may_send or _always,
+                call.grant.may_send if call.grant else _always,
                 started_at_ms=started_at_ms,
             )
         except message.ExchangeError as error:
--- a/pomelopass/platform/ingress.py
+++ b/pomelopass/platform/ingress.py
@@ -25,6 +25,7 @@
 from ..table import rows
 from ..workspaces import access as accesses
 from ..workspaces import credentials
+from ..workspaces import grant as grants
 from ..workspaces import refusals
 
 __all__ = ['Ingress', 'make_refusal']
@@ -166,18 +167,18 @@
         if route.route_type is routes.RouteType.JOBS:
             return await self._submit(request, request_id, host, access)
 
-        def may_send() -> bool:
+        def decide_again() -> tuple[accesses.Access, int]:
             newest = self.get_configuration()
             if newest is configuration:
-                return True
+                return access, newest.version
             # The route may be gone: a request that waits is still served.
             newest_route = routes.find_route(newest, host, path) or route
-            return access == _decide(request, newest, newest_route)
+            return _decide(request, newest, newest_route), newest.version
 
-        call = _make_call(request, request_id, host, deadline_at, access)
-        return await self._forward(
-            dataclasses.replace(call, may_send=may_send), route
-        )
+        now = asyncio.get_running_loop().time()
+        grant = grants.Grant(access, configuration.version, decide_again, now)
+        call = _make_call(request, request_id, host, deadline_at, grant)
+        return await self._forward(call, route)
 
     def _refuse_key(
         self, request_id: str, configuration_version: int
@@ -412,8 +413,9 @@
     request_id: str,
     host: str,
     deadline_at: float | None,
-    access: accesses.Access,
+    grant: grants.Grant,
 ) -> calls.Call:
+    access = grant.access
     connection_options = (
         message.find_header(request.headers, 'connection') or ''
     )
@@ -441,6 +443,7 @@
         resumes=message.find_header(request.headers, names.RESUMED_REQUEST_ID),
         workspace=access.workspace,
         drops_credentials=access.checks_keys,
+        grant=grant,
     )
 
 
--- a/pomelopass/reporting/logevents.py
+++ b/pomelopass/reporting/logevents.py
@@ -36,6 +36,7 @@
     'JobStarted',
     'JobSubmitted',
     'JobUnreadable',
+    'KeysEnded',
     'KeysRefused',
     'LeavingNotReported',
     'LinesDropped',
@@ -85,6 +86,8 @@
     'fingerprint': 'digest of the content of a request',
     'first': 'index of the first result among those of the job',
     'former': 'start of the instance that owned the job before',
+    'granted_by': 'version of the configuration that last granted a key',
+    'granted_ms': 'milliseconds from the start of the request to that',
     'host': 'host that a request names',
     'id': 'id of a request or an item',
     'in_flight': 'requests that had not ended',
@@ -129,6 +132,7 @@
     'waited_ms': 'milliseconds until an engine had a free slot',
     'why': 'why it is invalid',
     'workspace': 'name of the workspace of the caller or the job',
+    'workspaces': 'names of workspaces',
 }
 
 
@@ -362,6 +366,9 @@
     # Only of a stream: requests for the same one share it.
     fingerprint: str | None = None
     workspace: str | None = None
+    # Only of a workspace: the last check of its key before a send.
+    granted_by: int | None = None
+    granted_ms: float | None = None
 
 
 @_event
@@ -375,6 +382,14 @@
     age_ms: float
 
 
+@_event
+class KeysEnded(Event):
+    """A version of the configuration took keys from workspaces."""
+
+    version: int
+    workspaces: list[str]
+
+
 @_event
 class KeysRefused(Event):
     """Requests had no valid key; the id is that of the first of them."""
--- a/pomelopass/requests/call.py
+++ b/pomelopass/requests/call.py
@@ -1,11 +1,11 @@
 """Define a request to an endpoint and its answer."""
 
-from collections import abc
 import dataclasses
 from typing import Protocol
 
 from .. import message
 from ..registry import endpoint
+from ..workspaces import grant as grants
 
 __all__ = [
     'DISCARD_TIMEOUT_MS',
@@ -55,8 +55,8 @@
     workspace: str = ''
     # Whether headers that could hold a key or a workspace are left out.
     drops_credentials: bool = False
-    # Called right before the first byte is sent to an endpoint.
-    may_send: abc.Callable[[], bool] | None = None
+    # Checked right before the first byte is sent to an endpoint.
+    grant: grants.Grant | None = None
 
 
 @dataclasses.dataclass(slots=True)
--- a/pomelopass/requests/callstate.py
+++ b/pomelopass/requests/callstate.py
@@ -95,7 +95,7 @@
 
 def may_send(state: CallState) -> bool:
     """Return whether the newest configuration still grants the request."""
-    return state.call.may_send is None or state.call.may_send()
+    return state.call.grant is None or state.call.grant.may_send()
 
 
 def choose_endpoint(
@@ -235,6 +235,8 @@
 ) -> logevents.RequestEnded:
     """Return the log event of the end of the request."""
     now = asyncio.get_running_loop().time()
+    workspace = state.call.workspace or None
+    grant = state.call.grant if workspace else None
     return logevents.RequestEnded(
         id=state.call.id,
         route=state.route.name,
@@ -250,5 +252,11 @@
         software=state.software,
         configuration=state.route.configuration_version,
         fingerprint=state.fingerprint if last_event_id is not None else None,
-        workspace=state.call.workspace or None,
+        workspace=workspace,
+        granted_by=grant.version if grant else None,
+        granted_ms=(
+            round((grant.confirmed_at - state.started_at) * 1000, 1)
+            if grant
+            else None
+        ),
     )
--- a/pomelopass/workspaces/directory.py
+++ b/pomelopass/workspaces/directory.py
@@ -4,7 +4,13 @@
 import dataclasses
 import hashlib
 
-__all__ = ['Directory', 'Workspace', 'build_directory', 'make_digest']
+__all__ = [
+    'Directory',
+    'Workspace',
+    'build_directory',
+    'find_ended',
+    'make_digest',
+]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -61,6 +67,20 @@
     return Directory(workspace_by_digest)
 
 
+def find_ended(older: Directory | None, newer: Directory | None) -> list[str]:
+    """Return the workspaces that have lost a key in the newer version."""
+    if older is None or newer is None:
+        return []
+    return sorted(
+        {
+            workspace.name
+            for digest, workspace in older.workspace_by_digest.items()
+            if getattr(newer.find_by_digest(digest), 'name', None)
+            != workspace.name
+        }
+    )
+
+
 def _check_name(name: str, names: set[str], index: int) -> None:
     if not name.strip():
         raise ValueError(f'{index}.name: the name is empty')
--- a/standins/modelengines.py
+++ b/standins/modelengines.py
@@ -158,7 +158,7 @@
             and target.started_at_ms != endpoint.started_at_ms
         ):
             raise calls.CallFailedError(calls.RESTARTED, False)
-        if call.may_send is not None and not call.may_send():
+        if call.grant is not None and not call.grant.may_send():
             raise calls.CallFailedError(message.WITHDRAWN, False)
         if endpoint.alive:
             headers = endpointclient.make_headers(target, call)
--- a/tests/platform/test_endpointclient.py
+++ b/tests/platform/test_endpointclient.py
@@ -12,6 +12,8 @@
 from pomelopass.registry import endpoint as endpoints
 from pomelopass.requests import call as calls
 from pomelopass.versions import orders
+from pomelopass.workspaces import access
+from pomelopass.workspaces import grant as grants
 
 ORDER = orders.VersionOrder('m', 2, True, 'holder', 1, 0)
 CALL = calls.Call('id-1', 'h', 'POST', '/', (), b'x', None)
@@ -109,7 +111,10 @@
             return opened[-1]
 
         client.http.open_connection = open_late
-        call = dataclasses.replace(CALL, may_send=lambda: not opened)
+        grant = grants.Grant(
+            access.OPEN, 1, lambda: (None if opened else access.OPEN, 1), 0.0
+        )
+        call = dataclasses.replace(CALL, grant=grant)
         with pytest.raises(calls.CallFailedError) as caught:
             await client.open(target, call, 1000)
         assert caught.value.kind == message.WITHDRAWN
