--- a/pomelopass/requests/routes.py
+++ b/pomelopass/requests/routes.py
@@ -85,6 +85,14 @@
     idle_timeout_ms: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PrefixIndex:
+    """Routes of a host by prefix, and the lengths of these, longest first."""
+
+    route_by_prefix: dict[str, Route]
+    lengths: tuple[int, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Configuration:
     """One version of all routes, services and caller limits."""
@@ -95,14 +103,40 @@
     limits: CallerLimits
     # None if the configuration has no workspaces: keys are not checked.
     workspaces: directory.Directory | None = None
+    index_by_host: dict[str, PrefixIndex] = dataclasses.field(
+        init=False, compare=False
+    )
+
+    def __post_init__(self) -> None:
+        """Index the routes by prefix."""
+        index_by_host = {
+            host: _make_index(host_routes)
+            for host, host_routes in self.routes_by_host.items()
+        }
+        object.__setattr__(self, 'index_by_host', index_by_host)
+
+
+def _make_index(host_routes: tuple[Route, ...]) -> PrefixIndex:
+    route_by_prefix: dict[str, Route] = {}
+    for route in host_routes:
+        route_by_prefix.setdefault(route.path_prefix, route)
+    lengths = sorted({len(prefix) for prefix in route_by_prefix}, reverse=True)
+    return PrefixIndex(route_by_prefix, tuple(lengths))
 
 
 def find_route(
     configuration: Configuration, host: str, path: str
 ) -> Route | None:
-    """Return the route with the longest matching prefix, or None."""
-    for route in configuration.routes_by_host.get(host.lower(), ()):
-        if path.startswith(route.path_prefix):
+    """Return the route with the longest matching prefix, or None.
+
+    The time grows with the lengths of prefixes, not with their number.
+    """
+    index = configuration.index_by_host.get(host.lower())
+    if index is None:
+        return None
+    for length in index.lengths:
+        route = index.route_by_prefix.get(path[:length])
+        if route is not None:
             return route
     return None
 
