--- a/soak/checks.py
+++ b/soak/checks.py
@@ -3,6 +3,7 @@
 from collections import abc
 import pathlib
 
+from pomelopass.reporting import keyaudit
 from pomelopass.reporting import leavingaudit
 from pomelopass.reporting import savedlogs
 from soak import clients
@@ -12,6 +13,7 @@
 __all__ = [
     'check_configurations',
     'check_jobs',
+    'check_keys',
     'check_orders',
     'check_engine_orders',
     'check_leaving',
@@ -127,6 +129,24 @@
         )
 
 
+def check_keys(
+    log_files: abc.Iterable[pathlib.Path],
+    keys: abc.Iterable[str],
+    fail: abc.Callable[[str], None],
+) -> None:
+    """Check that no request was sent with an ended key, and none logged."""
+    texts = [path.read_text(errors='replace') for path in log_files]
+    for key in keys:
+        if any(key in text for text in texts):
+            fail(f'the key {key} is in a log')
+    lines = savedlogs.read_lines(text.splitlines() for text in texts)
+    for use in keyaudit.find_uses_of_ended_keys(lines):
+        fail(
+            f'{use.instance} sent {use.id} by version {use.granted_by}, '
+            f'{use.late_ms} ms after version {use.ended_by} ended keys'
+        )
+
+
 def check_configurations(
     log_files: abc.Iterable[pathlib.Path],
     acknowledged_at_by_version: dict[int, float],
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -16,6 +16,7 @@
 JOB_EVERY_S = 1.2
 ORDER_EVERY_S = 0.15
 REQUEST_EVERY_S = 0.2
+STOLEN_EVERY_S = 0.3
 MAX_REPLY_BYTES = 2_000_000
 RESUMABLE_SHARE = 0.7
 # Requests with which a caller takes a broken stream up again.
@@ -75,6 +76,10 @@
     omits_ids: bool = True
     # Instance that gets all requests, for checks of one at a time.
     pinned: str | None = None
+    # Key of a request by its id; None where there are no workspaces.
+    get_key: abc.Callable[[str], str] | None = None
+    # Requests with a key that no version has.
+    stolen: int = 0
     # Streams that were asked for again after a break, and that went on.
     taken_up: int = 0
     resumed: int = 0
@@ -88,6 +93,7 @@
                 self._send_score_request,
                 self.read,
                 self._stream,
+                *((self._send_stolen,) if self.get_key is not None else ()),
             ):
                 group.create_task(self._repeat(send, seconds))
 
@@ -131,6 +137,8 @@
         **headers: str,
     ) -> tuple[int, message.Headers, bytes]:
         """Return an instance's reply; status 0 if the exchange failed."""
+        if 'authorization' not in headers and 'attempt_id' in headers:
+            headers |= dict(self.make_credentials(headers['attempt_id']))
         extra_headers = tuple(
             (key.replace('_', '-'), value) for key, value in headers.items()
         )
@@ -149,6 +157,12 @@
         except message.ExchangeError:
             return 0, (), b''
 
+    def make_credentials(self, request_id: str) -> message.Headers:
+        """Return the header with the key of a request, if it has one."""
+        if self.get_key is None:
+            return ()
+        return (('authorization', f'Bearer {self.get_key(request_id)}'),)
+
     async def read(self, job_id: str | None = None) -> None:
         """Read a job from a random position; compare with earlier reads."""
         accepted = [job for job in self.job_by_id.values() if job.accepted]
@@ -158,7 +172,10 @@
         job_id = job.submission.id
         first = self.rng.randint(0, len(job.result_by_position))
         status, _, body = await self.call(
-            self._choose_instance(), 'GET', f'/-/lots/{job_id}?after={first}'
+            self._choose_instance(),
+            'GET',
+            f'/-/lots/{job_id}?after={first}',
+            **dict(self.make_credentials(job_id)),
         )
         if status == 404:
             self.fail(f'{job_id} was accepted but is unknown (404)')
@@ -178,6 +195,7 @@
         pause_by_sender = {
             self._submit: JOB_EVERY_S,
             self._send_order: ORDER_EVERY_S,
+            self._send_stolen: STOLEN_EVERY_S,
         }
         while loop.time() < end:
             await send()
@@ -233,6 +251,19 @@
         if signature != f's-{request_id}' or body != b'done':
             self.fail(f'{request_id}: wrong reply: {signature} {body!r}')
 
+    async def _send_stolen(self) -> None:
+        self.stolen += 1
+        names = sorted(self.address_by_name)
+        status, _, _ = await self.call(
+            names[self.stolen % len(names)],
+            'POST',
+            '/scores/1',
+            b'{}',
+            attempt_id=f'stolen-{self.stolen}',
+        )
+        if status == 200:
+            self.fail(f'stolen-{self.stolen} was served')
+
     async def _stream(self) -> None:
         self.counter += 1
         resumable = self.rng.random() < RESUMABLE_SHARE
@@ -270,6 +301,7 @@
             ('host', self.host),
             ('attempt-id', stream_id),
             ('model', self.model),
+            *self.make_credentials(stream_id),
         ]
         if received:
             self.counter += 1
--- a/soak/run.py
+++ b/soak/run.py
@@ -18,6 +18,7 @@
 from soak import proxy
 from soak import sockets
 from soak import stopcaller
+from soak import workspaces
 from tests import entrybuilders
 
 __all__ = ['run_soak']
@@ -58,6 +59,7 @@
         self.old_build: pathlib.Path | None = None
         if old_commit is not None:
             self.old_build = builds.extract_build(old_commit, folder)
+        self.has_workspaces = old_commit is None
         self.injector: faults.Injector | None = None
 
     def fail(self, description: str) -> None:
@@ -98,6 +100,8 @@
                 _make_job,
                 # Builds before the present one join such streams.
                 omits_ids=self.old_build is None,
+                # Those before it know no workspaces.
+                get_key=workspaces.get_key if self.has_workspaces else None,
             )
             self.injector = faults.Injector(
                 self.fleet,
@@ -120,6 +124,13 @@
             self._check_served(callers, seconds)
             await self._settle(callers)
             await self._change_at_rest(callers)
+            if self.has_workspaces:
+                await workspaces.check_removed_keys(
+                    callers,
+                    self._put_next_version,
+                    checks.APPLY_LIMIT_S + REST_MARGIN_S,
+                    self.fail,
+                )
             for unserved in await callers.ask_each():
                 self.fail(f'{unserved} were not served at rest')
             await self._settle(callers)
@@ -184,10 +195,17 @@
 
     async def _put_configuration(self, version: int) -> None:
         value = entrybuilders.make_configuration(version=version)
+        if self.has_workspaces:
+            value['tenants'] = workspaces.make_workspaces(version)
         row = {'table': 'op', 'key': 'config', 'value': value}
         await self.post('/rows', row)
         self.acknowledged_at_by_version[version] = time.time()
 
+    async def _put_next_version(self) -> int:
+        version = max(self.acknowledged_at_by_version) + 1
+        await self._put_configuration(version)
+        return version
+
     async def _operate(self) -> None:
         version = 1
         while True:
@@ -258,8 +276,7 @@
         """
         for _ in range(MAX_CHANGES_AT_REST):
             await asyncio.sleep(disturbance.STABLE_S - checks.APPLY_LIMIT_S)
-            version = max(self.acknowledged_at_by_version) + 1
-            await self._put_configuration(version)
+            version = await self._put_next_version()
             await asyncio.sleep(checks.APPLY_LIMIT_S + REST_MARGIN_S)
             for name in callers.address_by_name:
                 # Its line shows that the instance was in service then.
@@ -288,8 +305,12 @@
         checks.check_orders(callers, records, self.fail)
         checks.check_streams(callers, records, self.fail)
         checks.check_engine_orders(records, self.fail)
+        checked = 0
+        if self.has_workspaces:
+            checked = workspaces.check_received(records, self.fail)
         logs = sorted(self.fleet.folder.glob('entry-*.log'))
         checks.check_leaving(logs, self.fail)
+        checks.check_keys(logs, workspaces.KEYS, self.fail)
         judged = self._count_due_versions(self.fail)
         if not judged:
             self.fail('no version was due at a calm instance')
@@ -301,6 +322,8 @@
             f'{served["streams"]} streams completed, '
             f'{callers.resumed} of {callers.taken_up} resumed went on, '
             f'{judged} versions judged, '
+            f'{checked} requests checked for their workspace, '
+            f'{callers.stolen} with a stolen key, '
             f'{callers.stayed} orders in planned stops, '
             f'{len(callers.cut_orders)} of them cut'
         )
--- a/soak/stopcaller.py
+++ b/soak/stopcaller.py
@@ -36,6 +36,7 @@
             ('host', callers.host),
             ('attempt-id', order),
             ('deadline-ms', str(deadline_ms)),
+            *callers.make_credentials(order),
         ),
         b'{}',
     )
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -58,6 +58,10 @@
                 'address': endpoint.address,
                 'ran': endpoint.ran,
                 'running': endpoint.running,
+                'received': [
+                    _summarize(request_id, headers)
+                    for request_id, headers in endpoint.received
+                ],
                 'versions': endpoint.version_by_model,
                 'orders': [
                     [order.version, order.holder, order.fence]
@@ -68,6 +72,15 @@
         } | {'events': self.pool.events_by_item}
 
 
+def _summarize(request_id: str, headers: message.Headers) -> list:
+    """Return the id, the names of workspaces, and whether there is a key."""
+    return [
+        request_id,
+        [value for name, value in headers if name == 'tenant'],
+        any(name == 'authorization' for name, _ in headers),
+    ]
+
+
 def main() -> None:
     """Run the platform until SIGTERM or SIGINT."""
     parser = server.make_parser(__doc__)
--- a/tests/test_soakchecks.py
+++ b/tests/test_soakchecks.py
@@ -8,6 +8,7 @@
 from soak import checks
 from soak import clients
 from soak import disturbance
+from soak import workspaces
 
 
 def check_order(status, ran, is_cut=False):
@@ -91,3 +92,25 @@
     disturbed = disturbance.Disturbance(name, 11.0, 12.0)
     found = check_configuration(tmp_path, taken_at_s, [disturbed])
     assert len(found) == failures
+
+
+def check_received(request_id, names, has_key=False):
+    failures = []
+    record = {'received': [[request_id, names, has_key]]}
+    assert workspaces.check_received({'e': record}, failures.append) == 1
+    return failures
+
+
+# The soak would pass whatever endpoints got.
+def test_wrong_workspace_and_key_at_an_endpoint_are_failures():
+    right = workspaces.find_workspace('order-7')
+    assert check_received('order-7', [right]) == []
+    assert check_received('order-7', [right], has_key=True)
+    assert check_received('order-7', [])
+    assert check_received('order-7', ['green'])
+    assert check_received('order-7', [right, right])
+    assert check_received('job-1-score-0-1', [right])
+    assert check_received('job-1-score-0-1', []) == []
+    assert check_received('stolen-3', [])
+    assert check_received('removed-red-3', ['red'])
+    assert check_received('moved-red-3', ['blue'])
