--- a/pomelopass/platform/ingress.py
+++ b/pomelopass/platform/ingress.py
@@ -23,6 +23,10 @@
 from ..requests import stopgate
 from ..requests import stream as streams
 from ..table import rows
+from ..workspaces import access as accesses
+from ..workspaces import credentials
+from ..workspaces import grant as grants
+from ..workspaces import refusals
 
 __all__ = ['Ingress', 'make_refusal']
 
@@ -50,6 +54,9 @@
     )
 )
 MAX_WAIT_MS = 1000.0
+# Versions of the configuration that may change what a waiting request is
+# granted before it is refused.
+MAX_DECISIONS = 4
 STATUS_BY_ACCEPTANCE = {
     jobapi.Acceptance.ACCEPTED: 202,
     jobapi.Acceptance.NOT_ACCEPTED: 503,
@@ -78,6 +85,11 @@
     stop_gate: stopgate.StopGate
     # Time since the table confirmed the configuration, in milliseconds.
     get_configuration_age_ms: abc.Callable[[], float]
+    refusal_log: refusals.RefusalLog = dataclasses.field(init=False)
+
+    def __post_init__(self) -> None:
+        """Create the log of refused keys."""
+        self.refusal_log = refusals.RefusalLog(self.write_event)
 
     async def handle_readiness(
         self, request: message.Request
@@ -122,6 +134,21 @@
             return await self._handle_job(request, path)
         if path.startswith(names.ITEM_PATH):
             return await self._read_item(request, path)
+        deadline_at = _get_deadline(request)
+        for _ in range(MAX_DECISIONS):
+            reply = await self._handle_routed(request, path, deadline_at)
+            if reply is not None:
+                return reply
+        return make_refusal(503, 'The configuration keeps changing.')
+
+    async def _handle_routed(
+        self, request: message.Request, path: str, deadline_at: float | None
+    ) -> message.Reply | None:
+        """Return the answer, or None if it is to be decided again.
+
+        Then nothing was sent, and the newest configuration grants the request
+        something else than the one before.
+        """
         configuration = self.get_configuration()
         if configuration is None:
             return make_refusal(503, 'No configuration is known yet.')
@@ -132,11 +159,37 @@
             return self._refuse_unrouted(
                 request_id or '', host, configuration.version
             )
+        access = _decide(request, configuration, route)
+        if not access.is_granted:
+            return self._refuse_key(request_id or '', configuration.version)
         if request_id is None:
             return make_refusal(400, 'The request has no id.')
         if route.route_type is routes.RouteType.JOBS:
-            return await self._submit(request, request_id, host)
-        return await self._forward(request, request_id, host, route)
+            return await self._submit(request, request_id, host, access)
+
+        def decide_again() -> tuple[accesses.Access, int]:
+            newest = self.get_configuration()
+            if newest is configuration:
+                return access, newest.version
+            # The route may be gone: a request that waits is still served.
+            newest_route = routes.find_route(newest, host, path) or route
+            return _decide(request, newest, newest_route), newest.version
+
+        now = asyncio.get_running_loop().time()
+        grant = grants.Grant(access, configuration.version, decide_again, now)
+        call = _make_call(request, request_id, host, deadline_at, grant)
+        return await self._forward(call, route)
+
+    def _refuse_key(
+        self, request_id: str, configuration_version: int
+    ) -> message.Reply:
+        age_ms = self.get_configuration_age_ms()
+        # The key may have been added since: another instance will know.
+        status = 401 if routes.proves_absence(age_ms) else 503
+        self.refusal_log.record(
+            request_id, status, configuration_version, age_ms
+        )
+        return make_refusal(status, 'The request has no valid key.')
 
     def _refuse_unrouted(
         self, request_id: str, host: str, configuration_version: int
@@ -156,13 +209,8 @@
         return make_refusal(status, 'No route matches.')
 
     async def _forward(
-        self,
-        request: message.Request,
-        request_id: str,
-        host: str,
-        route: routes.Route,
-    ) -> message.Reply:
-        call = _make_call(request, request_id, host)
+        self, call: calls.Call, route: routes.Route
+    ) -> message.Reply | None:
         if not self.stop_gate.admits(route, _get_time_limit(call, route)):
             return make_refusal(503, 'The instance stops before the deadline.')
         if route.route_type is routes.RouteType.STREAMING:
@@ -178,6 +226,12 @@
                 outcome.body,
                 kept=outcome.kept,
             )
+        if outcome.kind is outcomes.OutcomeKind.WITHDRAWN:
+            return None
+        if outcome.kind is outcomes.OutcomeKind.FOREIGN:
+            return self._refuse_foreign(
+                call.workspace, 'There is no such stream.'
+            )
         status = STATUS_BY_OUTCOME[outcome.kind]
         return make_refusal(
             status,
@@ -186,11 +240,15 @@
         )
 
     async def _submit(
-        self, request: message.Request, job_id: str, host: str
+        self,
+        request: message.Request,
+        job_id: str,
+        host: str,
+        access: accesses.Access,
     ) -> message.Reply:
         if request.method != 'POST':
             return make_refusal(405, 'Submit a job with POST.')
-        decoded = jobdecode.decode_submission(job_id, host, request)
+        decoded = jobdecode.decode_submission(job_id, host, request, access)
         submission = decoded.value_or(None)
         if submission is None:
             self.write_event(
@@ -201,8 +259,12 @@
             return make_refusal(503, 'The instance stops.')
         # Acceptance is completed even if the trainer disconnects.
         outcome = await asyncio.shield(
-            asyncio.ensure_future(self.job_api.accept(submission))
+            asyncio.ensure_future(self.job_api.accept(submission, access))
         )
+        if outcome is jobapi.Acceptance.FOREIGN:
+            return self._refuse_foreign(
+                access.workspace, 'There is no such job.'
+            )
         status = STATUS_BY_ACCEPTANCE[outcome]
         if status == 202:
             return _make_json({}, 202)
@@ -213,6 +275,9 @@
     ) -> message.Reply:
         job_id = urllib.parse.unquote(path.removeprefix(names.JOB_PATH))
         try:
+            refusal = await self._check_job(request, job_id)
+            if refusal is not None:
+                return refusal
             if request.method == 'DELETE':
                 if await self.job_api.end(job_id):
                     return _make_json({})
@@ -225,6 +290,10 @@
             page = await self.job_api.read(
                 job_id, max(first_index, 0), min(wait_ms, MAX_WAIT_MS)
             )
+            # The key may have been removed meanwhile.
+            refusal = await self._check_job(request, job_id)
+            if refusal is not None:
+                return refusal
         except ValueError:
             return make_refusal(400, 'A number is not a number.')
         except rows.TableError as error:
@@ -237,12 +306,47 @@
             jobdecode.encode_page(page),
         )
 
+    async def _check_job(
+        self, request: message.Request, job_id: str
+    ) -> message.Reply | None:
+        """Return a refusal unless the caller may use a job.
+
+        Without a valid key it is the same whether there is such a job or not.
+        Raise TableError.
+        """
+        configuration = self.get_configuration()
+        if configuration is None:
+            if message.find_header(request.headers, names.AUTHORIZATION):
+                return make_refusal(503, 'No configuration is known yet.')
+            return None
+        access = _decide(request, configuration)
+        if not access.checks_keys:
+            return None
+        record = await self.job_api.find(job_id)
+        if record is None and access.workspace:
+            return make_refusal(404, 'There is no such job.')
+        if record is not None and accesses.may_use(access, record.workspace):
+            return None
+        return self._refuse_foreign(access.workspace, 'There is no such job.')
+
+    def _refuse_foreign(self, workspace: str, detail: str) -> message.Reply:
+        """Refuse what belongs to another workspace as if it did not exist."""
+        if not workspace:
+            configuration = self.get_configuration()
+            return self._refuse_key('', configuration.version)
+        # The key may be that of another workspace since.
+        is_absent = routes.proves_absence(self.get_configuration_age_ms())
+        return make_refusal(404 if is_absent else 503, detail)
+
     async def _read_item(
         self, request: message.Request, path: str
     ) -> message.Reply:
         job_id = urllib.parse.unquote(path.removeprefix(names.ITEM_PATH))
         item_id = _get_query(request).get('id', '')
         try:
+            refusal = await self._check_job(request, job_id)
+            if refusal is not None:
+                return refusal
             body = await self.job_api.read_item(job_id, item_id)
         except rows.TableError as error:
             return make_refusal(503, f'The state is unknown: {error.detail}.')
@@ -269,21 +373,49 @@
     headers = [('content-type', 'application/json')]
     if status in (429, 503):
         headers.append(('retry-after', f'{retry_after_s:.2f}'))
+    if status == 401:
+        headers.append(('www-authenticate', 'Bearer'))
     return message.Reply(
         status, tuple(headers), orjson.dumps({'error': detail})
     )
 
 
-def _make_call(
-    request: message.Request, request_id: str, host: str
-) -> calls.Call:
+def _decide(
+    request: message.Request,
+    configuration: routes.Configuration,
+    route: routes.Route | None = None,
+) -> accesses.Access:
+    digest = None
+    if configuration.workspaces is not None:
+        digest = credentials.find_key_digest(
+            value
+            for name, value in request.headers
+            if name == names.AUTHORIZATION
+        )
+    return accesses.decide(
+        configuration.workspaces,
+        digest,
+        route is not None and route.is_anonymous,
+    )
+
+
+def _get_deadline(request: message.Request) -> float | None:
     deadline_ms = decoding.parse_count(
         message.find_header(request.headers, names.DEADLINE_MS)
     )
-    deadline_at = None
-    if deadline_ms is not None:
-        now = asyncio.get_running_loop().time()
-        deadline_at = now + deadline_ms / 1000
+    if deadline_ms is None:
+        return None
+    return asyncio.get_running_loop().time() + deadline_ms / 1000
+
+
+def _make_call(
+    request: message.Request,
+    request_id: str,
+    host: str,
+    deadline_at: float | None,
+    grant: grants.Grant,
+) -> calls.Call:
+    access = grant.access
     connection_options = (
         message.find_header(request.headers, 'connection') or ''
     )
@@ -301,6 +433,7 @@
             if header[0] not in HOP_BY_HOP_HEADERS
             and header[0] not in RESERVED_HEADERS
             and header[0] not in hop_by_hop_names
+            and not (access.checks_keys and header[0] in names.CREDENTIALS)
         ),
         body=request.body,
         deadline_at=deadline_at,
@@ -308,6 +441,9 @@
             request.headers, names.LAST_EVENT_ID
         ),
         resumes=message.find_header(request.headers, names.RESUMED_REQUEST_ID),
+        workspace=access.workspace,
+        drops_credentials=access.checks_keys,
+        grant=grant,
     )
 
 
--- a/pomelopass/reporting/logevents.py
+++ b/pomelopass/reporting/logevents.py
@@ -38,6 +38,8 @@
     'JobStarted',
     'JobSubmitted',
     'JobUnreadable',
+    'KeysEnded',
+    'KeysRefused',
     'LeavingNotReported',
     'LinesDropped',
     'ListenFailed',
@@ -94,6 +96,8 @@
     'fingerprint': 'digest of the content of a request',
     'first': 'index of the first result among those of the job',
     'former': 'start of the instance that owned the job before',
+    'granted_by': 'version of the configuration that last granted a key',
+    'granted_ms': 'milliseconds from the start of the request to that',
     'host': 'host that a request names',
     'id': 'id of a request or an item',
     'in_flight': 'requests that had not ended',
@@ -117,6 +121,7 @@
     'problems': 'validation errors of the settings, each with its place',
     'process': 'process id',
     'reason': 'why the last attempt failed',
+    'refusals': 'requests refused since the line before',
     'refused_by': 'ids of the endpoints that reported that they ran nothing',
     'requests': 'number of requests of workspaces',
     'resumed_after': 'id of the event after which a text was to be resumed',
@@ -140,7 +145,9 @@
     'waited_ms': 'milliseconds until an engine had a free slot',
     'why': 'why it is invalid or ended',
     'window': 'number of a window of usage reports',
-    'workspaces': 'number of workspaces in a report',
+    'workspace': 'name of the workspace of the caller or the job',
+    'workspace_count': 'number of workspaces in a report',
+    'workspaces': 'names of workspaces',
 }
 
 
@@ -373,6 +380,10 @@
     configuration: int | None = None
     # Only of a stream: requests for the same one share it.
     fingerprint: str | None = None
+    workspace: str | None = None
+    # Only of a workspace: the last check of its key before a send.
+    granted_by: int | None = None
+    granted_ms: float | None = None
 
 
 @_event
@@ -386,6 +397,25 @@
     age_ms: float
 
 
+@_event
+class KeysEnded(Event):
+    """A version of the configuration took keys from workspaces."""
+
+    version: int
+    workspaces: list[str]
+
+
+@_event
+class KeysRefused(Event):
+    """Requests had no valid key; the id is that of the first of them."""
+
+    id: str
+    refusals: int
+    status: int
+    configuration: int
+    age_ms: float
+
+
 @_event
 class RequestFailed(Event):
     """An internal error ended a request; please report it."""
@@ -403,6 +433,7 @@
     min_version: int
     outcome: str
     owner: str
+    workspace: str | None = None
 
 
 @_event
@@ -609,7 +640,7 @@
     window: int
     fence: int
     requests: int
-    workspaces: int
+    workspace_count: int
     digest: str
 
 
--- a/pomelopass/requests/call.py
+++ b/pomelopass/requests/call.py
@@ -5,6 +5,7 @@
 
 from .. import message
 from ..registry import endpoint
+from ..workspaces import grant as grants
 
 __all__ = [
     'DISCARD_TIMEOUT_MS',
@@ -52,6 +53,10 @@
     avoids_idle: bool = False
     # Name of the workspace for which it runs; empty for none.
     workspace: str = ''
+    # Whether headers that could hold a key or a workspace are left out.
+    drops_credentials: bool = False
+    # Checked right before the first byte is sent to an endpoint.
+    grant: grants.Grant | None = None
 
 
 @dataclasses.dataclass(slots=True)
--- a/pomelopass/requests/callstate.py
+++ b/pomelopass/requests/callstate.py
@@ -25,8 +25,10 @@
     'make_ended_event',
     'make_state',
     'may_attempt',
+    'may_send',
     'record_refusal',
     'record_unreachable',
+    'record_withdrawal',
     'wait_for_capacity',
 ]
 
@@ -94,6 +96,11 @@
     return state.may_have_run < state.route.max_attempts
 
 
+def may_send(state: CallState) -> bool:
+    """Return whether the newest configuration still grants the request."""
+    return state.call.grant is None or state.call.grant.may_send()
+
+
 def choose_endpoint(
     state: CallState,
     registry: registries.Registry,
@@ -163,6 +170,12 @@
     state.unreachable.add(endpoint_id)
 
 
+def record_withdrawal(state: CallState, endpoint_id: str) -> None:
+    """Record that the request was not sent, for its key was removed."""
+    state.tried.discard(endpoint_id)
+    state.reason = message.WITHDRAWN
+
+
 def get_capacity_deadline(state: CallState) -> float:
     """Return until when the request may wait for capacity."""
     now = asyncio.get_running_loop().time()
@@ -198,6 +211,10 @@
         return outcomes.Outcome(
             outcomes.OutcomeKind.MAY_HAVE_RUN, state.reason
         )
+    if state.reason == message.WITHDRAWN:
+        return outcomes.Outcome(
+            outcomes.OutcomeKind.WITHDRAWN, message.WITHDRAWN
+        )
     return outcomes.Outcome(
         outcomes.OutcomeKind.NOT_RUN,
         state.reason or 'no-endpoint',
@@ -221,6 +238,8 @@
 ) -> logevents.RequestEnded:
     """Return the log event of the end of the request."""
     now = asyncio.get_running_loop().time()
+    workspace = state.call.workspace or None
+    grant = state.call.grant if workspace else None
     return logevents.RequestEnded(
         id=state.call.id,
         route=state.route.name,
@@ -236,4 +255,11 @@
         software=state.software,
         configuration=state.route.configuration_version,
         fingerprint=state.fingerprint if last_event_id is not None else None,
+        workspace=workspace,
+        granted_by=grant.version if grant else None,
+        granted_ms=(
+            round((grant.confirmed_at - state.started_at) * 1000, 1)
+            if grant
+            else None
+        ),
     )
--- a/pomelopass/requests/outcome.py
+++ b/pomelopass/requests/outcome.py
@@ -17,6 +17,10 @@
     NOT_RUN = 'not-run'
     MAY_HAVE_RUN = 'may-have-run'
     TIMED_OUT = 'timed-out'
+    # Nothing was sent: the configuration no longer grants what it granted.
+    WITHDRAWN = 'withdrawn'
+    # Nothing was sent: the stream to resume is that of another workspace.
+    FOREIGN = 'foreign'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/pomelopass/requests/streamopen.py
+++ b/pomelopass/requests/streamopen.py
@@ -25,6 +25,10 @@
     return 200 <= status < 300
 
 
+class _ForeignStreamError(Exception):
+    """Raised when a caller resumes a stream of another workspace."""
+
+
 @dataclasses.dataclass(slots=True)
 class Stream:
     """A stream across the endpoints that run it."""
@@ -69,6 +73,8 @@
             except origins.OriginUnknownError:
                 state.reason = 'origin-unknown'
                 return callstate.get_final_outcome(state)
+            except _ForeignStreamError:
+                return outcomes.Outcome(outcomes.OutcomeKind.FOREIGN)
             return await self.open(stream, open_deadline_at)
         state.software = self.origins.get_required_software(state.service)
         opened = await self.open(stream, open_deadline_at)
@@ -79,7 +85,9 @@
         try:
             is_recorded = await self.origins.record(
                 state.call.id,
-                origin.Origin(state.service, state.software),
+                origin.Origin(
+                    state.service, state.software, state.call.workspace
+                ),
                 len(state.route.shares) == 1,
             )
         finally:
@@ -92,11 +100,20 @@
         return callstate.get_final_outcome(state)
 
     async def _bind_origin(self, state: callstate.CallState) -> None:
-        """Let only the software that began a stream resume it."""
+        """Let only the software that began a stream resume it.
+
+        Raise OriginUnknownError, or _ForeignStreamError where the stream is
+        known as that of another workspace.
+        """
         began = await self.origins.find(
             state.call.resumes,
             [share.service for share in state.route.shares],
         )
+        call = state.call
+        if call.drops_credentials and (
+            began.workspace not in ('', call.workspace)
+        ):
+            raise _ForeignStreamError
         state.service = began.service
         state.software = began.software
 
@@ -113,6 +130,9 @@
             ):
                 state.reason = 'crashes-endpoints'
                 break
+            if not callstate.may_send(state):
+                state.reason = message.WITHDRAWN
+                break
             endpoint_state = callstate.choose_endpoint(
                 state,
                 self.forwarder.registry,
@@ -154,6 +174,9 @@
             )
         except calls.CallFailedError as error:
             state.may_have_run += error.may_have_run
+            if error.kind == message.WITHDRAWN:
+                callstate.record_withdrawal(state, endpoint_state.endpoint.id)
+                return None
             if error.may_have_run:
                 self._place_start(stream, sent_at)
             if error.kind == calls.RESTARTED:
--- a/pomelopass/usage/manager.py
+++ b/pomelopass/usage/manager.py
@@ -229,7 +229,7 @@
                     window=report.window,
                     fence=self.fence,
                     requests=requests,
-                    workspaces=len(counts),
+                    workspace_count=len(counts),
                     digest=_make_digest(report.body),
                 )
             )
