--- a/pomelopass/entry/tablewatch.py
+++ b/pomelopass/entry/tablewatch.py
@@ -189,8 +189,8 @@
         return self.endpoints.get_age_ms() > OUTAGE_AFTER_MS
 
     def _put_endpoint(self, endpoint: endpoints.Endpoint) -> None:
-        self.listeners.registry.put(endpoint)
-        self.listeners.scheduler.dispatch()
+        if self.listeners.registry.put(endpoint):
+            self.listeners.scheduler.dispatch()
 
     def _remove_endpoint(self, endpoint_id: str) -> None:
         now = asyncio.get_running_loop().time()
--- a/pomelopass/platform/names.py
+++ b/pomelopass/platform/names.py
@@ -34,5 +34,7 @@
 
 OPERATOR_TABLE = 'op'
 ENDPOINT_TABLE = 'servers'
+# Grows with each write of an endpoint's entry.
+ENTRY_COUNTER = 'seq'
 CONFIG_KEY = 'config'
 VERSION_KEY_PREFIX = 'version/'
--- a/pomelopass/platform/rowhandlers.py
+++ b/pomelopass/platform/rowhandlers.py
@@ -10,6 +10,7 @@
 from ..registry import endpoint
 from ..reporting import logevents
 from ..requests import routes
+from ..table import memo
 from ..table import rows
 
 __all__ = ['make_endpoint_row_handler', 'make_operator_row_handler']
@@ -64,23 +65,33 @@
     remove: abc.Callable[[str], None],
     write_event: logevents.WriteEvent,
 ) -> abc.Callable[[rows.Row], None]:
-    """Return a function that applies registry entries of endpoints."""
+    """Return a function that applies registry entries of endpoints.
+
+    If only the counter of an entry changed, it puts the same object again.
+    """
+    known = memo.RowMemo[endpoint.Endpoint](names.ENTRY_COUNTER)
 
     def handle_row(row: rows.Row) -> None:
+        key = row.name.key
         if row.value is None:
-            remove(row.name.key)
+            known.remove(key)
+            remove(key)
             return
-        decoded = endpointdecode.decode_endpoint(row.name.key, row.value)
+        entry = known.find(key, row.value)
+        if entry is not None:
+            put(entry)
+            return
+        decoded = endpointdecode.decode_endpoint(key, row.value)
         entry = decoded.value_or(None)
         if entry is None:
             # An endpoint with a malformed entry gets no work.
             write_event(
-                logevents.EndpointUnreadable(
-                    key=row.name.key, why=decoded.failure()
-                )
+                logevents.EndpointUnreadable(key=key, why=decoded.failure())
             )
-            remove(row.name.key)
+            known.remove(key)
+            remove(key)
             return
+        known.put(key, row.value, entry)
         put(entry)
 
     return handle_row
--- a/pomelopass/registry/registry.py
+++ b/pomelopass/registry/registry.py
@@ -22,10 +22,15 @@
         # may say otherwise, or come back, while the table is away.
         self.leaving_start_by_id: dict[str, int] = {}
 
-    def put(self, entry: endpoints.Endpoint) -> None:
-        """Add or update an endpoint from its registry entry."""
-        self.missing_since_by_id.pop(entry.id, None)
+    def put(self, entry: endpoints.Endpoint) -> bool:
+        """Add or update an endpoint; return whether anything changed.
+
+        An entry that was put before and has not changed is the same object.
+        """
+        was_missing = self.missing_since_by_id.pop(entry.id, None) is not None
         state = self.state_by_id.get(entry.id)
+        if state is not None and state.endpoint is entry and not was_missing:
+            return False
         restarted = (
             state is not None
             and state.endpoint.started_at_ms != entry.started_at_ms
@@ -36,7 +41,7 @@
             )
             self._update_leaving(entry.id)
             self._log_change(entry, 'restarted' if restarted else 'found')
-            return
+            return True
         if state.endpoint.is_draining != entry.is_draining:
             self._log_change(
                 entry, 'draining' if entry.is_draining else 'ready'
@@ -46,6 +51,7 @@
             self._log_change(entry, 'version')
         state.endpoint = entry
         self._update_leaving(entry.id)
+        return True
 
     def record_leaving(self, endpoint_id: str, started_at_ms: int) -> None:
         """Record that an endpoint said that it leaves; final for its start."""
--- a/scripts/costmutants.py
+++ b/scripts/costmutants.py
@@ -5,6 +5,7 @@
 __all__ = ['MUTANTS']
 
 PACING = 'tests/table/test_pacing.py'
+ROW_HANDLERS = 'tests/platform/test_rowhandlers.py'
 
 MUTANTS = (
     mutant.Mutant(
@@ -28,4 +29,32 @@
         'self.is_cut_off = False',
         (PACING,),
     ),
+    mutant.Mutant(
+        'entries-with-any-end-count-as-unchanged',
+        'pomelopass/table/memo.py',
+        'if not (value.startswith(before) and value.endswith(after)):',
+        'if not value.startswith(before):',
+        (ROW_HANDLERS,),
+    ),
+    mutant.Mutant(
+        'any-count-counts-as-unchanged',
+        'pomelopass/table/memo.py',
+        'return None if found is None else decoded',
+        'return decoded',
+        (ROW_HANDLERS,),
+    ),
+    mutant.Mutant(
+        'unchanged-entries-are-decoded-again',
+        'pomelopass/platform/rowhandlers.py',
+        'known.put(key, row.value, entry)',
+        'pass',
+        (ROW_HANDLERS,),
+    ),
+    mutant.Mutant(
+        'missing-endpoint-stays-missing',
+        'pomelopass/registry/registry.py',
+        'state.endpoint is entry and not was_missing:',
+        'state.endpoint is entry:',
+        (ROW_HANDLERS,),
+    ),
 )
