--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -10,6 +10,7 @@
 import tempfile
 
 from scripts import configmutants
+from scripts import dutymutants
 from scripts import endmutants
 from scripts import fleetmutants
 from scripts import jobmutants
@@ -33,6 +34,7 @@
     'tests',
     'bench',
     'examples',
+    'deploy',
 )
 COPIED_FILES = ('conftest.py', 'pyproject.toml')
 
@@ -59,6 +61,7 @@
         *endmutants.MUTANTS,
         *configmutants.MUTANTS,
         *memorymutants.MUTANTS,
+        *dutymutants.MUTANTS,
     )
     selected = [mutation for mutation in mutants if name_part in mutation.name]
     with concurrent.futures.ThreadPoolExecutor(WORKERS) as pool:
--- a/tests/leadership/test_separation.py
+++ b/tests/leadership/test_separation.py
@@ -100,7 +100,7 @@
         names = ('entry-0', 'entry-1', 'entry-2')
         duties = [make_duty(service, name, names) for name in names]
         chosen = set()
-        for fence in range(1, 9):
+        for fence in range(1, 25):
             for usage_duty in duties:
                 put_leader(service, usage_duty, '', 'entry-1', fence)
             takers = [
--- a/tests/platform/test_dutyclient.py
+++ b/tests/platform/test_dutyclient.py
@@ -108,7 +108,9 @@
     async with run_api(200, per_s=100.0) as (client, _):
         client.set_subject_count(4)
         started_at = loop.time()
-        for _ in range(4):
-            await send(client)
-        # A quarter of 100 a second for each subject.
-        assert loop.time() - started_at >= 3 * 0.04
+        await send(client)
+        # A quarter of 100 a second for each subject, less the reserve.
+        next_at = client.next_call_at_by_subject['usage']
+        assert next_at - started_at >= 4 / 100
+        await send(client)
+        assert loop.time() >= next_at
--- a/tests/test_mutants.py
+++ b/tests/test_mutants.py
@@ -5,6 +5,7 @@
 import pytest
 
 from scripts import configmutants
+from scripts import dutymutants
 from scripts import endmutants
 from scripts import fleetmutants
 from scripts import jobmutants
@@ -25,6 +26,7 @@
     *endmutants.MUTANTS,
     *configmutants.MUTANTS,
     *memorymutants.MUTANTS,
+    *dutymutants.MUTANTS,
 )
 
 
--- a/tests/usagebuilders.py
+++ b/tests/usagebuilders.py
@@ -17,6 +17,8 @@
 WINDOW_S = 5.0
 LATE_S = 10.0
 SEND_EVERY_S = 0.1
+# The virtual clock never ends a wait in vain.
+MAX_WAIT_S = 60.0
 
 
 def get_window(at):
@@ -94,17 +96,19 @@
 
 async def wait_for_holder(cluster, other_than=None):
     """Return the next holder of the duty."""
-    while get_holder(cluster) in (None, other_than):
-        await asyncio.sleep(0.05)
+    async with asyncio.timeout(MAX_WAIT_S):
+        while get_holder(cluster) in (None, other_than):
+            await asyncio.sleep(0.05)
     return get_holder(cluster)
 
 
 async def wait_for_report(api, window=None):
     """Wait until a window, or any one, was reported."""
-    while not api.body_by_window or (
-        window is not None and window not in api.body_by_window
-    ):
-        await asyncio.sleep(0.05)
+    async with asyncio.timeout(MAX_WAIT_S):
+        while not api.body_by_window or (
+            window is not None and window not in api.body_by_window
+        ):
+            await asyncio.sleep(0.05)
 
 
 def put_counts(cluster, window, counts, name='gone'):
