--- a/pomelopass/commands/logs.py
+++ b/pomelopass/commands/logs.py
@@ -10,6 +10,7 @@
 from .. import command
 from ..reporting import clockskew
 from ..reporting import configaudit
+from ..reporting import dutyaudit
 from ..reporting import leavingaudit
 from ..reporting import limitaudit
 from ..reporting import savedlogs
@@ -87,8 +88,9 @@
     help='Compare what endpoints got with their limits, find texts that '
     'several software versions wrote, compare how instances without links '
     'to endpoints served their callers, find requests to endpoints that had '
-    'said that they leave, and measure how late instances had each '
-    'configuration in force.',
+    'said that they leave, measure how late instances had each '
+    'configuration in force, and find windows of usage that were reported '
+    'with other counts and duties with two holders.',
 )
 @dataclasses.dataclass
 class AuditLogs:
@@ -110,6 +112,7 @@
                 ('callers were served unequally', _audit_served),
                 ('requests reached leaving endpoints', _audit_leaving),
                 ('a configuration was late', _audit_configurations),
+                ('duties had two holders or reports', _audit_duties),
             )
             if check(lines)
         ]
@@ -201,6 +204,24 @@
     return any(lag.is_late for lag in lags)
 
 
+def _audit_duties(lines: list[savedlogs.LogLine]) -> bool:
+    """Print contradicting reports and holders; return whether any is."""
+    other_reports = dutyaudit.find_other_reports(lines)
+    for report in other_reports:
+        senders = ', '.join(
+            f'{digest} by {" and ".join(instances)}'
+            for digest, instances in report.instances_by_digest.items()
+        )
+        print(f'usage CHANGED: window {report.window} was sent as {senders}')
+    shared_tokens = dutyaudit.find_shared(lines)
+    for token in shared_tokens:
+        print(
+            f'duty SHARED: {token.duty} of {token.subject} with token '
+            f'{token.fence} by {", ".join(token.instances)}'
+        )
+    return bool(other_reports or shared_tokens)
+
+
 def _read_files(names: list[str]) -> list[savedlogs.LogLine]:
     sources = []
     for name in names:
--- a/scripts/dutymutants.py
+++ b/scripts/dutymutants.py
@@ -17,8 +17,23 @@
 CALLS = 'tests/platform/test_dutyclient.py'
 KEPT_ROWS = 'tests/fleet/test_keptrows.py'
 SETTINGS = 'tests/entry/test_duty_settings.py'
+AUDIT = 'tests/test_dutyaudit.py'
 
 MUTANTS = (
+    mutant.Mutant(
+        'audit-counts-reports-that-were-not-sent',
+        'pomelopass/reporting/dutyaudit.py',
+        "and line.fields['outcome'] not in UNSENT_OUTCOMES",
+        'and True',
+        (AUDIT,),
+    ),
+    mutant.Mutant(
+        'audit-misses-who-sent-a-token',
+        'pomelopass/reporting/dutyaudit.py',
+        'elif not _was_sent(line):',
+        'else:',
+        (AUDIT,),
+    ),
     mutant.Mutant(
         'holders-act-within-the-lease',
         DUTY,
