--- a/scripts/entryfleet.py
+++ b/scripts/entryfleet.py
@@ -118,6 +118,10 @@
         """Return the requests and orders that the endpoints received."""
         return probe.call(self.platform.address, 'GET', '/seen')[1]
 
+    def get_duties(self) -> dict:
+        """Return what the platform's API for duties received."""
+        return probe.call(self.platform.address, 'GET', '/duties')[1]
+
     def _make_settings(self, name: str, changes: dict) -> dict:
         zone = self.zones[len(self.settings_by_name) % len(self.zones)]
         seeds = [
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -11,6 +11,7 @@
 
 __all__ = [
     'check_configurations',
+    'check_duties',
     'check_jobs',
     'check_orders',
     'check_engine_orders',
@@ -195,3 +196,19 @@
         for request_id in record['ran']:
             run_counts[request_id] = run_counts.get(request_id, 0) + 1
     return run_counts
+
+
+def check_duties(duties: dict, fail: abc.Callable[[str], None]) -> None:
+    """Check the calls of the holders of duties, and that none was left out.
+
+    Windows before the first agreement on a clock are not reported.
+    """
+    for violation in duties['violations']:
+        fail(violation)
+    windows = duties['windows']
+    if not windows:
+        fail('no window of usage was reported')
+        return
+    missing = set(range(windows[0], windows[-1] + 1)) - set(windows)
+    for window in sorted(missing):
+        fail(f'the report of window {window} was left out')
--- a/soak/run.py
+++ b/soak/run.py
@@ -24,6 +24,12 @@
 
 ZONES = ('north', 'middle', 'south')
 SETTLE_S = 45.0
+DUTY_SETTINGS = {
+    'duties': ['usage_report'],
+    'duty_calls_per_s': 50,
+    'usage_window_s': 1,
+    'usage_late_s': 10,
+}
 VERSION_EVERY_S = 2.5
 CONFIGURATION_EVERY_S = 1.5
 # Engines of a new software version join after this share of a run.
@@ -158,12 +164,19 @@
             self.fleet.start_entry(
                 name,
                 table_address=table_proxy.address,
+                **self._get_duty_settings(),
                 # For the audit of the logs.
                 log_level='DEBUG',
             )
         await self._insert_endpoint_proxies()
         await asyncio.to_thread(self.fleet.wait_ready)
 
+    def _get_duty_settings(self) -> dict[str, object]:
+        if self.old_build is not None:
+            # Builds before the present one have no such settings.
+            return {}
+        return {**DUTY_SETTINGS, 'duty_address': self.fleet.platform.address}
+
     async def _insert_endpoint_proxies(self) -> None:
         records = await asyncio.to_thread(self.fleet.get_endpoint_records)
         records.pop('events')
@@ -288,6 +301,9 @@
         checks.check_orders(callers, records, self.fail)
         checks.check_streams(callers, records, self.fail)
         checks.check_engine_orders(records, self.fail)
+        if self.old_build is None:
+            duties = await asyncio.to_thread(self.fleet.get_duties)
+            checks.check_duties(duties, self.fail)
         logs = sorted(self.fleet.folder.glob('entry-*.log'))
         checks.check_leaving(logs, self.fail)
         judged = self._count_due_versions(self.fail)
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -7,6 +7,7 @@
 
 from pomelopass.edges import httpserver
 from pomelopass import message
+from standins import dutyapi
 from standins import modelengines
 from standins import platformendpoints
 from standins import platformtable
@@ -19,12 +20,13 @@
 
 
 class Platform:
-    """Table, endpoints and a record of the requests they received."""
+    """Table, endpoints, duties, and a record of what they received."""
 
     def __init__(self, seed: int):
         rng = random.Random(seed)
         self.table = platformtable.PlatformTable(rng)
         self.pool = modelengines.EndpointPool(self.table.service, rng)
+        self.duties = dutyapi.DutyApi()
         self.server_by_id: dict[str, platformendpoints.EndpointServer] = {}
 
     async def add(self, endpoint: modelengines.FakeEndpoint) -> None:
@@ -39,8 +41,19 @@
             return platformtable.make_json(200, self._get_seen())
         if request.target == '/endpoint':
             return self._change_endpoint(request)
+        if request.target in ('/usage', '/scale'):
+            return await self.duties.handle(request)
+        if request.target == '/duties':
+            return platformtable.make_json(200, self._get_duties())
         return await self.table.handle(request)
 
+    def _get_duties(self) -> dict:
+        return {
+            'calls': len(self.duties.calls),
+            'violations': self.duties.find_violations(),
+            'windows': sorted(self.duties.body_by_window),
+        }
+
     def _change_endpoint(self, request: message.Request) -> message.Reply:
         changes = json.loads(request.body)
         endpoint = self.pool.endpoint_by_id[changes.pop('id')]
--- a/tests/test_soakchecks.py
+++ b/tests/test_soakchecks.py
@@ -91,3 +91,16 @@
     disturbed = disturbance.Disturbance(name, 11.0, 12.0)
     found = check_configuration(tmp_path, taken_at_s, [disturbed])
     assert len(found) == failures
+
+
+def test_reports_that_are_left_out_and_violations_fail():
+    failures = []
+    checks.check_duties(
+        {'violations': ['two holders'], 'windows': [3, 4, 6]}, failures.append
+    )
+    checks.check_duties({'violations': [], 'windows': []}, failures.append)
+    assert failures == [
+        'two holders',
+        'the report of window 5 was left out',
+        'no window of usage was reported',
+    ]
