--- a/pomelopass/entry/process.py
+++ b/pomelopass/entry/process.py
@@ -114,6 +114,9 @@
             metrics.ages.set({'table': table_name}, min(age_s, MAX_AGE_S))
         metrics.open.set({'kind': 'jobs'}, len(node.job_manager.task_by_id))
         metrics.open.set({'kind': 'waiting'}, len(node.scheduler.waiting))
+        metrics.open.set(
+            {'kind': 'usage-reports'}, node.usage.count_unreported()
+        )
         for outcome, count in servers[0].count_by_outcome.items():
             metrics.connections.set({'outcome': outcome}, count)
         return await metrics.handle(request)
--- a/pomelopass/entry/usageparts.py
+++ b/pomelopass/entry/usageparts.py
@@ -59,6 +59,10 @@
         elif row.value is not None:
             self.counter.set_progress(rowcodec.decode_progress(row.value))
 
+    def count_unreported(self) -> int:
+        """Return how many reports this holder has not seen accepted."""
+        return 0 if self.manager is None else self.manager.count_unreported()
+
     def begin_stop(self) -> None:
         """Close no further window and hand the duty over."""
         if self.manager is not None:
