--- a/tests/usage/test_reports.py
+++ b/tests/usage/test_reports.py
@@ -274,6 +274,8 @@
         entry.node.begin_stop(loop.time() + 8)
         for _ in range(30):
             await traffic.send(name, 'team-0')
+        # Requests without a workspace count nowhere.
+        await traffic.send(name, '')
         await entry.node.end_stop()
         entry.alive = False
         await asyncio.sleep(16)
