--- a/scripts/dutymutants.py
+++ b/scripts/dutymutants.py
@@ -18,8 +18,53 @@
 KEPT_ROWS = 'tests/fleet/test_keptrows.py'
 SETTINGS = 'tests/entry/test_duty_settings.py'
 AUDIT = 'tests/test_dutyaudit.py'
+PLAN = 'pomelopass/scaling/plan.py'
+REPLAYS = 'tests/scaling/test_plan.py'
 
 MUTANTS = (
+    mutant.Mutant(
+        'engines-follow-each-wave',
+        PLAN,
+        'return self.peaks[0][1]',
+        'return wanted',
+        (REPLAYS,),
+    ),
+    mutant.Mutant(
+        'spot-engines-of-one-zone-carry-the-jobs',
+        PLAN,
+        '_get_capacity_without(target, supply_by_zone, zone) < (\n'
+        '                committed\n            ):',
+        'False:',
+        (REPLAYS,),
+    ),
+    mutant.Mutant(
+        'engines-that-are-not-available-are-ordered-at-once',
+        PLAN,
+        'UNAVAILABLE_BOOTS = 2',
+        'UNAVAILABLE_BOOTS = 0',
+        (REPLAYS,),
+    ),
+    mutant.Mutant(
+        'lost-orders-are-not-repeated',
+        PLAN,
+        'return present != count and',
+        'return False and',
+        (REPLAYS,),
+    ),
+    mutant.Mutant(
+        'replaced-engines-leave-at-once',
+        PLAN,
+        'if _get_capacity(kept, supply_by_zone) - booting < demand.committed:',
+        'if False:',
+        (REPLAYS,),
+    ),
+    mutant.Mutant(
+        'pace-of-a-zone-has-no-effect-on-its-price',
+        PLAN,
+        'return price / supply_by_zone[kind.zone].pace',
+        'return price',
+        (REPLAYS,),
+    ),
     mutant.Mutant(
         'audit-counts-reports-that-were-not-sent',
         'pomelopass/reporting/dutyaudit.py',
--- /dev/null
+++ b/tests/scaling/__init__.py
@@ -0,0 +1,1 @@
+"""Test the package of the same name."""
