--- a/pomelopass/usage/clock.py
+++ b/pomelopass/usage/clock.py
@@ -17,6 +17,9 @@
 NOISE_MS = 100.0
 # A step of most clocks counts once it has lasted for so many windows.
 LASTING_ROUNDS = 3
+# Wall clocks are off by seconds. If true time seems to be off by more, the
+# table's clock has begun anew.
+MAX_ERROR_MS = 30_000.0
 # Without an agreement for this long, an instance uses its own offset.
 OWN_OFFSET_AFTER_S = 20.0
 
@@ -78,10 +81,19 @@
         if table_ms is None:
             return None
         offset_ms = self.agreed_offset_ms
+        if not self.fits(offset_ms):
+            offset_ms = None
         if offset_ms is None and self._is_agreement_overdue():
             offset_ms = self.get_own_offset_ms()
         return None if offset_ms is None else table_ms + offset_ms
 
+    def fits(self, offset_ms: float | None) -> bool:
+        """Return whether an offset is near that of the own wall clock."""
+        own_ms = self.get_own_offset_ms()
+        if offset_ms is None or own_ms is None:
+            return False
+        return abs(offset_ms - own_ms) <= MAX_ERROR_MS
+
     def _is_agreement_overdue(self) -> bool:
         now = asyncio.get_running_loop().time()
         return now - self.first_known_at > OWN_OFFSET_AFTER_S
--- a/pomelopass/usage/manager.py
+++ b/pomelopass/usage/manager.py
@@ -150,16 +150,20 @@
 
     def _has_work(self) -> bool:
         stored = self.stored
-        if stored is None or stored.progress is None:
+        if stored is None or not self._has_clock():
             return True
         if stored.get_unaccepted():
             return True
         return stored.get_last_window() < self._get_closed_window()
 
+    def _has_clock(self) -> bool:
+        progress = self.stored.progress
+        return progress is not None and self.clock.fits(progress.offset_ms)
+
     def _get_closed_window(self) -> int:
         now = asyncio.get_running_loop().time()
         table_ms = self.clock.get_table_ms(now)
-        if table_ms is None or self.stored.progress is None:
+        if table_ms is None or not self._has_clock():
             return -1
         return windows.get_closed_window(
             table_ms + self.stored.progress.offset_ms,
@@ -170,15 +174,15 @@
     async def _close_windows(self) -> None:
         """Store the reports of all windows whose counts are in."""
         stored = self.stored
-        if stored.progress is not None and (
+        if self._has_clock() and (
             stored.get_last_window() >= self._get_closed_window()
         ):
             return
         counts = await self.store.read_counts()
         count_rows = [count_row for _, count_row in counts]
         await self._agree_on_clock(counts)
-        if stored.progress is None:
-            self.retry_at = self._get_retry_at()
+        if not self._has_clock():
+            self._delay_retry()
             return
         self._log_missed(count_rows)
         first = stored.get_last_window() + 1
@@ -249,7 +253,7 @@
         progress = self.stored.progress
         if progress is None and now < self.agrees_from:
             return
-        agreed_ms = None if progress is None else progress.offset_ms
+        agreed_ms = progress.offset_ms if self._has_clock() else None
         offset_ms = self.agreement.choose(agreed_ms, offsets_ms, len(alive))
         if offset_ms is None or offset_ms == agreed_ms:
             return
--- a/scripts/dutymutants.py
+++ b/scripts/dutymutants.py
@@ -215,6 +215,13 @@
         'offset_ms = self.get_own_offset_ms()\n',
         (REPORTS, WINDOWS),
     ),
+    mutant.Mutant(
+        'table-clock-that-begins-anew-is-not-noticed',
+        CLOCK,
+        'return abs(offset_ms - own_ms) <= MAX_ERROR_MS',
+        'return True',
+        (f'{REPORTS}::test_clock_of_the_table_that_begins_anew_is_noticed',),
+    ),
     mutant.Mutant(
         'one-clock-decides-for-all',
         CLOCK,
--- a/tests/usage/test_reports.py
+++ b/tests/usage/test_reports.py
@@ -59,6 +59,31 @@
     usagebuilders.run(scenario)
 
 
+# A table that starts again may begin its clock anew: true time would seem to
+# stand still, or thousands of windows to be over.
+@pytest.mark.parametrize('jump_ms', [-3_600_000, 3_600_000])
+def test_clock_of_the_table_that_begins_anew_is_noticed(jump_ms):
+    async def scenario(cluster, api, traffic):
+        await asyncio.sleep(8)
+        sending = asyncio.ensure_future(traffic.run(60))
+        await asyncio.sleep(8)
+        get_now_ms = cluster.service.get_now_ms
+        cluster.service.get_now_ms = lambda: get_now_ms() + jump_ms
+        await sending
+        await asyncio.sleep(14)
+        now = asyncio.get_running_loop().time()
+        windows = sorted(api.body_by_window)
+        assert windows == list(range(windows[0], windows[-1] + 1))
+        current = usagebuilders.get_window(now)
+        assert current - 3 <= windows[-1] < current
+        # The clock is known again 20 s after the jump at the latest.
+        found = api.get_counts()
+        for window in windows[-6:]:
+            assert found[window] == dict(traffic.counts[window])
+
+    usagebuilders.run(scenario)
+
+
 # Starts before the first agreement on a clock must not be lost.
 def test_requests_of_the_first_seconds_count():
     async def scenario(cluster, api, traffic):
