--- a/pomelopass/commands/logs.py
+++ b/pomelopass/commands/logs.py
@@ -10,6 +10,7 @@
 from .. import command
 from ..reporting import clockskew
 from ..reporting import configaudit
+from ..reporting import dutyaudit
 from ..reporting import keyaudit
 from ..reporting import leavingaudit
 from ..reporting import limitaudit
@@ -89,8 +90,9 @@
     'several software versions wrote, compare how instances without links '
     'to endpoints served their callers, find requests to endpoints that had '
     'said that they leave, measure how late instances had each '
-    'configuration in force, and find requests that were sent with a key '
-    'after its end.',
+    'configuration in force, find requests that were sent with a key '
+    'after its end, windows of usage that were reported with other counts '
+    'and duties with two holders.',
 )
 @dataclasses.dataclass
 class AuditLogs:
@@ -113,6 +115,7 @@
                 ('requests reached leaving endpoints', _audit_leaving),
                 ('a configuration was late', _audit_configurations),
                 ('a key was used after its end', _audit_keys),
+                ('duties had two holders or reports', _audit_duties),
             )
             if check(lines)
         ]
@@ -216,6 +219,24 @@
     return bool(uses)
 
 
+def _audit_duties(lines: list[savedlogs.LogLine]) -> bool:
+    """Print contradicting reports and holders; return whether any is."""
+    other_reports = dutyaudit.find_other_reports(lines)
+    for report in other_reports:
+        senders = ', '.join(
+            f'{digest} by {" and ".join(instances)}'
+            for digest, instances in report.instances_by_digest.items()
+        )
+        print(f'usage CHANGED: window {report.window} was sent as {senders}')
+    shared_tokens = dutyaudit.find_shared(lines)
+    for token in shared_tokens:
+        print(
+            f'duty SHARED: {token.duty} of {token.subject} with token '
+            f'{token.fence} by {", ".join(token.instances)}'
+        )
+    return bool(other_reports or shared_tokens)
+
+
 def _read_files(names: list[str]) -> list[savedlogs.LogLine]:
     sources = []
     for name in names:
--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -11,6 +11,7 @@
 
 from scripts import configmutants
 from scripts import costmutants
+from scripts import dutymutants
 from scripts import endmutants
 from scripts import fleetmutants
 from scripts import jobmutants
@@ -34,6 +35,7 @@
     'tests',
     'bench',
     'examples',
+    'deploy',
 )
 COPIED_FILES = ('conftest.py', 'pyproject.toml')
 
@@ -61,6 +63,7 @@
         *configmutants.MUTANTS,
         *costmutants.MUTANTS,
         *memorymutants.MUTANTS,
+        *dutymutants.MUTANTS,
     )
     selected = [mutation for mutation in mutants if name_part in mutation.name]
     with concurrent.futures.ThreadPoolExecutor(WORKERS) as pool:
--- a/tests/test_mutants.py
+++ b/tests/test_mutants.py
@@ -6,6 +6,7 @@
 
 from scripts import configmutants
 from scripts import costmutants
+from scripts import dutymutants
 from scripts import endmutants
 from scripts import fleetmutants
 from scripts import jobmutants
@@ -27,6 +28,7 @@
     *configmutants.MUTANTS,
     *costmutants.MUTANTS,
     *memorymutants.MUTANTS,
+    *dutymutants.MUTANTS,
 )
 
 
--- a/tests/test_soakchecks.py
+++ b/tests/test_soakchecks.py
@@ -114,3 +114,16 @@
     assert check_received('stolen-3', [])
     assert check_received('removed-red-3', ['red'])
     assert check_received('moved-red-3', ['blue'])
+
+
+def test_reports_that_are_left_out_and_violations_fail():
+    failures = []
+    checks.check_duties(
+        {'violations': ['two holders'], 'windows': [3, 4, 6]}, failures.append
+    )
+    checks.check_duties({'violations': [], 'windows': []}, failures.append)
+    assert failures == [
+        'two holders',
+        'the report of window 5 was left out',
+        'no window of usage was reported',
+    ]
