--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -19,6 +19,7 @@
 from scripts import pathmutants
 from scripts import requestmutants
 from scripts import sharedmutants
+from scripts import workspacemutants
 
 __all__ = ['main']
 
@@ -59,6 +60,7 @@
         *endmutants.MUTANTS,
         *configmutants.MUTANTS,
         *memorymutants.MUTANTS,
+        *workspacemutants.MUTANTS,
     )
     selected = [mutation for mutation in mutants if name_part in mutation.name]
     with concurrent.futures.ThreadPoolExecutor(WORKERS) as pool:
--- a/tests/requests/test_routes.py
+++ b/tests/requests/test_routes.py
@@ -60,7 +60,8 @@
     for number in (10, 2000):
         prefixes = [f'/route-{index:04d}/' for index in range(number)]
         configuration = make_configuration(prefixes)
-        path = CountedPath('/route-0009/x')
-        assert find_name(configuration, path) == '9'
-        counts.append(path.count)
-    assert counts[0] == counts[1] == 1
+        for name, found in (('0009', '9'), ('none', None)):
+            path = CountedPath(f'/route-{name}/x')
+            assert find_name(configuration, path) == found
+            counts.append(path.count)
+    assert counts == [1] * 4
--- a/tests/test_mutants.py
+++ b/tests/test_mutants.py
@@ -13,6 +13,7 @@
 from scripts import pathmutants
 from scripts import requestmutants
 from scripts import sharedmutants
+from scripts import workspacemutants
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 MUTANTS = (
@@ -25,6 +26,7 @@
     *endmutants.MUTANTS,
     *configmutants.MUTANTS,
     *memorymutants.MUTANTS,
+    *workspacemutants.MUTANTS,
 )
 
 
--- a/tests/workspaces/test_requests.py
+++ b/tests/workspaces/test_requests.py
@@ -271,6 +271,28 @@
         await builders.put(cluster, 3, WITHOUT_RED)
         assert await request == 401
         assert not builders.get_received(cluster)
+        # The endpoint is well.
+        states = entry.node.registry.get_by_service('desk')
+        assert not any(state.consecutive_failures for state in states)
+
+    builders.run(scenario)
+
+
+# An answer at the end of its time would keep the caller for nothing.
+@pytest.mark.parametrize('target', [SCORES, ORDERS, '/chats/1'])
+def test_request_that_waits_is_refused_as_soon_as_its_key_is_removed(target):
+    async def scenario(cluster):
+        loop = asyncio.get_running_loop()
+        for endpoint in cluster.pool.endpoint_by_id.values():
+            endpoint.slots = 0
+        request = asyncio.ensure_future(
+            get_status(cluster, 'red-key-1', target=target)
+        )
+        await asyncio.sleep(0.2)
+        changed_at = loop.time()
+        cluster.put_configuration(builders.make_configuration(3, WITHOUT_RED))
+        assert await request == 401
+        assert loop.time() - changed_at < 0.2
 
     builders.run(scenario)
 
