--- a/pomelopass/entry/telemetry.py
+++ b/pomelopass/entry/telemetry.py
@@ -65,6 +65,12 @@
             **common,
         )
 
+        self.refused_keys = aioprometheus.Counter(
+            'pomelopass_refused_keys_total',
+            'Requests without a valid key, as far as they are logged.',
+            **common,
+        )
+
     def count_event(self, event: logevents.Event) -> None:
         """Update the metrics with an event."""
         labels = {'kind': event.kind}
@@ -77,6 +83,10 @@
         if isinstance(event, logevents.RequestEnded):
             outcome = {'outcome': event.outcome}
             self.request_seconds.observe(outcome, event.took_ms / 1000)
+        elif isinstance(event, logevents.KeysRefused):
+            self.refused_keys.add(
+                {'status': str(event.status)}, event.refusals
+            )
         elif isinstance(event, logevents.ItemRun):
             outcome = {'outcome': event.outcome}
             self.run_seconds.observe(outcome, event.took_ms / 1000)
--- a/tests/workspaces/test_requests.py
+++ b/tests/workspaces/test_requests.py
@@ -4,8 +4,11 @@
 
 import pytest
 
+from pomelopass.entry import telemetry as telemetries
 from pomelopass import message
+from pomelopass.reporting import logevents
 from pomelopass.requests import routes
+from standins import links
 from standins import modelengines
 from tests import entrybuilders
 from tests import workspacebuilders as builders
@@ -348,6 +351,44 @@
     builders.run(scenario)
 
 
+# The lines are few, the requests may be many.
+async def test_metric_counts_refused_keys_and_not_lines():
+    telemetry = telemetries.Telemetry('entry-0')
+    event = logevents.KeysRefused(
+        id='r', refusals=199, status=401, configuration=1, age_ms=1.0
+    )
+    telemetry.count_event(event)
+    reply = await telemetry.handle(message.Request('GET', '/metrics'))
+    (line,) = [
+        line
+        for line in reply.body.decode().splitlines()
+        if line.startswith('pomelopass_refused_keys_total{')
+    ]
+    assert line.endswith(' 199')
+    assert 'status="401"' in line
+
+
+# A peer carries the bytes; the instance that has the caller decides.
+def test_request_over_a_peer_brings_the_name_and_not_the_key():
+    async def scenario(cluster):
+        entry = cluster.entry_by_name[ENTRY]
+        entry.links.cut = links.CutKind.REFUSE
+        await asyncio.sleep(2.0)
+        status = await get_status(cluster, 'red-key-1')
+        assert status == 200
+        assert builders.get_workspaces(cluster) == [['red']]
+        assert 'red-key' not in repr(builders.get_received(cluster))
+        builders.set_slots(cluster, 0)
+        request = asyncio.ensure_future(
+            get_status(cluster, 'red-key-1', target=ORDERS, request_id='r2')
+        )
+        await asyncio.sleep(0.2)
+        await builders.put(cluster, 3, WITHOUT_RED)
+        assert await request == 401
+
+    builders.run(scenario)
+
+
 # The caller's answer goes on, and no endpoint may continue it.
 def test_stream_is_not_continued_elsewhere_after_its_key_is_removed():
     async def scenario(cluster):
