--- a/pomelopass/entry/node.py
+++ b/pomelopass/entry/node.py
@@ -24,6 +24,7 @@
 from ..paths import ports as pathports
 from ..platform import ingress as ingresses
 from ..platform import names
+from ..platform import relayedrows
 from ..registry import registry as registries
 from ..reporting import logevents
 from ..requests import forward
@@ -120,7 +121,7 @@
             ports.write_event,
         )
         self.relay_server = relayserver.RelayServer(
-            ports.fresh_table,
+            relayedrows.KeylessTable(ports.fresh_table),
             {
                 **self.limits.make_handlers(),
                 **self.paths.tunnels.make_handlers(),
--- a/pomelopass/platform/configdecode.py
+++ b/pomelopass/platform/configdecode.py
@@ -1,6 +1,8 @@
 """Decode the configuration row that the operator writes."""
 
 import collections
+from collections import abc
+from typing import Annotated
 
 import pydantic
 from returns import result
@@ -22,6 +24,9 @@
 DEFAULT_TARGET_LATENCY_MS = 500.0
 
 
+KeyDigest = Annotated[str, pydantic.Field(pattern='^[0-9a-f]{64}$')]
+
+
 class _Split(decoding.CheckedModel):
     service: str
     weight: decoding.FiniteFloat = 1.0
@@ -48,6 +53,8 @@
 class _Workspace(decoding.CheckedModel):
     name: str
     api_keys: list[str] | None = None
+    # In place of keys, in a row that a peer relays.
+    api_key_digests: list[KeyDigest] | None = None
     priority: decoding.Int64 | None = None
 
 
@@ -134,10 +141,20 @@
     return directory.build_directory(
         (
             directory.Workspace(workspace.name, workspace.priority),
-            workspace.api_keys or (),
+            _get_digests(workspace, index),
         )
-        for workspace in workspaces
+        for index, workspace in enumerate(workspaces)
+    )
+
+
+def _get_digests(
+    workspace: _Workspace, index: int
+) -> abc.Iterator[tuple[str, bytes]]:
+    yield from directory.make_digests(
+        workspace.api_keys or (), f'{index}.api_keys'
     )
+    for position, digest in enumerate(workspace.api_key_digests or ()):
+        yield f'{index}.api_key_digests.{position}', bytes.fromhex(digest)
 
 
 def _decode_service(service: _Service) -> routes.ServiceTarget:
--- a/pomelopass/workspaces/directory.py
+++ b/pomelopass/workspaces/directory.py
@@ -10,6 +10,7 @@
     'build_directory',
     'find_ended',
     'make_digest',
+    'make_digests',
 ]
 
 
@@ -44,23 +45,32 @@
     return hashlib.sha256(key).digest()
 
 
+def make_digests(
+    keys: abc.Iterable[str], place: str
+) -> abc.Iterator[tuple[str, bytes]]:
+    """Yield the place and the digest of each key; raise ValueError."""
+    for position, key in enumerate(keys):
+        if not key:
+            raise ValueError(f'{place}.{position}: the key is empty')
+        yield f'{place}.{position}', make_digest(key.encode())
+
+
 def build_directory(
-    keys_by_workspace: abc.Iterable[tuple[Workspace, abc.Iterable[str]]],
+    digests_by_workspace: abc.Iterable[
+        tuple[Workspace, abc.Iterable[tuple[str, bytes]]]
+    ],
 ) -> Directory:
     """Return the directory of all workspaces; raise ValueError with a place.
 
-    A key that stands twice in one workspace is harmless.
+    Each digest comes with the place of its key. A key that stands twice in
+    one workspace is harmless.
     """
     names: set[str] = set()
     workspace_by_digest: dict[bytes, Workspace] = {}
-    for index, (workspace, keys) in enumerate(keys_by_workspace):
+    for index, (workspace, digests) in enumerate(digests_by_workspace):
         _check_name(workspace.name, names, index)
         names.add(workspace.name)
-        for position, key in enumerate(keys):
-            place = f'{index}.api_keys.{position}'
-            if not key:
-                raise ValueError(f'{place}: the key is empty')
-            digest = make_digest(key.encode())
+        for place, digest in digests:
             known = workspace_by_digest.setdefault(digest, workspace)
             if known.name != workspace.name:
                 raise ValueError(f'{place}: {known.name!r} has the same key')
--- a/scripts/workspacemutants.py
+++ b/scripts/workspacemutants.py
@@ -25,8 +25,8 @@
     mutant.Mutant(
         'empty-key-is-accepted',
         f'{PACKAGE}/directory.py',
-        '            if not key:\n',
-        '            if False:\n',
+        '        if not key:\n',
+        '        if False:\n',
         (DIRECTORY,),
     ),
     mutant.Mutant(
@@ -287,6 +287,20 @@
         'configuration.routes_by_host[host.lower()]]:\n',
         ('tests/requests/test_routes.py',),
     ),
+    mutant.Mutant(
+        'rows-are-relayed-with-their-keys',
+        'pomelopass/entry/node.py',
+        'relayedrows.KeylessTable(ports.fresh_table)',
+        'ports.fresh_table',
+        (REQUESTS,),
+    ),
+    mutant.Mutant(
+        'empty-key-of-a-relayed-row-is-accepted',
+        'pomelopass/platform/relayedrows.py',
+        '    if not isinstance(key, str) or not key:\n',
+        '    if not isinstance(key, str):\n',
+        ('tests/platform/test_relayedrows.py',),
+    ),
     mutant.Mutant(
         'audit-takes-any-grant-for-a-new-one',
         'pomelopass/reporting/keyaudit.py',
--- a/tests/workspaces/test_requests.py
+++ b/tests/workspaces/test_requests.py
@@ -426,3 +426,34 @@
         assert len(builders.get_received(cluster, 'r1')) == 1
 
     builders.run(scenario)
+
+
+# An instance that the table refuses learns the keys from its peers.
+def test_peers_get_no_key_with_the_rows_that_they_relay():
+    async def scenario(cluster):
+        answers = []
+        for entry in cluster.entry_by_name.values():
+            spy_on_relay(entry.node.relay_server, answers)
+        cluster.entry_by_name[ENTRY].client.faults.reset = True
+        await asyncio.sleep(3.0)
+        keys = {'red': ['later-key'], 'blue': ['blue-key-1']}
+        cluster.put_configuration(builders.make_configuration(3, keys))
+        await asyncio.sleep(routes.APPLY_LIMIT_MS / 1000)
+        assert await get_status(cluster, 'later-key') == 200
+        assert await get_status(cluster, 'red-key-1') == 401
+        relayed = b''.join(answers)
+        assert b'api_key_digests' in relayed
+        assert b'-key' not in relayed.replace(b'api_key_digests', b'')
+
+    builders.run(scenario, relays=True)
+
+
+def spy_on_relay(server, answers):
+    process = server.process
+
+    async def process_and_record(frame):
+        answer, takeover = await process(frame)
+        answers.extend((frame, answer))
+        return answer, takeover
+
+    server.process = process_and_record
