--- a/pomelopass/workspaces/refusals.py
+++ b/pomelopass/workspaces/refusals.py
@@ -1,55 +1,54 @@
 """Log refused keys without a line for each request of a crowd."""
 
 import asyncio
+import dataclasses
 
 from ..reporting import logevents
 
 __all__ = ['RefusalLog']
 
-# At most two lines within this time, whatever callers send.
+# At most two lines of each status within this time, whatever callers send.
 INTERVAL_S = 10.0
 
 
+@dataclasses.dataclass(slots=True)
+class _Interval:
+    """Refusals of one status that are not logged yet; the first of them."""
+
+    count: int = 0
+    first: logevents.KeysRefused | None = None
+
+
 class RefusalLog:
     """Log the first refusal at once, and the number of those after it."""
 
     def __init__(self, write_event: logevents.WriteEvent):
         self.write_event = write_event
-        self.first: logevents.KeysRefused | None = None
-        self.count = 0
-        self.timer: asyncio.TimerHandle | None = None
+        self.interval_by_status: dict[int, _Interval] = {}
 
     def record(
         self, request_id: str, status: int, configuration: int, age_ms: float
     ) -> None:
         """Count a request that was refused for its key."""
-        self.count += 1
         event = logevents.KeysRefused(
             id=request_id,
-            refusals=self.count,
+            refusals=1,
             status=status,
             configuration=configuration,
             age_ms=round(age_ms, 1),
         )
-        if self.timer is not None:
-            self.first = self.first or event
+        interval = self.interval_by_status.get(status)
+        if interval is not None:
+            interval.count += 1
+            interval.first = interval.first or event
             return
-        self.count = 0
+        self.interval_by_status[status] = _Interval()
         self.write_event(event)
         loop = asyncio.get_running_loop()
-        self.timer = loop.call_later(INTERVAL_S, self._end_interval)
-
-    def _end_interval(self) -> None:
-        self.timer = None
-        first, self.first = self.first, None
-        if first is not None:
-            refusals, self.count = self.count, 0
-            self.write_event(
-                logevents.KeysRefused(
-                    id=first.id,
-                    refusals=refusals,
-                    status=first.status,
-                    configuration=first.configuration,
-                    age_ms=first.age_ms,
-                )
-            )
+        loop.call_later(INTERVAL_S, self._end_interval, status)
+
+    def _end_interval(self, status: int) -> None:
+        interval = self.interval_by_status.pop(status)
+        if interval.first is not None:
+            interval.first.refusals = interval.count
+            self.write_event(interval.first)
--- a/scripts/workspacemutants.py
+++ b/scripts/workspacemutants.py
@@ -174,7 +174,7 @@
     mutant.Mutant(
         'each-refused-key-is-logged',
         f'{PACKAGE}/refusals.py',
-        '        if self.timer is not None:\n',
+        '        if interval is not None:\n',
         '        if False:\n',
         (REQUESTS,),
     ),
--- a/tests/workspaces/test_requests.py
+++ b/tests/workspaces/test_requests.py
@@ -346,6 +346,23 @@
         lines = cluster.get_events('keys-refused')
         assert [line['refusals'] for line in lines] == [1, 199]
         assert [line['id'] for line in lines] == ['c0', 'c1']
+        # The metric counts by status: the lines must not mix them.
+        cluster.entry_by_name[ENTRY].client.faults.silent = True
+        statuses = []
+        for number in range(60):
+            statuses.append(
+                await get_status(cluster, 'stolen', request_id=f'd{number}')
+            )
+            await asyncio.sleep(0.1)
+        await asyncio.sleep(11)
+        lines = cluster.get_events('keys-refused')
+        for status in (401, 503):
+            counts = [
+                line['refusals']
+                for line in lines[2:]
+                if line['status'] == status
+            ]
+            assert counts == [1, statuses.count(status) - 1]
         assert 'stolen' not in repr(lines)
 
     builders.run(scenario)
