--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -21,6 +21,7 @@
 from scripts import pathmutants
 from scripts import requestmutants
 from scripts import sharedmutants
+from scripts import workspacemutants
 
 __all__ = ['main']
 
@@ -64,6 +65,7 @@
         *costmutants.MUTANTS,
         *memorymutants.MUTANTS,
         *dutymutants.MUTANTS,
+        *workspacemutants.MUTANTS,
     )
     selected = [mutation for mutation in mutants if name_part in mutation.name]
     with concurrent.futures.ThreadPoolExecutor(WORKERS) as pool:
--- a/tests/test_mutants.py
+++ b/tests/test_mutants.py
@@ -15,6 +15,7 @@
 from scripts import pathmutants
 from scripts import requestmutants
 from scripts import sharedmutants
+from scripts import workspacemutants
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 MUTANTS = (
@@ -29,6 +30,7 @@
     *costmutants.MUTANTS,
     *memorymutants.MUTANTS,
     *dutymutants.MUTANTS,
+    *workspacemutants.MUTANTS,
 )
 
 
--- a/tests/workspaces/test_requests.py
+++ b/tests/workspaces/test_requests.py
@@ -4,8 +4,11 @@
 
 import pytest
 
+from pomelopass.entry import telemetry as telemetries
 from pomelopass import message
+from pomelopass.reporting import logevents
 from pomelopass.requests import routes
+from standins import links
 from standins import modelengines
 from tests import entrybuilders
 from tests import workspacebuilders as builders
@@ -271,6 +274,28 @@
         await builders.put(cluster, 3, WITHOUT_RED)
         assert await request == 401
         assert not builders.get_received(cluster)
+        # The endpoint is well.
+        states = entry.node.registry.get_by_service('desk')
+        assert not any(state.consecutive_failures for state in states)
+
+    builders.run(scenario)
+
+
+# An answer at the end of its time would keep the caller for nothing.
+@pytest.mark.parametrize('target', [SCORES, ORDERS, '/chats/1'])
+def test_request_that_waits_is_refused_as_soon_as_its_key_is_removed(target):
+    async def scenario(cluster):
+        loop = asyncio.get_running_loop()
+        for endpoint in cluster.pool.endpoint_by_id.values():
+            endpoint.slots = 0
+        request = asyncio.ensure_future(
+            get_status(cluster, 'red-key-1', target=target)
+        )
+        await asyncio.sleep(0.2)
+        changed_at = loop.time()
+        cluster.put_configuration(builders.make_configuration(3, WITHOUT_RED))
+        assert await request == 401
+        assert loop.time() - changed_at < 0.2
 
     builders.run(scenario)
 
@@ -321,11 +346,66 @@
         lines = cluster.get_events('keys-refused')
         assert [line['refusals'] for line in lines] == [1, 199]
         assert [line['id'] for line in lines] == ['c0', 'c1']
+        # The metric counts by status: the lines must not mix them.
+        cluster.entry_by_name[ENTRY].client.faults.silent = True
+        statuses = []
+        for number in range(60):
+            statuses.append(
+                await get_status(cluster, 'stolen', request_id=f'd{number}')
+            )
+            await asyncio.sleep(0.1)
+        await asyncio.sleep(11)
+        lines = cluster.get_events('keys-refused')
+        for status in (401, 503):
+            counts = [
+                line['refusals']
+                for line in lines[2:]
+                if line['status'] == status
+            ]
+            assert counts == [1, statuses.count(status) - 1]
         assert 'stolen' not in repr(lines)
 
     builders.run(scenario)
 
 
+# The lines are few, the requests may be many.
+async def test_metric_counts_refused_keys_and_not_lines():
+    telemetry = telemetries.Telemetry('entry-0')
+    event = logevents.KeysRefused(
+        id='r', refusals=199, status=401, configuration=1, age_ms=1.0
+    )
+    telemetry.count_event(event)
+    reply = await telemetry.handle(message.Request('GET', '/metrics'))
+    (line,) = [
+        line
+        for line in reply.body.decode().splitlines()
+        if line.startswith('pomelopass_refused_keys_total{')
+    ]
+    assert line.endswith(' 199')
+    assert 'status="401"' in line
+
+
+# A peer carries the bytes; the instance that has the caller decides.
+def test_request_over_a_peer_brings_the_name_and_not_the_key():
+    async def scenario(cluster):
+        entry = cluster.entry_by_name[ENTRY]
+        entry.links.cut = links.CutKind.REFUSE
+        await asyncio.sleep(2.0)
+        status = await get_status(cluster, 'red-key-1')
+        assert status == 200
+        assert builders.get_workspaces(cluster) == [['red']]
+        assert 'red-key' not in repr(builders.get_received(cluster))
+        builders.set_slots(cluster, 0)
+        request = asyncio.ensure_future(
+            get_status(cluster, 'red-key-1', target=ORDERS, request_id='r2')
+        )
+        await asyncio.sleep(0.2)
+        await builders.put(cluster, 3, WITHOUT_RED)
+        assert await request == 401
+
+    builders.run(scenario)
+
+
 # The caller's answer goes on, and no endpoint may continue it.
 def test_stream_is_not_continued_elsewhere_after_its_key_is_removed():
     async def scenario(cluster):
@@ -363,3 +443,34 @@
         assert len(builders.get_received(cluster, 'r1')) == 1
 
     builders.run(scenario)
+
+
+# An instance that the table refuses learns the keys from its peers.
+def test_peers_get_no_key_with_the_rows_that_they_relay():
+    async def scenario(cluster):
+        answers = []
+        for entry in cluster.entry_by_name.values():
+            spy_on_relay(entry.node.relay_server, answers)
+        cluster.entry_by_name[ENTRY].client.faults.reset = True
+        await asyncio.sleep(3.0)
+        keys = {'red': ['later-key'], 'blue': ['blue-key-1']}
+        cluster.put_configuration(builders.make_configuration(3, keys))
+        await asyncio.sleep(routes.APPLY_LIMIT_MS / 1000)
+        assert await get_status(cluster, 'later-key') == 200
+        assert await get_status(cluster, 'red-key-1') == 401
+        relayed = b''.join(answers)
+        assert b'api_key_digests' in relayed
+        assert b'-key' not in relayed.replace(b'api_key_digests', b'')
+
+    builders.run(scenario, relays=True)
+
+
+def spy_on_relay(server, answers):
+    process = server.process
+
+    async def process_and_record(frame):
+        answer, takeover = await process(frame)
+        answers.extend((frame, answer))
+        return answer, takeover
+
+    server.process = process_and_record
