--- a/bench/fleetcost.py
+++ b/bench/fleetcost.py
@@ -22,6 +22,7 @@
 from pomelopass.fleet import heartbeat
 from pomelopass.fleet import member
 from pomelopass.table import rows
+from pomelopass.versions import leader
 from scripts import entryfleet
 from standins import modelengines
 from standins import platformtable
@@ -211,6 +212,11 @@
         self.members = [_make_member(number) for number in range(count - 1)]
         for instance in self.members:
             self._put_member(instance)
+        # Without a leader the measured instance would try to become it.
+        first = self.members[0]
+        row = leader.LeaderRow(first.incarnation, first.name, 1, 1)
+        key = leader.Leadership('engines', '', '').key
+        self.service.apply(rows.Transaction(puts=((key, orjson.dumps(row)),)))
 
     async def write_entries(self) -> None:
         """Write each engine's entry again, until cancelled."""
--- a/pomelopass/entry/view.py
+++ b/pomelopass/entry/view.py
@@ -24,6 +24,8 @@
         self.registry = registry
         self.write_event = write_event
         self.configuration: routes.Configuration | None = None
+        # State of the fleet of which the runs were summed last.
+        self.summed_revision = -1
         self.on_limits: abc.Callable[[routes.CallerLimits], None] = (
             lambda limits: None
         )
@@ -53,7 +55,13 @@
         self.membership.put(instance, now)
 
     def update_in_flight_elsewhere(self) -> None:
-        """Sum the runs of other live instances at each endpoint."""
+        """Sum the runs of other live instances at each endpoint.
+
+        They change only with the copy of the fleet's heartbeats.
+        """
+        if self.summed_revision == self.membership.revision:
+            return
+        self.summed_revision = self.membership.revision
         now = asyncio.get_running_loop().time()
         own_name = self.membership.own_name
         count_by_id: dict[str, int] = {}
@@ -65,8 +73,7 @@
             for endpoint_id, count in instance.runs_by_endpoint.items():
                 subtotal = count_by_id.get(endpoint_id, 0)
                 count_by_id[endpoint_id] = subtotal + count
-        for endpoint_id, state in self.registry.state_by_id.items():
-            state.in_flight_elsewhere = count_by_id.get(endpoint_id, 0)
+        self.registry.set_runs_elsewhere(count_by_id)
 
     def get_runs(self) -> dict[str, int]:
         """Return the number of runs of this instance at each engine."""
--- a/pomelopass/fleet/member.py
+++ b/pomelopass/fleet/member.py
@@ -70,9 +70,13 @@
     own_write_ms: float = 0.0
     # Start of each instance that reported that it reaches no endpoint.
     cut_off_by_name: dict[str, str] = dataclasses.field(default_factory=dict)
+    # Grows whenever other instances may count as alive, or other heartbeats
+    # are the last ones.
+    revision: int = 0
 
     def mark_fresh(self, now: float) -> None:
         """Record that the view of the fleet was up to date."""
+        self.revision += 1
         if (now - self.fresh_at) * 1000 > MAX_VIEW_GAP_MS:
             self.uninterrupted_since = now
         self.fresh_at = now
@@ -92,11 +96,13 @@
 
     def put(self, member: Member, now: float) -> None:
         """Record a heartbeat."""
+        self.revision += 1
         self.member_by_name[member.name] = member
         self.seen_at_by_name[member.name] = now
 
     def remove(self, name: str) -> None:
         """Remove an instance whose row was removed."""
+        self.revision += 1
         self.member_by_name.pop(name, None)
         self.seen_at_by_name.pop(name, None)
 
--- a/pomelopass/registry/registry.py
+++ b/pomelopass/registry/registry.py
@@ -16,6 +16,12 @@
     def __init__(self, write_event: logevents.WriteEvent):
         self.write_event = write_event
         self.state_by_id: dict[str, endpoints.EndpointState] = {}
+        # The same states; a request or a check concerns one service only.
+        self.states_by_service: dict[
+            str, dict[str, endpoints.EndpointState]
+        ] = {}
+        # Runs that other instances reported, also at unknown endpoints.
+        self.runs_elsewhere_by_id: dict[str, int] = {}
         # Endpoints whose entries disappeared during or just after an outage.
         self.missing_since_by_id: dict[str, float] = {}
         # Start of each endpoint that said itself that it leaves. Its entry
@@ -36,9 +42,9 @@
             and state.endpoint.started_at_ms != entry.started_at_ms
         )
         if state is None or restarted:
-            self.state_by_id[entry.id] = endpoints.EndpointState(
-                entry, version_by_model=dict(entry.version_by_model)
-            )
+            if restarted and state.endpoint.service != entry.service:
+                self._remove_from_service(state.endpoint)
+            self._add(entry)
             self._update_leaving(entry.id)
             self._log_change(entry, 'restarted' if restarted else 'found')
             return True
@@ -49,10 +55,43 @@
         if state.endpoint.version_by_model != entry.version_by_model:
             state.version_by_model.update(entry.version_by_model)
             self._log_change(entry, 'version')
+        if state.endpoint.service != entry.service:
+            self._remove_from_service(state.endpoint)
+            self._add_to_service(entry.service, state)
         state.endpoint = entry
         self._update_leaving(entry.id)
         return True
 
+    def set_runs_elsewhere(self, count_by_id: dict[str, int]) -> None:
+        """Replace the runs of other instances, by id of the endpoint."""
+        previous = self.runs_elsewhere_by_id
+        self.runs_elsewhere_by_id = count_by_id
+        for endpoint_id in previous.keys() | count_by_id.keys():
+            state = self.state_by_id.get(endpoint_id)
+            if state is not None:
+                state.in_flight_elsewhere = count_by_id.get(endpoint_id, 0)
+
+    def _add(self, entry: endpoints.Endpoint) -> None:
+        state = endpoints.EndpointState(
+            entry,
+            in_flight_elsewhere=self.runs_elsewhere_by_id.get(entry.id, 0),
+            version_by_model=dict(entry.version_by_model),
+        )
+        self.state_by_id[entry.id] = state
+        self._add_to_service(entry.service, state)
+
+    def _add_to_service(
+        self, service: str, state: endpoints.EndpointState
+    ) -> None:
+        states = self.states_by_service.setdefault(service, {})
+        states[state.endpoint.id] = state
+
+    def _remove_from_service(self, entry: endpoints.Endpoint) -> None:
+        states = self.states_by_service[entry.service]
+        del states[entry.id]
+        if not states:
+            del self.states_by_service[entry.service]
+
     def record_leaving(self, endpoint_id: str, started_at_ms: int) -> None:
         """Record that an endpoint said that it leaves; final for its start."""
         if self.leaving_start_by_id.get(endpoint_id) == started_at_ms:
@@ -86,6 +125,7 @@
             self.missing_since_by_id[endpoint_id] = now
             return
         state = self.state_by_id.pop(endpoint_id)
+        self._remove_from_service(state.endpoint)
         self._log_change(state.endpoint, 'gone')
 
     def drop_missing(self, outage_ended_at: float, now: float) -> None:
@@ -106,8 +146,8 @@
         """
         states = [
             state
-            for state in self.state_by_id.values()
-            if state.endpoint.service == name and not state.is_leaving
+            for state in self.states_by_service.get(name, {}).values()
+            if not state.is_leaving
         ]
         if not self.missing_since_by_id:
             return states
@@ -120,11 +160,7 @@
 
     def get_all_by_service(self, name: str) -> list[endpoints.EndpointState]:
         """Return all endpoints of a service, including draining ones."""
-        return [
-            state
-            for state in self.state_by_id.values()
-            if state.endpoint.service == name
-        ]
+        return list(self.states_by_service.get(name, {}).values())
 
     def count_slots(self, service: str) -> int:
         """Return how many requests a service can run at a time."""
@@ -134,9 +170,11 @@
     def get_engine_services(self) -> set[str]:
         """Return the services whose endpoints hold model weights."""
         return {
-            state.endpoint.service
-            for state in self.state_by_id.values()
-            if state.endpoint.version_by_model
+            service
+            for service, states in self.states_by_service.items()
+            if any(
+                state.endpoint.version_by_model for state in states.values()
+            )
         }
 
     def _log_change(self, entry: endpoints.Endpoint, change: str) -> None:
--- a/scripts/costmutants.py
+++ b/scripts/costmutants.py
@@ -5,6 +5,8 @@
 __all__ = ['MUTANTS']
 
 PACING = 'tests/table/test_pacing.py'
+SERVICES = 'tests/registry/test_services.py'
+VIEW = 'tests/entry/test_view.py'
 ROW_HANDLERS = 'tests/platform/test_rowhandlers.py'
 
 MUTANTS = (
@@ -57,4 +59,48 @@
         'state.endpoint is entry:',
         (ROW_HANDLERS,),
     ),
+    mutant.Mutant(
+        'endpoint-stays-in-its-former-service',
+        'pomelopass/registry/registry.py',
+        'if state.endpoint.service != entry.service:\n'
+        '            self._remove',
+        'if False:\n            self._remove',
+        (SERVICES,),
+    ),
+    mutant.Mutant(
+        'removed-endpoint-stays-in-its-service',
+        'pomelopass/registry/registry.py',
+        '        self._remove_from_service(state.endpoint)\n'
+        '        self._log_change',
+        '        self._log_change',
+        (SERVICES,),
+    ),
+    mutant.Mutant(
+        'runs-that-ended-stay-counted',
+        'pomelopass/registry/registry.py',
+        'previous.keys() | count_by_id.keys()',
+        'count_by_id',
+        (SERVICES,),
+    ),
+    mutant.Mutant(
+        'new-endpoint-has-no-runs-elsewhere',
+        'pomelopass/registry/registry.py',
+        'in_flight_elsewhere=self.runs_elsewhere_by_id.get(entry.id, 0),',
+        '',
+        (SERVICES,),
+    ),
+    mutant.Mutant(
+        'runs-of-a-dead-instance-stay-counted',
+        'pomelopass/fleet/member.py',
+        'up to date."""\n        self.revision += 1',
+        'up to date."""',
+        (VIEW,),
+    ),
+    mutant.Mutant(
+        'runs-of-a-heartbeat-are-not-counted',
+        'pomelopass/fleet/member.py',
+        'heartbeat."""\n        self.revision += 1\n        self.member',
+        'heartbeat."""\n        self.member',
+        (VIEW,),
+    ),
 )
--- a/scripts/leavingmutants.py
+++ b/scripts/leavingmutants.py
@@ -36,8 +36,8 @@
     mutant.Mutant(
         'leaving-endpoints-are-chosen',
         'pomelopass/registry/registry.py',
-        'if state.endpoint.service == name and not state.is_leaving',
-        'if state.endpoint.service == name and not state.endpoint.is_draining',
+        'if not state.is_leaving',
+        'if not state.endpoint.is_draining',
         (LEAVING,),
     ),
     mutant.Mutant(
