--- a/pomelopass/platform/rowclient.py
+++ b/pomelopass/platform/rowclient.py
@@ -1,6 +1,7 @@
 """Call the platform's table service over HTTP."""
 
 import base64
+import binascii
 from collections import abc
 import contextlib
 import urllib.parse
@@ -176,13 +177,6 @@
     return number
 
 
-def _get_text(content: dict, name: str) -> str:
-    text = content.get(name, '')
-    if not isinstance(text, str):
-        raise TypeError(f'{name} is no text')
-    return text
-
-
 def _encode_key(key: rows.Key) -> dict[str, str]:
     return {'table': key.table, 'part': key.part, 'key': key.key}
 
@@ -193,9 +187,12 @@
 
 def _decode_row(row: dict) -> rows.Row:
     key = rows.Key(
-        _get_text(row, 'table'), _get_text(row, 'part'), _get_text(row, 'key')
+        row.get('table', ''), row.get('part', ''), row.get('key', '')
     )
+    for text in key:
+        if type(text) is not str:
+            raise TypeError(f'{text!r} is no text')
     value = None
     if not row.get('removed') and row.get('value') is not None:
-        value = base64.b64decode(row['value'])
+        value = binascii.a2b_base64(row['value'])
     return rows.Row(key, value, _get_number(row, 'ver'))
--- a/pomelopass/table/rows.py
+++ b/pomelopass/table/rows.py
@@ -2,7 +2,7 @@
 
 from collections import abc
 import dataclasses
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 __all__ = [
     'Applied',
@@ -23,8 +23,8 @@
 ABSENT = 0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Key:
+# Tuples: thousands of keys and rows are received and looked up each second.
+class Key(NamedTuple):
     """Full name of a row."""
 
     table: str
@@ -32,8 +32,7 @@
     key: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Row:
+class Row(NamedTuple):
     """A row; the value is None in the change that removed it."""
 
     name: Key
