--- a/pomelopass/entry/tablewatch.py
+++ b/pomelopass/entry/tablewatch.py
@@ -21,6 +21,7 @@
 from ..requests import routes
 from ..table import fallback
 from ..table import follower as followers
+from ..table import memo
 from ..table import rows
 from ..versions import leader
 from ..versions import manager as versionmanagers
@@ -74,6 +75,7 @@
         self.listeners = listeners
         self.outage_ended_at = float('-inf')
         self.in_outage = False
+        self.known_members = memo.RowMemo[member.Member](member.COUNTER)
         read_operator_row = rowhandlers.make_operator_row_handler(
             listeners.view.put_configuration,
             listeners.versions.set_target_version,
@@ -224,13 +226,14 @@
             )
             return
         if row.value is None:
+            self.known_members.remove(key)
             name = key.removeprefix(heartbeat.MEMBER_KEY_PREFIX)
             listeners.membership.remove(name)
             listeners.quarantine.record_reported_crashes(
                 name, {}, asyncio.get_running_loop().time()
             )
             return
-        instance = member.decode_member(row.value)
+        instance = self._decode_member(key, row.value)
         if instance is None:
             listeners.write_event(logevents.MemberUnreadable(key=key))
             return
@@ -242,6 +245,15 @@
                 asyncio.get_running_loop().time(),
             )
 
+    def _decode_member(self, key: str, value: bytes) -> member.Member | None:
+        """Return the member, with an earlier count if no more changed."""
+        instance = self.known_members.find(key, value)
+        if instance is None:
+            instance = member.decode_member(value)
+            if instance is not None:
+                self.known_members.put(key, value, instance)
+        return instance
+
     def _put_limits_row(self, row: rows.Row) -> None:
         if row.value is None:
             return
--- a/pomelopass/fleet/member.py
+++ b/pomelopass/fleet/member.py
@@ -7,8 +7,16 @@
 from .. import decoding
 from . import lateness
 
-__all__ = ['Member', 'Membership', 'decode_member', 'encode_member']
-
+__all__ = [
+    'COUNTER',
+    'Member',
+    'Membership',
+    'decode_member',
+    'encode_member',
+]
+
+# Field that grows with each heartbeat; only its writer uses the count.
+COUNTER = 'beat'
 MAX_VIEW_GAP_MS = 900.0
 RECENT_HEARTBEAT_MS = 1000.0
 
--- a/scripts/costmutants.py
+++ b/scripts/costmutants.py
@@ -4,6 +4,7 @@
 
 __all__ = ['MUTANTS']
 
+HEARTBEATS = 'tests/entry/test_heartbeats.py'
 PACING = 'tests/table/test_pacing.py'
 SERVICES = 'tests/registry/test_services.py'
 VIEW = 'tests/entry/test_view.py'
@@ -103,4 +104,18 @@
         'heartbeat."""\n        self.member',
         (VIEW,),
     ),
+    mutant.Mutant(
+        'unchanged-heartbeats-are-decoded-again',
+        'pomelopass/entry/tablewatch.py',
+        'self.known_members.put(key, value, instance)',
+        'pass',
+        (HEARTBEATS,),
+    ),
+    mutant.Mutant(
+        'heartbeats-with-any-beginning-count-as-unchanged',
+        'pomelopass/table/memo.py',
+        'if not (value.startswith(before) and value.endswith(after)):',
+        'if not value.endswith(after):',
+        (HEARTBEATS, ROW_HANDLERS),
+    ),
 )
--- a/tests/entry/test_heartbeats.py
+++ b/tests/entry/test_heartbeats.py
@@ -27,3 +27,32 @@
             await asyncio.sleep(0.05)
 
     entrybuilders.run_cluster(scenario, relays=True)
+
+
+# Of 300 instances 600 heartbeats a second say nothing new; one that does, of
+# a stop or of a new start, must not be taken for the one before.
+def test_heartbeats_are_decoded_again_once_they_say_something_new():
+    async def scenario(cluster):
+        membership = cluster.entry_by_name['entry-1'].node.membership
+
+        async def read_next():
+            seen_at = membership.seen_at_by_name['entry-0']
+            while membership.seen_at_by_name['entry-0'] == seen_at:
+                await asyncio.sleep(0.05)
+            return membership.member_by_name['entry-0']
+
+        first = await read_next()
+        assert await read_next() is first
+        cluster.entry_by_name['entry-0'].node.heartbeat.stop_accepting()
+        await asyncio.sleep(2 * HEARTBEAT_S)
+        stopping = await read_next()
+        assert not stopping.accepting
+        assert await read_next() is stopping
+        cluster.kill('entry-0')
+        cluster.start('entry-0')
+        await asyncio.sleep(2 * HEARTBEAT_S)
+        started = await read_next()
+        assert started.accepting
+        assert started.incarnation != stopping.incarnation
+
+    entrybuilders.run_cluster(scenario)
