--- a/pomelopass/entry/tablewatch.py
+++ b/pomelopass/entry/tablewatch.py
@@ -150,6 +150,7 @@
             self.in_outage = is_unavailable
             if not is_unavailable:
                 listeners.registry.drop_missing(self.outage_ended_at, now)
+            listeners.registry.changes.refill()
             listeners.view.update_in_flight_elsewhere()
             listeners.scheduler.dispatch()
 
--- a/pomelopass/registry/registry.py
+++ b/pomelopass/registry/registry.py
@@ -1,5 +1,6 @@
 """State of the registered endpoints by id."""
 
+from . import changelog
 from . import endpoint as endpoints
 from ..reporting import logevents
 
@@ -14,7 +15,7 @@
     """The registered endpoints and what is observed of each."""
 
     def __init__(self, write_event: logevents.WriteEvent):
-        self.write_event = write_event
+        self.changes = changelog.ChangeLog(write_event)
         self.state_by_id: dict[str, endpoints.EndpointState] = {}
         # The same states; a request or a check concerns one service only.
         self.states_by_service: dict[
@@ -46,15 +47,15 @@
                 self._remove_from_service(state.endpoint)
             self._add(entry)
             self._update_leaving(entry.id)
-            self._log_change(entry, 'restarted' if restarted else 'found')
+            self.changes.record(entry, 'restarted' if restarted else 'found')
             return True
         if state.endpoint.is_draining != entry.is_draining:
-            self._log_change(
+            self.changes.record(
                 entry, 'draining' if entry.is_draining else 'ready'
             )
         if state.endpoint.version_by_model != entry.version_by_model:
             state.version_by_model.update(entry.version_by_model)
-            self._log_change(entry, 'version')
+            self.changes.record(entry, 'version')
         if state.endpoint.service != entry.service:
             self._remove_from_service(state.endpoint)
             self._add_to_service(entry.service, state)
@@ -103,7 +104,7 @@
         self._update_leaving(endpoint_id)
         state = self.state_by_id.get(endpoint_id)
         if state is not None and state.said_leaving:
-            self._log_change(state.endpoint, 'leaving')
+            self.changes.record(state.endpoint, 'leaving')
 
     def find_open(self, endpoint_id: str) -> endpoints.Endpoint | None:
         """Return the endpoint if it is registered and takes requests."""
@@ -126,7 +127,7 @@
             return
         state = self.state_by_id.pop(endpoint_id)
         self._remove_from_service(state.endpoint)
-        self._log_change(state.endpoint, 'gone')
+        self.changes.record(state.endpoint, 'gone')
 
     def drop_missing(self, outage_ended_at: float, now: float) -> None:
         """Remove missing endpoints that did not register again in time."""
@@ -176,15 +177,3 @@
                 state.endpoint.version_by_model for state in states.values()
             )
         }
-
-    def _log_change(self, entry: endpoints.Endpoint, change: str) -> None:
-        self.write_event(
-            logevents.EndpointChanged(
-                endpoint=entry.id,
-                service=entry.service,
-                address=entry.address,
-                change=change,
-                versions=entry.version_by_model,
-                software=entry.software,
-            )
-        )
--- a/pomelopass/reporting/logevents.py
+++ b/pomelopass/reporting/logevents.py
@@ -14,6 +14,7 @@
     'DutyUnconfirmed',
     'EndpointAnswered',
     'EndpointChanged',
+    'EndpointChangesOmitted',
     'EndpointCrashed',
     'EndpointLimited',
     'EndpointPath',
@@ -75,6 +76,7 @@
     'lost or regained',
     'configuration': 'version of the configuration that decided',
     'count': 'number of dropped lines',
+    'counts': 'omitted lines by change',
     'detail': 'message of the error',
     'endpoint': 'id of an endpoint',
     'endpoints': 'ids of the endpoints that may have run it',
@@ -227,6 +229,13 @@
     software: str
 
 
+@_event
+class EndpointChangesOmitted(Event):
+    """More endpoints were found, or changed versions, than are logged."""
+
+    counts: abc.Mapping[str, int]
+
+
 @_event
 class EndpointAnswered(Event):
     """The head of an answer arrived, or none did; logged when debugging."""
--- a/scripts/costmutants.py
+++ b/scripts/costmutants.py
@@ -4,6 +4,7 @@
 
 __all__ = ['MUTANTS']
 
+CHANGES = 'tests/registry/test_changelog.py'
 HEARTBEATS = 'tests/entry/test_heartbeats.py'
 PACING = 'tests/table/test_pacing.py'
 SERVICES = 'tests/registry/test_services.py'
@@ -72,8 +73,8 @@
         'removed-endpoint-stays-in-its-service',
         'pomelopass/registry/registry.py',
         '        self._remove_from_service(state.endpoint)\n'
-        '        self._log_change',
-        '        self._log_change',
+        '        self.changes.record',
+        '        self.changes.record',
         (SERVICES,),
     ),
     mutant.Mutant(
@@ -118,4 +119,25 @@
         'if not value.endswith(after):',
         (HEARTBEATS, ROW_HANDLERS),
     ),
+    mutant.Mutant(
+        'every-change-of-an-endpoint-is-logged',
+        'pomelopass/registry/changelog.py',
+        'if not self.lines_left:',
+        'if False:',
+        (CHANGES,),
+    ),
+    mutant.Mutant(
+        'restarts-of-many-endpoints-are-omitted',
+        'pomelopass/registry/changelog.py',
+        "frozenset(('found', 'version'))",
+        "frozenset(('found', 'version', 'restarted'))",
+        (CHANGES,),
+    ),
+    mutant.Mutant(
+        'lines-are-not-allowed-again',
+        'pomelopass/registry/changelog.py',
+        'REFILL_LINES = 5',
+        'REFILL_LINES = 0',
+        (CHANGES,),
+    ),
 )
--- a/scripts/leavingmutants.py
+++ b/scripts/leavingmutants.py
@@ -44,8 +44,8 @@
         'entry-overrides-a-leaving-notice',
         'pomelopass/registry/registry.py',
         '            self._update_leaving(entry.id)\n'
-        '            self._log_change(entry, ',
-        '            self._log_change(entry, ',
+        '            self.changes.record(entry, ',
+        '            self.changes.record(entry, ',
         (LEAVING,),
     ),
     mutant.Mutant(
