--- a/pomelopass/entry/node.py
+++ b/pomelopass/entry/node.py
@@ -28,7 +28,6 @@
 from ..reporting import logevents
 from ..requests import forward
 from ..requests import quarantine as quarantines
-from ..requests import routes
 from ..requests import stopgate
 from ..requests import stream as streams
 from . import settings as entrysettings
@@ -149,7 +148,7 @@
             self.table,
             self.registry,
             self.membership,
-            self._get_resumable_services,
+            lambda: self.view.resumable_services,
             lambda: self.watch.is_registry_fresh(),
             bases.CopyAges(
                 lambda: self.watch.fleet.get_confirmed_age_ms(),
@@ -336,12 +335,6 @@
             self.write_event,
         )
 
-    def _get_resumable_services(self) -> set[str]:
-        configuration = self.view.configuration
-        if configuration is None:
-            return set()
-        return routes.get_resumable_services(configuration)
-
     def _get_crashes(self) -> dict[str, int]:
         return self.quarantine.get_recent_crashes(
             asyncio.get_running_loop().time()
--- a/pomelopass/entry/view.py
+++ b/pomelopass/entry/view.py
@@ -24,6 +24,8 @@
         self.registry = registry
         self.write_event = write_event
         self.configuration: routes.Configuration | None = None
+        # Services whose streams callers may resume.
+        self.resumable_services: set[str] = set()
         # State of the fleet of which the runs were summed last.
         self.summed_revision = -1
         self.on_limits: abc.Callable[[routes.CallerLimits], None] = (
@@ -36,6 +38,7 @@
         if current is not None and current.version >= configuration.version:
             return False
         self.configuration = configuration
+        self.resumable_services = routes.get_resumable_services(configuration)
         self.on_limits(configuration.limits)
         self.write_event(
             logevents.ConfigurationInForce(version=configuration.version)
--- a/pomelopass/origins/bases.py
+++ b/pomelopass/origins/bases.py
@@ -1,7 +1,6 @@
 """Keep the base of each service: the software of streams without a row."""
 
 import asyncio
-import collections
 from collections import abc
 import dataclasses
 
@@ -194,10 +193,8 @@
             and stored.base.absent_since_ms is not None
             and self.ages.get_bases_ms() <= MAX_ABSENCE_AGE_MS
             and self.ages.get_endpoints_ms() <= MAX_ABSENCE_AGE_MS
-            and not any(
-                state.endpoint.software == stored.base.software
-                for state in self.registry.get_all_by_service(service)
-            )
+            and stored.base.software
+            not in self.registry.count_software(service)
         )
 
     def is_responsible(self, key: str) -> bool:
@@ -228,10 +225,7 @@
                     await self._update(service)
 
     async def _update(self, service: str) -> None:
-        counts = collections.Counter(
-            state.endpoint.software
-            for state in self.registry.get_all_by_service(service)
-        )
+        counts = self.registry.count_software(service)
         stored = self.stored_by_service.get(service)
         current = stored.base if stored is not None else None
         base = choose_base(current, counts, self.get_table_ms())
--- a/pomelopass/registry/registry.py
+++ b/pomelopass/registry/registry.py
@@ -1,5 +1,8 @@
 """State of the registered endpoints by id."""
 
+import collections
+from collections import abc
+
 from . import changelog
 from . import endpoint as endpoints
 from ..reporting import logevents
@@ -21,6 +24,10 @@
         self.states_by_service: dict[
             str, dict[str, endpoints.EndpointState]
         ] = {}
+        # Counted at most once between two changes of a service.
+        self.software_counts_by_service: dict[
+            str, collections.Counter[str]
+        ] = {}
         # Runs that other instances reported, also at unknown endpoints.
         self.runs_elsewhere_by_id: dict[str, int] = {}
         # Endpoints whose entries disappeared during or just after an outage.
@@ -38,6 +45,7 @@
         state = self.state_by_id.get(entry.id)
         if state is not None and state.endpoint is entry and not was_missing:
             return False
+        self.software_counts_by_service.pop(entry.service, None)
         restarted = (
             state is not None
             and state.endpoint.started_at_ms != entry.started_at_ms
@@ -88,6 +96,7 @@
         states[state.endpoint.id] = state
 
     def _remove_from_service(self, entry: endpoints.Endpoint) -> None:
+        self.software_counts_by_service.pop(entry.service, None)
         states = self.states_by_service[entry.service]
         del states[entry.id]
         if not states:
@@ -163,6 +172,17 @@
         """Return all endpoints of a service, including draining ones."""
         return list(self.states_by_service.get(name, {}).values())
 
+    def count_software(self, service: str) -> abc.Mapping[str, int]:
+        """Return the number of a service's endpoints by software version."""
+        counts = self.software_counts_by_service.get(service)
+        if counts is None:
+            counts = collections.Counter(
+                state.endpoint.software
+                for state in self.get_all_by_service(service)
+            )
+            self.software_counts_by_service[service] = counts
+        return counts
+
     def count_slots(self, service: str) -> int:
         """Return how many requests a service can run at a time."""
         states = self.get_by_service(service)
--- a/scripts/costmutants.py
+++ b/scripts/costmutants.py
@@ -140,4 +140,20 @@
         'REFILL_LINES = 0',
         (CHANGES,),
     ),
+    mutant.Mutant(
+        'software-of-a-changed-entry-is-not-counted',
+        'pomelopass/registry/registry.py',
+        'self.software_counts_by_service.pop(entry.service, None)\n'
+        '        restarted',
+        'restarted',
+        (SERVICES,),
+    ),
+    mutant.Mutant(
+        'software-of-a-removed-endpoint-stays-counted',
+        'pomelopass/registry/registry.py',
+        'self.software_counts_by_service.pop(entry.service, None)\n'
+        '        states',
+        'states',
+        (SERVICES,),
+    ),
 )
--- a/tests/registry/test_services.py
+++ b/tests/registry/test_services.py
@@ -1,5 +1,7 @@
 """Test that the endpoints of each service are those of all endpoints."""
 
+import collections
+
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -18,6 +20,7 @@
     is_draining=st.booleans(),
     version_by_model=st.sampled_from([{}, {'m': 1}]),
     started_at_ms=st.integers(1, 2),
+    software=st.sampled_from(['1.0', '1.1']),
 )
 COUNTS = st.dictionaries(IDS, st.integers(1, 3))
 
@@ -41,6 +44,9 @@
                 for state in states
                 if state.endpoint.service == service
             )
+            assert registry.count_software(service) == collections.Counter(
+                state.endpoint.software for state in found
+            )
         assert registry.get_engine_services() == {
             state.endpoint.service
             for state in states
