--- a/pomelopass/versions/manager.py
+++ b/pomelopass/versions/manager.py
@@ -24,6 +24,11 @@
 RETRY_DELAY_MS = 400.0
 # Reports and orders count against the limit of an engine.
 LIMITED_INTERVAL_MS = 1500.0
+# Each call to an engine takes a small instance some 2.5 ms, mostly on a new
+# connection: hundreds at once would all be late, and their orders withdrawn.
+MAX_ORDERS_AT_ONCE = 64
+# The entries of engines tell of most finished loads.
+MAX_REPORTS_AT_ONCE = 8
 
 
 class OrderPort(Protocol):
@@ -141,7 +146,12 @@
         grant = await self.duty.confirm(service)
         if grant is None:
             return
-        await asyncio.gather(*(self._order(grant, load) for load in due_loads))
+        await asyncio.gather(
+            *(
+                self._order(grant, load)
+                for load in due_loads[:MAX_ORDERS_AT_ONCE]
+            )
+        )
 
     async def _order(
         self, grant: duty.OrderGrant, load: orders.VersionLoad
@@ -208,23 +218,38 @@
         now = asyncio.get_running_loop().time()
         for endpoint_id, load in list(self.pending_load_by_id.items()):
             state = self.registry.state_by_id.get(endpoint_id)
-            if state is None:
-                del self.pending_load_by_id[endpoint_id]
-                continue
-            if state.get_version(load.model) >= load.version:
-                del self.pending_load_by_id[endpoint_id]
-                continue
-            if now < load.next_report_at:
-                continue
-            interval_ms = self._get_interval_ms(
-                endpoint_id, REPORT_INTERVAL_MS
+            is_loaded = (
+                state is not None
+                and state.get_version(load.model) >= load.version
             )
-            load.next_report_at = now + interval_ms / 1000
-            report = await self.port.fetch_report(state.endpoint)
-            if report is not None:
-                reported_version = report.version_by_model.get(load.model, 0)
-                endpoints.record_version(state, load.model, reported_version)
-            busy = report is not None and report.busy
-            is_overdue = (now - load.ordered_at) * 1000 > LOAD_TIMEOUT_MS
-            if (report is not None and not busy) or is_overdue:
+            if state is None or is_loaded:
                 del self.pending_load_by_id[endpoint_id]
+        due_ids = [
+            endpoint_id
+            for endpoint_id, load in self.pending_load_by_id.items()
+            if load.next_report_at <= now
+        ]
+        # The longest due ones come first, so that all get their turn.
+        due_ids.sort(key=self._get_report_time)
+        for endpoint_id in due_ids[:MAX_REPORTS_AT_ONCE]:
+            await self._poll_load(endpoint_id, now)
+
+    async def _poll_load(self, endpoint_id: str, now: float) -> None:
+        load = self.pending_load_by_id[endpoint_id]
+        state = self.registry.state_by_id.get(endpoint_id)
+        if state is None:
+            del self.pending_load_by_id[endpoint_id]
+            return
+        interval_ms = self._get_interval_ms(endpoint_id, REPORT_INTERVAL_MS)
+        load.next_report_at = now + interval_ms / 1000
+        report = await self.port.fetch_report(state.endpoint)
+        if report is not None:
+            reported_version = report.version_by_model.get(load.model, 0)
+            endpoints.record_version(state, load.model, reported_version)
+        busy = report is not None and report.busy
+        is_overdue = (now - load.ordered_at) * 1000 > LOAD_TIMEOUT_MS
+        if (report is not None and not busy) or is_overdue:
+            del self.pending_load_by_id[endpoint_id]
+
+    def _get_report_time(self, endpoint_id: str) -> float:
+        return self.pending_load_by_id[endpoint_id].next_report_at
--- a/scripts/costmutants.py
+++ b/scripts/costmutants.py
@@ -7,6 +7,7 @@
 CHANGES = 'tests/registry/test_changelog.py'
 HEARTBEATS = 'tests/entry/test_heartbeats.py'
 PACING = 'tests/table/test_pacing.py'
+ROLLOUT = 'tests/versions/test_large_rollout.py'
 SERVICES = 'tests/registry/test_services.py'
 VIEW = 'tests/entry/test_view.py'
 ROW_HANDLERS = 'tests/platform/test_rowhandlers.py'
@@ -156,4 +157,18 @@
         'states',
         (SERVICES,),
     ),
+    mutant.Mutant(
+        'all-engines-are-ordered-at-once',
+        'pomelopass/versions/manager.py',
+        'for load in due_loads[:MAX_ORDERS_AT_ONCE]',
+        'for load in due_loads',
+        (ROLLOUT,),
+    ),
+    mutant.Mutant(
+        'all-loads-are-asked-for-at-once',
+        'pomelopass/versions/manager.py',
+        'for endpoint_id in due_ids[:MAX_REPORTS_AT_ONCE]:',
+        'for endpoint_id in due_ids:',
+        (ROLLOUT,),
+    ),
 )
