--- a/pomelopass/fleet/member.py
+++ b/pomelopass/fleet/member.py
@@ -7,8 +7,16 @@
 from .. import decoding
 from . import lateness
 
-__all__ = ['Member', 'Membership', 'decode_member', 'encode_member']
-
+__all__ = [
+    'COUNTER',
+    'Member',
+    'Membership',
+    'decode_member',
+    'encode_member',
+]
+
+# Field that grows with each heartbeat; only its writer uses the count.
+COUNTER = 'beat'
 MAX_VIEW_GAP_MS = 900.0
 RECENT_HEARTBEAT_MS = 1000.0
 
@@ -70,9 +78,13 @@
     own_write_ms: float = 0.0
     # Start of each instance that reported that it reaches no endpoint.
     cut_off_by_name: dict[str, str] = dataclasses.field(default_factory=dict)
+    # Grows whenever other instances may count as alive, or other heartbeats
+    # are the last ones.
+    revision: int = 0
 
     def mark_fresh(self, now: float) -> None:
         """Record that the view of the fleet was up to date."""
+        self.revision += 1
         if (now - self.fresh_at) * 1000 > MAX_VIEW_GAP_MS:
             self.uninterrupted_since = now
         self.fresh_at = now
@@ -92,11 +104,13 @@
 
     def put(self, member: Member, now: float) -> None:
         """Record a heartbeat."""
+        self.revision += 1
         self.member_by_name[member.name] = member
         self.seen_at_by_name[member.name] = now
 
     def remove(self, name: str) -> None:
         """Remove an instance whose row was removed."""
+        self.revision += 1
         self.member_by_name.pop(name, None)
         self.seen_at_by_name.pop(name, None)
 
--- a/pomelopass/reporting/logevents.py
+++ b/pomelopass/reporting/logevents.py
@@ -16,6 +16,7 @@
     'DutyUnconfirmed',
     'EndpointAnswered',
     'EndpointChanged',
+    'EndpointChangesOmitted',
     'EndpointCrashed',
     'EndpointLimited',
     'EndpointPath',
@@ -85,6 +86,7 @@
     'lost or regained',
     'configuration': 'version of the configuration that decided',
     'count': 'number of dropped lines',
+    'counts': 'omitted lines by change',
     'detail': 'message of the error',
     'digest': 'digest of the bytes of a report',
     'duty': 'name of a duty that one instance at a time performs',
@@ -249,6 +251,13 @@
     software: str
 
 
+@_event
+class EndpointChangesOmitted(Event):
+    """More endpoints were found, or changed versions, than are logged."""
+
+    counts: abc.Mapping[str, int]
+
+
 @_event
 class EndpointAnswered(Event):
     """The head of an answer arrived, or none did; logged when debugging."""
--- a/scripts/leavingmutants.py
+++ b/scripts/leavingmutants.py
@@ -36,16 +36,16 @@
     mutant.Mutant(
         'leaving-endpoints-are-chosen',
         'pomelopass/registry/registry.py',
-        'if state.endpoint.service == name and not state.is_leaving',
-        'if state.endpoint.service == name and not state.endpoint.is_draining',
+        'if not state.is_leaving',
+        'if not state.endpoint.is_draining',
         (LEAVING,),
     ),
     mutant.Mutant(
         'entry-overrides-a-leaving-notice',
         'pomelopass/registry/registry.py',
         '            self._update_leaving(entry.id)\n'
-        '            self._log_change(entry, ',
-        '            self._log_change(entry, ',
+        '            self.changes.record(entry, ',
+        '            self.changes.record(entry, ',
         (LEAVING,),
     ),
     mutant.Mutant(
