--- a/pomelopass/edges/httpserver.py
+++ b/pomelopass/edges/httpserver.py
@@ -4,12 +4,14 @@
 import collections
 from collections import abc
 import contextlib
+import math
 import socket
 import struct
 
 import h11
 
 from .. import message
+from . import callermemory
 from . import requestreader
 
 __all__ = ['HttpServer', 'start_server']
@@ -36,10 +38,13 @@
         make_refusal: MakeRefusal,
         max_body_bytes: int,
         max_connections: int,
+        memory: callermemory.CallerMemory | None = None,
     ):
         self.handler = handler
         self.make_refusal = make_refusal
         self.max_connections = max_connections
+        # Shared by all servers of a process; without a limit by default.
+        self.memory = memory or callermemory.CallerMemory(math.inf)
         self.limits = requestreader.Limits(
             MAX_HEAD_BYTES, max_body_bytes, HEAD_TIMEOUT_MS, IDLE_TIMEOUT_MS
         )
@@ -72,7 +77,9 @@
         self.connection_count += 1
         self.count_by_outcome['accepted'] += 1
         writer.transport.set_write_buffer_limits(WRITE_BUFFER_BYTES)
-        request_reader = requestreader.RequestReader(reader, writer)
+        request_reader = requestreader.RequestReader(
+            reader, writer, self.memory
+        )
         try:
             if self.connection_count > self.max_connections:
                 self.count_by_outcome['refused'] += 1
@@ -85,6 +92,7 @@
             pass
         finally:
             self.connection_count -= 1
+            request_reader.release()
             self.idle_writers.discard(writer)
             _close(request_reader.state, writer)
 
--- /dev/null
+++ b/pomelopass/edges/requestbody.py
@@ -0,0 +1,38 @@
+"""Keep the body of a request while it is received."""
+
+import io
+
+__all__ = ['RequestBody']
+
+# Bodies within one read are bounded by the number of connections.
+FREE_BYTES = 16_384
+# Steps in which a body of unknown length reserves memory.
+STEP_BYTES = 65_536
+
+
+class RequestBody:
+    """Bytes of a body, kept once and however many parts they came in."""
+
+    def __init__(self) -> None:
+        # Its value is taken without another copy.
+        self.buffer = io.BytesIO()
+        self.size = 0
+        # Length in the head of the request, None for a chunked body.
+        self.declared: int | None = 0
+
+    def add(self, data: bytes | bytearray) -> None:
+        """Append received bytes."""
+        self.buffer.write(data)
+        self.size += len(data)
+
+    def take(self) -> bytes:
+        """Return the whole body."""
+        return self.buffer.getvalue()
+
+    def get_reservation(self) -> int:
+        """Return the bytes to reserve before more is read."""
+        if self.declared is None:
+            if self.size <= FREE_BYTES:
+                return 0
+            return (self.size // STEP_BYTES + 1) * STEP_BYTES
+        return self.declared if self.declared > FREE_BYTES else 0
--- a/pomelopass/edges/requestreader.py
+++ b/pomelopass/edges/requestreader.py
@@ -7,10 +7,15 @@
 
 from .. import decoding
 from .. import message
+from . import callermemory
+from . import receivesize
+from . import requestbody
 
 __all__ = ['BadRequestError', 'Limits', 'RequestReader']
 
 READ_BYTES = 65_536
+# Received at a time outside of bodies: connections keep so much unread.
+HEAD_READ_BYTES = 16_384
 HEAD_END = b'\r\n\r\n'
 HEADER_EXTRA_BYTES = 4
 
@@ -38,15 +43,29 @@
     """Parse the requests of one connection in sequence."""
 
     def __init__(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        memory: callermemory.CallerMemory,
     ):
         self.reader = reader
         self.writer = writer
+        self.memory = memory
+        # What the present request holds beyond a few kilobytes.
+        self.share: callermemory.Share | None = None
         self.unread = b''
         self.state = h11.Connection(h11.SERVER)
+        receivesize.limit_receive_size(writer.transport, HEAD_READ_BYTES)
+
+    def release(self) -> None:
+        """Count no bytes of the present request any more."""
+        if self.share is not None:
+            self.share.close()
+            self.share = None
 
     def start_next(self) -> None:
         """Reset the parser for the next request of the connection."""
+        self.release()
         self.unread = bytes(self.state.trailing_data[0]) + self.unread
         self.state = h11.Connection(h11.SERVER)
 
@@ -67,6 +86,8 @@
             raise BadRequestError(408, 'The head took too long.') from None
         try:
             return await self._read_body(limits)
+        except callermemory.MemoryShortError:
+            raise BadRequestError(503, 'Too many bodies arrive.') from None
         except h11.RemoteProtocolError as error:
             status = error.error_status_hint
             detail = f'The request is not HTTP: {error}.'
@@ -104,25 +125,50 @@
         self.state.receive_data(self.unread)
         self.unread = b''
         head = None
-        chunks: list[bytes] = []
-        size = 0
+        body = requestbody.RequestBody()
         while True:
             event = self.state.next_event()
             if event is h11.NEED_DATA:
+                await self._reserve(body)
                 await self._receive(limits)
             elif isinstance(event, h11.Request):
-                _check_framing(event, limits)
+                body.declared = _check_framing(event, limits)
                 head = event
             elif isinstance(event, h11.Data):
-                size += len(event.data)
-                if size > limits.max_body_bytes:
+                body.add(event.data)
+                if body.size > limits.max_body_bytes:
                     raise BadRequestError(413, 'The body is too long.')
-                chunks.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
-                return _make_request(head, b''.join(chunks))
+                self._end_body()
+                return _make_request(head, body.take())
             else:
                 raise ConnectionResetError
 
+    async def _reserve(self, body: requestbody.RequestBody) -> None:
+        """Reserve memory for the next part; raise MemoryShortError."""
+        size = body.get_reservation()
+        if not size or (self.share is not None and size <= self.share.size):
+            return
+        transport = self.writer.transport
+        if self.share is None:
+            self.share = self.memory.open(self._evict)
+            receivesize.limit_receive_size(transport, READ_BYTES)
+        if not self.memory.has_room(size - self.share.size):
+            transport.pause_reading()
+        await self.share.resize(size)
+        transport.resume_reading()
+
+    def _evict(self) -> None:
+        self.reader.set_exception(callermemory.MemoryShortError())
+
+    def _end_body(self) -> None:
+        if self.share is not None:
+            # Its bytes are in use until the response is written.
+            self.share.evict = None
+            receivesize.limit_receive_size(
+                self.writer.transport, HEAD_READ_BYTES
+            )
+
     async def _receive(self, limits: Limits) -> None:
         if self.state.they_are_waiting_for_100_continue:
             event = h11.InformationalResponse(status_code=100, headers=[])
@@ -135,18 +181,25 @@
         if not data:
             raise ConnectionResetError
         self.state.receive_data(data)
+        if self.share is not None:
+            self.share.record_progress(len(data))
 
 
-def _check_framing(head: h11.Request, limits: Limits) -> None:
+def _check_framing(head: h11.Request, limits: Limits) -> int | None:
+    """Return the length of the body if the head says it."""
     names = [name for name, _ in head.headers]
     if b'content-length' in names and b'transfer-encoding' in names:
         raise BadRequestError(400, 'The body has two lengths.')
+    if b'transfer-encoding' in names:
+        return None
+    size: int | None = 0
     for name, value in head.headers:
         if name != b'content-length':
             continue
         size = decoding.parse_count(value.decode('ascii', 'replace'))
         if size is None or size > limits.max_body_bytes:
             raise BadRequestError(413, 'The body is too long.')
+    return size
 
 
 def _make_request(head: h11.Request, body: bytes) -> message.Request:
--- a/pomelopass/entry/process.py
+++ b/pomelopass/entry/process.py
@@ -12,6 +12,7 @@
 from .. import exitstatus
 from . import clients
 from ..configuring import problem
+from ..edges import callermemory
 from ..edges import httpserver
 from ..edges import requestreader
 from ..edges import suspendclock
@@ -28,6 +29,11 @@
 USAGE = 'usage: python3 -m pomelopass.entry --settings PATH [--check]'
 MAX_BODY_BYTES = 33_554_432
 MAX_CONNECTIONS = 6000
+# Share of the memory limit for what callers' connections hold. On the
+# smallest instance (160 MB) one body of the largest legal size fits.
+CALLER_SHARE = 0.25
+# Chunked bodies reserve up to one step more than they have.
+STEP_MARGIN_BYTES = 65_536
 POLL_INTERVAL_MS = 100.0
 # Upper bound of reported ages; the age of a table never read is infinite.
 MAX_AGE_S = 86_400.0
@@ -120,6 +126,9 @@
 
     if settings.metrics_address is not None:
         handlers.append((settings.metrics_address, handle_metrics))
+    memory = callermemory.CallerMemory(
+        CALLER_SHARE * settings.memory_mb * nodes.BYTES_PER_MB
+    )
     servers = []
     for address, handler in handlers:
         server = httpserver.HttpServer(
@@ -127,6 +136,7 @@
             ingress.make_refusal,
             MAX_BODY_BYTES,
             MAX_CONNECTIONS,
+            memory,
         )
         await httpserver.start_server(server, address)
         servers.append(server)
@@ -137,6 +147,10 @@
 
 
 def _set_limits(server: httpserver.HttpServer, limits) -> None:
+    # One body of legal size fits, whatever the share is.
+    server.memory.max_bytes = max(
+        server.memory.max_bytes, limits.max_body_bytes + STEP_MARGIN_BYTES
+    )
     server.limits = requestreader.Limits(
         limits.max_head_bytes,
         limits.max_body_bytes,
