--- a/pomelopass/edges/clientconnection.py
+++ b/pomelopass/edges/clientconnection.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import abc
+import contextlib
 import math
 
 import h11
@@ -13,6 +14,8 @@
 __all__ = ['Connection', 'Reader', 'open_connection']
 
 READ_BYTES = 32_768
+# Larger bodies are written in parts, so that they are not buffered again.
+WRITE_PART_BYTES = 65_536
 
 
 class Reader(asyncio.StreamReader):
@@ -99,9 +102,28 @@
         self.peer_started_at_ms: int | None = None
         # Whether a request that breaks off may be sent again.
         self.is_repeatable = False
+        # Writes the rest of a large body.
+        self.sending: asyncio.Task[None] | None = None
+
+    def send(self, head: bytes, body: bytes) -> None:
+        """Write a request; a response may arrive before its end is sent."""
+        if len(body) <= WRITE_PART_BYTES:
+            self.writer.write(head + body)
+            return
+        self.writer.write(head)
+        self.sending = asyncio.ensure_future(self._send_parts(body))
+
+    def is_sending(self) -> bool:
+        """Return whether bytes of the last request are not sent yet."""
+        return bool(
+            (self.sending is not None and not self.sending.done())
+            or self.writer.transport.get_write_buffer_size()
+        )
 
     def close(self) -> None:
         """Close the connection."""
+        if self.sending is not None:
+            self.sending.cancel()
         self.reader.cancel_timer()
         self.writer.close()
 
@@ -117,6 +139,14 @@
         self.reader.set_exception(ConnectionResetError())
         self.close()
 
+    async def _send_parts(self, body: bytes) -> None:
+        view = memoryview(body)
+        # Who reads the response hears of a failure.
+        with contextlib.suppress(OSError):
+            for start in range(0, len(body), WRITE_PART_BYTES):
+                self.writer.write(view[start : start + WRITE_PART_BYTES])
+                await self.writer.drain()
+
     async def next_head(
         self, deadline: float, head_timeout_ms: float
     ) -> h11.Event:
--- a/pomelopass/edges/connectionpool.py
+++ b/pomelopass/edges/connectionpool.py
@@ -93,11 +93,10 @@
         self.end_use(address, connection)
         connections = self.idle_by_address.setdefault(address, [])
         done = connection.state.their_state is h11.DONE
-        transport = connection.writer.transport
         leftover = (
             connection.state.trailing_data[0]
             or connection.reader.unread
-            or transport.get_write_buffer_size()
+            or connection.is_sending()
         )
         if not done or leftover or len(connections) >= MAX_IDLE_PER_ADDRESS:
             connection.close()
--- a/pomelopass/edges/httpclient.py
+++ b/pomelopass/edges/httpclient.py
@@ -87,18 +87,19 @@
             self.pool.end_use(address, connection)
             connection.close()
 
-        data = b''
+        size = 0
         try:
-            data = _encode(connection.state, request, address)
-            # Does not drain: a response may arrive before the body is sent.
-            connection.writer.write(data)
+            data = _encode_head(connection.state, request, address)
+            body = _encode_body(connection.state, request)
+            size = len(data) + len(body)
+            connection.send(data, body)
             head = await _read_head(connection, deadline)
         except TimeoutError:
             end()
-            raise message.ExchangeError(message.TIMEOUT, len(data)) from None
+            raise message.ExchangeError(message.TIMEOUT, size) from None
         except (OSError, h11.ProtocolError):
             end()
-            raise message.ExchangeError('reset', len(data)) from None
+            raise message.ExchangeError('reset', size) from None
         except asyncio.CancelledError:
             end()
             raise
@@ -107,9 +108,9 @@
             for name, value in head.headers
         )
         connection.idle_limit_ms = get_idle_limit_ms(headers)
-        chunks = self._read_chunks(address, connection, deadline, len(data))
+        chunks = self._read_chunks(address, connection, deadline, size)
         return message.OpenReply(
-            head.status_code, headers, chunks, len(data), end, connection
+            head.status_code, headers, chunks, size, end, connection
         )
 
     async def can_connect(self, address: str) -> bool:
@@ -251,7 +252,7 @@
     return float(IDLE_LIMIT_MS)
 
 
-def _encode(
+def _encode_head(
     state: h11.Connection, request: message.Request, address: str
 ) -> bytes:
     headers = list(request.headers)
@@ -263,7 +264,11 @@
         target=request.target,
         headers=message.encode_headers(headers),
     )
-    data = state.send(head)
-    if request.body:
-        data += state.send(h11.Data(data=request.body))
-    return data + state.send(h11.EndOfMessage())
+    return state.send(head)
+
+
+def _encode_body(state: h11.Connection, request: message.Request) -> bytes:
+    # A body with a length is sent as it is.
+    state.send(h11.Data(data=request.body))
+    state.send(h11.EndOfMessage())
+    return request.body
