--- a/pomelopass/edges/httpserver.py
+++ b/pomelopass/edges/httpserver.py
@@ -4,19 +4,19 @@
 import collections
 from collections import abc
 import contextlib
-import math
 import socket
 import struct
 
 import h11
 
 from .. import message
-from . import callermemory
+from . import callerload
 from . import requestreader
 
 __all__ = ['HttpServer', 'start_server']
 
-READ_BYTES = 65_536
+# Unread bytes above twice this pause a connection.
+UNREAD_BYTES = 32_768
 WRITE_BUFFER_BYTES = 65_536
 HEAD_TIMEOUT_MS = 10_000
 IDLE_TIMEOUT_MS = 60_000
@@ -38,13 +38,13 @@
         make_refusal: MakeRefusal,
         max_body_bytes: int,
         max_connections: int,
-        memory: callermemory.CallerMemory | None = None,
+        load: callerload.CallerLoad | None = None,
     ):
         self.handler = handler
         self.make_refusal = make_refusal
         self.max_connections = max_connections
         # Shared by all servers of a process; without a limit by default.
-        self.memory = memory or callermemory.CallerMemory(math.inf)
+        self.load = load or callerload.CallerLoad()
         self.limits = requestreader.Limits(
             MAX_HEAD_BYTES, max_body_bytes, HEAD_TIMEOUT_MS, IDLE_TIMEOUT_MS
         )
@@ -77,9 +77,7 @@
         self.connection_count += 1
         self.count_by_outcome['accepted'] += 1
         writer.transport.set_write_buffer_limits(WRITE_BUFFER_BYTES)
-        request_reader = requestreader.RequestReader(
-            reader, writer, self.memory
-        )
+        request_reader = requestreader.RequestReader(reader, writer, self.load)
         try:
             if self.connection_count > self.max_connections:
                 self.count_by_outcome['refused'] += 1
@@ -197,7 +195,7 @@
     """Listen on an address; return it with the bound port."""
     host, _, port = address.rpartition(':')
     listener = await asyncio.start_server(
-        server.serve, host.strip('[]'), int(port), limit=READ_BYTES
+        server.serve, host.strip('[]'), int(port), limit=UNREAD_BYTES
     )
     server.listener = listener
     bound_port = listener.sockets[0].getsockname()[1]
--- a/pomelopass/edges/requestbody.py
+++ b/pomelopass/edges/requestbody.py
@@ -2,6 +2,10 @@
 
 import io
 
+import h11
+
+from . import chunkjoiner
+
 __all__ = ['RequestBody']
 
 # Bodies within one read are bounded by the number of connections.
@@ -19,11 +23,28 @@
         self.size = 0
         # Length in the head of the request, None for a chunked body.
         self.declared: int | None = 0
+        self.joiner: chunkjoiner.ChunkJoiner | None = None
+        # Parts that were parsed since other work had its turn.
+        self.parts = 0
 
     def add(self, data: bytes | bytearray) -> None:
         """Append received bytes."""
         self.buffer.write(data)
         self.size += len(data)
+        self.parts += 1
+
+    def feed(self, state: h11.Connection, data: bytes) -> int:
+        """Pass received bytes to the parser; return the chunks joined."""
+        joined = 0
+        if self.declared is None:
+            if self.joiner is None:
+                self.joiner = chunkjoiner.ChunkJoiner()
+            data = self.joiner.join(data)
+            joined = self.joiner.joined
+        # The parser takes no bytes for the end of the connection.
+        if data:
+            state.receive_data(data)
+        return joined
 
     def take(self) -> bytes:
         """Return the whole body."""
--- a/pomelopass/edges/requestreader.py
+++ b/pomelopass/edges/requestreader.py
@@ -7,6 +7,7 @@
 
 from .. import decoding
 from .. import message
+from . import callerload
 from . import callermemory
 from . import receivesize
 from . import requestbody
@@ -16,6 +17,8 @@
 READ_BYTES = 65_536
 # Received at a time outside of bodies: connections keep so much unread.
 HEAD_READ_BYTES = 16_384
+# Parts of a body that are parsed before other work has its turn.
+MAX_PARTS = 64
 HEAD_END = b'\r\n\r\n'
 HEADER_EXTRA_BYTES = 4
 
@@ -46,11 +49,11 @@
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
-        memory: callermemory.CallerMemory,
+        load: callerload.CallerLoad,
     ):
         self.reader = reader
         self.writer = writer
-        self.memory = memory
+        self.load = load
         # What the present request holds beyond a few kilobytes.
         self.share: callermemory.Share | None = None
         self.unread = b''
@@ -122,20 +125,26 @@
             self.unread += data
 
     async def _read_body(self, limits: Limits) -> message.Request:
-        self.state.receive_data(self.unread)
-        self.unread = b''
+        head_size = self.unread.find(HEAD_END) + len(HEAD_END)
+        self.state.receive_data(self.unread[:head_size])
+        self.unread = self.unread[head_size:]
         head = None
         body = requestbody.RequestBody()
         while True:
             event = self.state.next_event()
             if event is h11.NEED_DATA:
                 await self._reserve(body)
-                await self._receive(limits)
+                body.parts += body.feed(
+                    self.state, await self._receive(limits)
+                )
             elif isinstance(event, h11.Request):
                 body.declared = _check_framing(event, limits)
                 head = event
+                self._begin_body(body)
             elif isinstance(event, h11.Data):
                 body.add(event.data)
+                if body.parts > MAX_PARTS:
+                    await self._take_turn(body)
                 if body.size > limits.max_body_bytes:
                     raise BadRequestError(413, 'The body is too long.')
             elif isinstance(event, h11.EndOfMessage):
@@ -144,6 +153,28 @@
             else:
                 raise ConnectionResetError
 
+    def _begin_body(self, body: requestbody.RequestBody) -> None:
+        """Take what came with the head; requests behind it stay unread."""
+        if body.declared is None:
+            body.parts += body.feed(self.state, self.unread)
+            self.unread = b''
+        elif body.declared and self.unread:
+            self.state.receive_data(self.unread[: body.declared])
+            self.unread = self.unread[body.declared :]
+
+    async def _take_turn(self, body: requestbody.RequestBody) -> None:
+        """Let other work run after many parts of a body."""
+        body.parts = 0
+        transport = self.writer.transport
+        receivesize.limit_receive_size(transport, HEAD_READ_BYTES)
+        transport.pause_reading()
+        if self.share is not None:
+            self.share.is_waiting = True
+        await self.load.turns.take()
+        if self.share is not None:
+            self.share.is_waiting = False
+        transport.resume_reading()
+
     async def _reserve(self, body: requestbody.RequestBody) -> None:
         """Reserve memory for the next part; raise MemoryShortError."""
         size = body.get_reservation()
@@ -151,9 +182,9 @@
             return
         transport = self.writer.transport
         if self.share is None:
-            self.share = self.memory.open(self._evict)
+            self.share = self.load.memory.open(self._evict)
             receivesize.limit_receive_size(transport, READ_BYTES)
-        if not self.memory.has_room(size - self.share.size):
+        if not self.load.memory.has_room(size - self.share.size):
             transport.pause_reading()
         await self.share.resize(size)
         transport.resume_reading()
@@ -169,7 +200,7 @@
                 self.writer.transport, HEAD_READ_BYTES
             )
 
-    async def _receive(self, limits: Limits) -> None:
+    async def _receive(self, limits: Limits) -> bytes:
         if self.state.they_are_waiting_for_100_continue:
             event = h11.InformationalResponse(status_code=100, headers=[])
             self.writer.write(self.state.send(event))
@@ -180,9 +211,9 @@
             raise BadRequestError(408, 'The body took too long.') from None
         if not data:
             raise ConnectionResetError
-        self.state.receive_data(data)
         if self.share is not None:
             self.share.record_progress(len(data))
+        return data
 
 
 def _check_framing(head: h11.Request, limits: Limits) -> int | None:
--- a/pomelopass/entry/process.py
+++ b/pomelopass/entry/process.py
@@ -12,6 +12,7 @@
 from .. import exitstatus
 from . import clients
 from ..configuring import problem
+from ..edges import callerload
 from ..edges import callermemory
 from ..edges import httpserver
 from ..edges import requestreader
@@ -126,8 +127,10 @@
 
     if settings.metrics_address is not None:
         handlers.append((settings.metrics_address, handle_metrics))
-    memory = callermemory.CallerMemory(
-        CALLER_SHARE * settings.memory_mb * nodes.BYTES_PER_MB
+    load = callerload.CallerLoad(
+        callermemory.CallerMemory(
+            CALLER_SHARE * settings.memory_mb * nodes.BYTES_PER_MB
+        )
     )
     servers = []
     for address, handler in handlers:
@@ -136,7 +139,7 @@
             ingress.make_refusal,
             MAX_BODY_BYTES,
             MAX_CONNECTIONS,
-            memory,
+            load,
         )
         await httpserver.start_server(server, address)
         servers.append(server)
@@ -148,8 +151,9 @@
 
 def _set_limits(server: httpserver.HttpServer, limits) -> None:
     # One body of legal size fits, whatever the share is.
-    server.memory.max_bytes = max(
-        server.memory.max_bytes, limits.max_body_bytes + STEP_MARGIN_BYTES
+    memory = server.load.memory
+    memory.max_bytes = max(
+        memory.max_bytes, limits.max_body_bytes + STEP_MARGIN_BYTES
     )
     server.limits = requestreader.Limits(
         limits.max_head_bytes,
