--- a/pomelopass/edges/httpserver.py
+++ b/pomelopass/edges/httpserver.py
@@ -86,6 +86,7 @@
                 return
             while await self._serve_request(request_reader, writer):
                 request_reader.start_next()
+                await _wait_until_sent(writer)
         except (OSError, TimeoutError, h11.LocalProtocolError):
             pass
         finally:
@@ -241,6 +242,21 @@
     await _drain(writer)
 
 
+async def _wait_until_sent(writer: asyncio.StreamWriter) -> None:
+    """Wait until the caller took what was written; it is not read till then.
+
+    A caller that sends requests and reads no response fills no memory so.
+    """
+    transport = writer.transport
+    if not transport.get_write_buffer_size():
+        return
+    transport.pause_reading()
+    transport.set_write_buffer_limits(0)
+    async with asyncio.timeout(WRITE_STALL_TIMEOUT_MS / 1000):
+        await writer.drain()
+    transport.set_write_buffer_limits(WRITE_BUFFER_BYTES)
+
+
 async def _drain(writer: asyncio.StreamWriter) -> None:
     if writer.transport.get_write_buffer_size() > WRITE_BUFFER_BYTES:
         async with asyncio.timeout(WRITE_STALL_TIMEOUT_MS / 1000):
--- a/pomelopass/edges/requestreader.py
+++ b/pomelopass/edges/requestreader.py
@@ -17,6 +17,8 @@
 READ_BYTES = 65_536
 # Received at a time outside of bodies: connections keep so much unread.
 HEAD_READ_BYTES = 16_384
+# More unread bytes of a caller whose request is running pause its connection.
+READ_AHEAD_BYTES = 4096
 # Parts of a body that are parsed before other work has its turn.
 MAX_PARTS = 64
 HEAD_END = b'\r\n\r\n'
@@ -74,10 +76,14 @@
 
     async def read(self, limits: Limits) -> message.Request | None:
         """Return the next request; None if idle too long or closed."""
+        if self.unread:
+            # Pipelined requests leave time to others between them.
+            self.writer.transport.pause_reading()
+            await self.load.turns.take()
         if not self.unread:
             try:
                 async with asyncio.timeout(limits.idle_timeout_ms / 1000):
-                    self.unread = await self.reader.read(READ_BYTES)
+                    self.unread = await self._read_some()
             except TimeoutError:
                 return None
             if not self.unread:
@@ -98,14 +104,18 @@
 
     async def wait_for_close(self) -> None:
         """Wait until the caller closes; buffer bytes received meanwhile."""
-        while True:
-            data = await self.reader.read(READ_BYTES)
+        while len(self.unread) <= READ_AHEAD_BYTES:
+            data = await self._read_some()
             if not data:
                 return
             self.unread += data
-            if len(self.unread) > READ_BYTES:
-                # The transport pauses reading; the reply fails on a close.
-                await asyncio.Event().wait()
+        # The reply fails on a close.
+        self.writer.transport.pause_reading()
+        await asyncio.Event().wait()
+
+    async def _read_some(self) -> bytes:
+        self.writer.transport.resume_reading()
+        return await self.reader.read(READ_BYTES)
 
     async def _read_head(self, limits: Limits) -> None:
         while True:
@@ -119,7 +129,7 @@
                 raise BadRequestError(400, 'A line ends without CR.')
             if end >= 0:
                 return
-            data = await self.reader.read(READ_BYTES)
+            data = await self._read_some()
             if not data:
                 raise ConnectionResetError
             self.unread += data
@@ -206,7 +216,7 @@
             self.writer.write(self.state.send(event))
         try:
             async with asyncio.timeout(limits.idle_timeout_ms / 1000):
-                data = await self.reader.read(READ_BYTES)
+                data = await self._read_some()
         except TimeoutError:
             raise BadRequestError(408, 'The body took too long.') from None
         if not data:
