--- a/pomelopass/edges/httpserver.py
+++ b/pomelopass/edges/httpserver.py
@@ -1,9 +1,9 @@
 """Serve HTTP with h11."""
 
 import asyncio
-import collections
 from collections import abc
 import contextlib
+import functools
 import socket
 import struct
 
@@ -11,6 +11,7 @@
 
 from .. import message
 from . import callerload
+from . import connectionlimit
 from . import requestreader
 
 __all__ = ['HttpServer', 'start_server']
@@ -42,7 +43,7 @@
     ):
         self.handler = handler
         self.make_refusal = make_refusal
-        self.max_connections = max_connections
+        self.connections = connectionlimit.ConnectionLimit(max_connections)
         # Shared by all servers of a process; without a limit by default.
         self.load = load or callerload.CallerLoad()
         self.limits = requestreader.Limits(
@@ -53,8 +54,6 @@
         # Event loop time at which the last request was received.
         self.last_request_at_s = float('-inf')
         self.connection_count = 0
-        # Connections since the start, accepted or refused as too many.
-        self.count_by_outcome: collections.Counter[str] = collections.Counter()
         self.idle_writers: set[asyncio.StreamWriter] = set()
         self.listener: asyncio.Server | None = None
 
@@ -75,23 +74,29 @@
     ) -> None:
         """Serve the requests of one connection sequentially."""
         self.connection_count += 1
-        self.count_by_outcome['accepted'] += 1
         writer.transport.set_write_buffer_limits(WRITE_BUFFER_BYTES)
         request_reader = requestreader.RequestReader(reader, writer, self.load)
+        slot = self.connections.admit(writer)
         try:
-            if self.connection_count > self.max_connections:
-                self.count_by_outcome['refused'] += 1
+            if slot is None:
                 refusal = self.make_refusal(503, 'Too many connections.')
                 await self._write(request_reader.state, writer, refusal)
                 return
-            while await self._serve_request(request_reader, writer):
+            request_reader.on_progress = functools.partial(
+                self.connections.end_use, slot
+            )
+            while await self._serve_request(request_reader, writer, slot):
                 request_reader.start_next()
+                slot.is_pipelining = bool(request_reader.unread)
+                self.connections.end_use(slot)
                 await _wait_until_sent(writer)
         except (OSError, TimeoutError, h11.LocalProtocolError):
             pass
         finally:
             self.connection_count -= 1
             request_reader.release()
+            if slot is not None:
+                self.connections.release(slot)
             self.idle_writers.discard(writer)
             _close(request_reader.state, writer)
 
@@ -99,6 +104,7 @@
         self,
         request_reader: requestreader.RequestReader,
         writer: asyncio.StreamWriter,
+        slot: connectionlimit.Slot,
     ) -> bool:
         try:
             self.idle_writers.add(writer)
@@ -113,6 +119,7 @@
             self.idle_writers.discard(writer)
         if request is None:
             return False
+        self.connections.begin_use(slot)
         self.in_flight += 1
         self.last_request_at_s = asyncio.get_running_loop().time()
         try:
@@ -199,6 +206,10 @@
         server.serve, host.strip('[]'), int(port), limit=UNREAD_BYTES
     )
     server.listener = listener
+    # Accepted connections inherit it.
+    listener.sockets[0].setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, WRITE_BUFFER_BYTES
+    )
     bound_port = listener.sockets[0].getsockname()[1]
     return f'{host}:{bound_port}', listener
 
--- a/pomelopass/edges/requestreader.py
+++ b/pomelopass/edges/requestreader.py
@@ -1,6 +1,7 @@
 """Read the HTTP requests of a connection within limits."""
 
 import asyncio
+from collections import abc
 import dataclasses
 
 import h11
@@ -58,6 +59,8 @@
         self.load = load
         # What the present request holds beyond a few kilobytes.
         self.share: callermemory.Share | None = None
+        # Called when more of a body arrived.
+        self.on_progress: abc.Callable[[], None] = _ignore
         self.unread = b''
         self.state = h11.Connection(h11.SERVER)
         receivesize.limit_receive_size(writer.transport, HEAD_READ_BYTES)
@@ -221,11 +224,16 @@
             raise BadRequestError(408, 'The body took too long.') from None
         if not data:
             raise ConnectionResetError
+        self.on_progress()
         if self.share is not None:
             self.share.record_progress(len(data))
         return data
 
 
+def _ignore() -> None:
+    pass
+
+
 def _check_framing(head: h11.Request, limits: Limits) -> int | None:
     """Return the length of the body if the head says it."""
     names = [name for name, _ in head.headers]
--- a/pomelopass/entry/process.py
+++ b/pomelopass/entry/process.py
@@ -4,6 +4,7 @@
 import contextlib
 import logging
 import os
+import resource
 import signal
 import sys
 
@@ -12,6 +13,7 @@
 from .. import exitstatus
 from . import clients
 from ..configuring import problem
+from . import connectionshares
 from ..edges import callerload
 from ..edges import callermemory
 from ..edges import httpserver
@@ -29,7 +31,6 @@
 
 USAGE = 'usage: python3 -m pomelopass.entry --settings PATH [--check]'
 MAX_BODY_BYTES = 33_554_432
-MAX_CONNECTIONS = 6000
 # Share of the memory limit for what callers' connections hold. On the
 # smallest instance (160 MB) one body of the largest legal size fits.
 CALLER_SHARE = 0.25
@@ -110,10 +111,20 @@
     node: nodes.Node, metrics: telemetry.Telemetry
 ) -> list[httpserver.HttpServer]:
     settings = node.settings
+    soft_limit = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    shares = connectionshares.make_shares(settings, soft_limit)
     handlers = [
-        (settings.caller_address, node.ingress.handle),
-        (settings.readiness_address, node.ingress.handle_readiness),
-        (settings.directory_address, node.ingress.handle_directory),
+        (settings.caller_address, node.ingress.handle, shares.caller),
+        (
+            settings.readiness_address,
+            node.ingress.handle_readiness,
+            shares.probe,
+        ),
+        (
+            settings.directory_address,
+            node.ingress.handle_directory,
+            shares.directory,
+        ),
     ]
 
     async def handle_metrics(request):
@@ -121,24 +132,26 @@
             metrics.ages.set({'table': table_name}, min(age_s, MAX_AGE_S))
         metrics.open.set({'kind': 'jobs'}, len(node.job_manager.task_by_id))
         metrics.open.set({'kind': 'waiting'}, len(node.scheduler.waiting))
-        for outcome, count in servers[0].count_by_outcome.items():
+        for outcome, count in servers[0].connections.count_by_outcome.items():
             metrics.connections.set({'outcome': outcome}, count)
         return await metrics.handle(request)
 
     if settings.metrics_address is not None:
-        handlers.append((settings.metrics_address, handle_metrics))
+        handlers.append(
+            (settings.metrics_address, handle_metrics, shares.probe)
+        )
     load = callerload.CallerLoad(
         callermemory.CallerMemory(
             CALLER_SHARE * settings.memory_mb * nodes.BYTES_PER_MB
         )
     )
     servers = []
-    for address, handler in handlers:
+    for address, handler, max_connections in handlers:
         server = httpserver.HttpServer(
             _guard_handler(handler, node.write_event),
             ingress.make_refusal,
             MAX_BODY_BYTES,
-            MAX_CONNECTIONS,
+            max_connections,
             load,
         )
         await httpserver.start_server(server, address)
--- a/pomelopass/entry/settings.py
+++ b/pomelopass/entry/settings.py
@@ -77,6 +77,12 @@
         gt=0,
         description='Memory limit of the process, in MB.',
     )
+    max_descriptors: int | None = pydantic.Field(
+        default=None,
+        gt=0,
+        description='Descriptor limit of the process, of which 200 are kept '
+        'for files; that of the operating system if left out.',
+    )
     job_kept_s: float = pydantic.Field(
         gt=0, description='Retention period of jobs, in seconds.'
     )
--- a/tests/edges/test_httpserver.py
+++ b/tests/edges/test_httpserver.py
@@ -149,7 +149,8 @@
         reader, writer = await asyncio.open_connection('127.0.0.1', port)
         assert (await reader.read()).startswith(b'HTTP/1.1 503')
     writers.append(writer)
-    assert server.count_by_outcome == {'accepted': 3, 'refused': 1}
+    count_by_outcome = server.connections.count_by_outcome
+    assert count_by_outcome == {'accepted': 3, 'refused': 1}
     for writer in writers:
         writer.close()
     await server.close()
