--- a/pomelopass/edges/peerframe.py
+++ b/pomelopass/edges/peerframe.py
@@ -6,7 +6,13 @@
 from thrift.protocol import TCompactProtocol
 from thrift.transport import TTransport
 
-__all__ = ['FrameError', 'make_reader', 'make_writer', 'read_frame']
+__all__ = [
+    'FrameError',
+    'make_reader',
+    'make_writer',
+    'read_frame',
+    'read_size',
+]
 
 MAX_FRAME_BYTES = 1_048_576
 MAX_STRING_BYTES = 1_048_576
@@ -20,11 +26,16 @@
 
 async def read_frame(reader: asyncio.StreamReader) -> bytes:
     """Return the payload of the next frame; raise FrameError if too large."""
+    return await reader.readexactly(await read_size(reader))
+
+
+async def read_size(reader: asyncio.StreamReader) -> int:
+    """Return the size of the next frame; raise FrameError if too large."""
     prefix = await reader.readexactly(LENGTH_PREFIX.size)
     size = LENGTH_PREFIX.unpack(prefix)[0]
     if size > MAX_FRAME_BYTES:
         raise FrameError(f'{size} bytes exceed the frame limit')
-    return await reader.readexactly(size)
+    return size
 
 
 def make_frame(data: bytes) -> bytes:
--- a/pomelopass/entry/process.py
+++ b/pomelopass/entry/process.py
@@ -16,6 +16,7 @@
 from . import connectionshares
 from ..edges import callerload
 from ..edges import callermemory
+from ..edges import frameguard
 from ..edges import httpserver
 from ..edges import requestreader
 from ..edges import suspendclock
@@ -158,7 +159,12 @@
         servers.append(server)
     node.view.on_limits = lambda limits: _set_limits(servers[0], limits)
     host, _, port = settings.relay_address.rpartition(':')
-    await asyncio.start_server(node.relay_server.serve, host, int(port))
+    guard = frameguard.FrameGuard(
+        node.relay_server.serve_frame, load, shares.relay
+    )
+    await asyncio.start_server(
+        guard.serve, host, int(port), limit=frameguard.READ_BYTES
+    )
     return servers
 
 
--- a/pomelopass/table/relayserver.py
+++ b/pomelopass/table/relayserver.py
@@ -17,6 +17,9 @@
 
 __all__ = ['Handler', 'RelayServer', 'Takeover']
 
+# Peers give up a call earlier.
+ANSWER_TIMEOUT_MS = 5000.0
+
 Stream = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 
 
@@ -61,13 +64,26 @@
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        """Answer the single call of a connection."""
-        takeover = None
+        """Read and answer the single call of a connection."""
         try:
             frame = await peerframe.read_frame(reader)
+        except peercall.CALL_ERRORS:
+            writer.close()
+            return
+        await self.serve_frame(frame, reader, writer)
+
+    async def serve_frame(
+        self,
+        frame: bytes,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Answer the call in a frame, and close its connection."""
+        takeover = None
+        try:
             answer, takeover = await self.process(frame)
             writer.write(peerframe.make_frame(answer))
-            await writer.drain()
+            await _drain(writer)
             if takeover is not None:
                 run, takeover = takeover.run, None
                 await run((reader, writer))
@@ -137,3 +153,13 @@
         return relaycodec.encode_rows(
             changes.rows, False, changes.version, changes.now_ms
         )
+
+
+async def _drain(writer: asyncio.StreamWriter) -> None:
+    """Write an answer out; a peer that does not read it loses it."""
+    try:
+        async with asyncio.timeout(ANSWER_TIMEOUT_MS / 1000):
+            await writer.drain()
+    except TimeoutError:
+        writer.transport.abort()
+        raise
