--- a/pomelopass/entry/process.py
+++ b/pomelopass/entry/process.py
@@ -31,7 +31,10 @@
 __all__ = ['main']
 
 USAGE = 'usage: python3 -m pomelopass.entry --settings PATH [--check]'
+# Until a configuration says another limit.
 MAX_BODY_BYTES = 33_554_432
+# Requests to the other addresses have no bodies.
+MAX_PROBE_BODY_BYTES = 16_384
 # Share of the memory limit for what callers' connections hold. On the
 # smallest instance (160 MB) one body of the largest legal size fits.
 CALLER_SHARE = 0.25
@@ -146,12 +149,13 @@
             CALLER_SHARE * settings.memory_mb * nodes.BYTES_PER_MB
         )
     )
-    servers = []
+    # That of callers comes first.
+    servers: list[httpserver.HttpServer] = []
     for address, handler, max_connections in handlers:
         server = httpserver.HttpServer(
             _guard_handler(handler, node.write_event),
             ingress.make_refusal,
-            MAX_BODY_BYTES,
+            MAX_PROBE_BODY_BYTES if servers else MAX_BODY_BYTES,
             max_connections,
             load,
         )
