--- a/pomelopass/entry/process.py
+++ b/pomelopass/entry/process.py
@@ -12,6 +12,7 @@
 
 from .. import exitstatus
 from . import clients
+from . import clientwatch
 from ..configuring import problem
 from . import connectionshares
 from ..edges import callerload
@@ -90,13 +91,14 @@
     )
     loop.add_signal_handler(signal.SIGHUP, settings_watch.reload)
     try:
-        servers = await _listen(node, metrics)
+        servers, client_watch = await _listen(node, metrics)
     except OSError as error:
         write_event(logevents.ListenFailed(detail=str(error)))
         log.write_pending()
         return exitstatus.ADDRESS_IN_USE
     node.start()
     watch_task = asyncio.ensure_future(settings_watch.run())
+    client_task = asyncio.ensure_future(client_watch.run())
     write_event(
         logevents.Started(start=ports.incarnation, process=os.getpid())
     )
@@ -104,6 +106,7 @@
     await _stop(node, servers, write_event)
     await http_clients.close()
     watch_task.cancel()
+    client_task.cancel()
     log_task.cancel()
     with contextlib.suppress(asyncio.CancelledError):
         await log_task
@@ -113,7 +116,7 @@
 
 async def _listen(
     node: nodes.Node, metrics: telemetry.Telemetry
-) -> list[httpserver.HttpServer]:
+) -> tuple[list[httpserver.HttpServer], clientwatch.ClientWatch]:
     settings = node.settings
     soft_limit = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
     shares = connectionshares.make_shares(settings, soft_limit)
@@ -138,6 +141,9 @@
         metrics.open.set({'kind': 'waiting'}, len(node.scheduler.waiting))
         for outcome, count in servers[0].connections.count_by_outcome.items():
             metrics.connections.set({'outcome': outcome}, count)
+        for outcome, count in watch.get_counts().items():
+            metrics.limited.set({'outcome': outcome}, count)
+        metrics.client_bytes.set({}, load.memory.total)
         return await metrics.handle(request)
 
     if settings.metrics_address is not None:
@@ -169,7 +175,11 @@
     await asyncio.start_server(
         guard.serve, host, int(port), limit=frameguard.READ_BYTES
     )
-    return servers
+    limits = [server.connections for server in servers]
+    watch = clientwatch.ClientWatch(
+        load.memory, [*limits, guard.connections], node.write_event
+    )
+    return servers, watch
 
 
 def _set_limits(server: httpserver.HttpServer, limits) -> None:
--- a/pomelopass/entry/telemetry.py
+++ b/pomelopass/entry/telemetry.py
@@ -65,6 +65,17 @@
             **common,
         )
 
+        self.limited = aioprometheus.Gauge(
+            'pomelopass_clients_limited',
+            'Clients above a limit since the start, by what became of them.',
+            **common,
+        )
+        self.client_bytes = aioprometheus.Gauge(
+            'pomelopass_client_bytes',
+            'Bytes of bodies and frames that are held now.',
+            **common,
+        )
+
     def count_event(self, event: logevents.Event) -> None:
         """Update the metrics with an event."""
         labels = {'kind': event.kind}
--- a/pomelopass/reporting/logevents.py
+++ b/pomelopass/reporting/logevents.py
@@ -8,6 +8,7 @@
 
 __all__ = [
     'FIELD_MEANINGS',
+    'ClientsLimited',
     'ConfigurationInForce',
     'ConfigurationUnreadable',
     'DutyLost',
@@ -69,11 +70,16 @@
     'address': 'IP address and port of an endpoint',
     'age_ms': 'milliseconds since the table confirmed the copy that decided',
     'applied': 'whether the table applied the write',
+    'bodies_evicted': 'requests that were cut off within their body',
+    'bodies_refused': 'requests whose body was refused with 503',
+    'bodies_waited': 'requests whose body was not read for a while',
     'breaks': 'runs of an item that were cut off without progress',
     'carried': 'items that start with text from an earlier job',
     'change': 'found, ready, draining, leaving, gone, restarted, version, '
     'lost or regained',
     'configuration': 'version of the configuration that decided',
+    'connections_evicted': 'idle connections that left for new ones',
+    'connections_refused': 'connections refused as too many',
     'count': 'number of dropped lines',
     'detail': 'message of the error',
     'endpoint': 'id of an endpoint',
@@ -84,6 +90,7 @@
     'fingerprint': 'digest of the content of a request',
     'first': 'index of the first result among those of the job',
     'former': 'start of the instance that owned the job before',
+    'held_bytes': 'bytes of clients that are held now',
     'host': 'host that a request names',
     'id': 'id of a request or an item',
     'in_flight': 'requests that had not ended',
@@ -586,6 +593,18 @@
     detail: str
 
 
+@_event
+class ClientsLimited(Event):
+    """Clients exceeded a limit in the last 5 s; counts of all addresses."""
+
+    connections_refused: int
+    connections_evicted: int
+    bodies_waited: int
+    bodies_refused: int
+    bodies_evicted: int
+    held_bytes: int
+
+
 @_event
 class LinesDropped(Event):
     """Standard output was not read in time; log lines were dropped."""
