--- a/pomelopass/edges/httpserver.py
+++ b/pomelopass/edges/httpserver.py
@@ -11,6 +11,7 @@
 
 from .. import message
 from . import callerload
+from . import callermemory
 from . import connectionlimit
 from . import requestreader
 
@@ -184,8 +185,7 @@
         )
         data = state.send(head)
         if len(reply.body) > WRITE_BUFFER_BYTES:
-            writer.write(data)
-            await _write_large_body(state, writer, reply)
+            await self._write_large_body(state, writer, data, reply)
             data = b''
         elif reply.body:
             data += state.send(h11.Data(data=reply.body))
@@ -196,6 +196,35 @@
         writer.write(data)
         await _write_chunks(state, writer, reply.chunks)
 
+    async def _write_large_body(
+        self,
+        state: h11.Connection,
+        writer: asyncio.StreamWriter,
+        head: bytes,
+        reply: message.Reply,
+    ) -> None:
+        """Write a body in parts; a caller that reads slowly may lose it."""
+        memory = self.load.memory
+        share = memory.open(writer.transport.abort)
+        size = len(reply.body)
+        try:
+            if reply.kept is not None:
+                reply.kept.discard = writer.transport.abort
+            else:
+                # One that is larger than the account is sent alone.
+                await share.resize(int(min(size, memory.max_bytes)))
+            writer.write(head)
+            for start in range(0, size, WRITE_BUFFER_BYTES):
+                part = reply.body[start : start + WRITE_BUFFER_BYTES]
+                writer.write(state.send(h11.Data(data=part)))
+                await _drain(writer)
+                share.record_progress(len(part))
+        except callermemory.MemoryShortError:
+            # It ran: no status would be true.
+            raise ConnectionResetError from None
+        finally:
+            share.close()
+
 
 async def start_server(
     server: HttpServer, address: str
@@ -228,18 +257,6 @@
     writer.close()
 
 
-async def _write_large_body(
-    state: h11.Connection, writer: asyncio.StreamWriter, reply: message.Reply
-) -> None:
-    """Write a body in parts; a caller that reads slowly may lose it."""
-    if reply.kept is not None:
-        reply.kept.discard = writer.transport.abort
-    for start in range(0, len(reply.body), WRITE_BUFFER_BYTES):
-        part = reply.body[start : start + WRITE_BUFFER_BYTES]
-        writer.write(state.send(h11.Data(data=part)))
-        await _drain(writer)
-
-
 async def _write_chunks(
     state: h11.Connection,
     writer: asyncio.StreamWriter,
--- a/tests/edges/test_httpserver.py
+++ b/tests/edges/test_httpserver.py
@@ -5,6 +5,8 @@
 
 import pytest
 
+from pomelopass.edges import callerload
+from pomelopass.edges import callermemory
 from pomelopass.edges import httpserver
 from pomelopass import message
 from pomelopass.reporting import problemdetails
@@ -210,3 +212,35 @@
     assert response.startswith(b'HTTP/1.1 200')
     assert b'x-name: ' + name + b'\r\n' in response
     assert response.endswith(b'\r\n\r\nok')
+
+
+# Each response was bounded, but not those that many callers did not read.
+async def test_response_that_is_not_read_leaves_for_another():
+    body = b'x' * 8_000_000
+
+    async def handle(request):
+        return message.Reply(200, (), body)
+
+    memory = callermemory.CallerMemory(len(body) + 1)
+    server = httpserver.HttpServer(
+        handle,
+        problemdetails.make_status_refusal,
+        MAX_BODY_BYTES,
+        4,
+        callerload.CallerLoad(memory),
+    )
+    address, _ = await httpserver.start_server(server, '127.0.0.1:0')
+    port = int(address.rpartition(':')[2])
+    writers = []
+    for reads_all in (False, True):
+        reader, writer = await asyncio.open_connection('127.0.0.1', port)
+        writers.append(writer)
+        writer.write(b'GET / HTTP/1.1\r\nhost: a\r\n\r\n')
+        async with asyncio.timeout(5):
+            await reader.readuntil(b'\r\n\r\n')
+            if reads_all:
+                assert await reader.readexactly(len(body)) == body
+    assert memory.count_by_outcome['evicted'] == 1
+    for writer in writers:
+        writer.close()
+    await server.close()
