--- a/scripts/endmutants.py
+++ b/scripts/endmutants.py
@@ -55,7 +55,7 @@
     mutant.Mutant(
         'cut-head-counts-as-not-sent',
         'pomelopass/edges/httpclient.py',
-        "raise message.ExchangeError('reset', len(data)) from None",
+        "raise message.ExchangeError('reset', size) from None",
         "raise message.ExchangeError('reset', 0) from None",
         ('tests/edges/test_cut_heads.py',),
     ),
--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -9,6 +9,7 @@
 import sys
 import tempfile
 
+from scripts import clientmutants
 from scripts import configmutants
 from scripts import endmutants
 from scripts import fleetmutants
@@ -59,6 +60,7 @@
         *endmutants.MUTANTS,
         *configmutants.MUTANTS,
         *memorymutants.MUTANTS,
+        *clientmutants.MUTANTS,
     )
     selected = [mutation for mutation in mutants if name_part in mutation.name]
     with concurrent.futures.ThreadPoolExecutor(WORKERS) as pool:
--- a/tests/edges/test_callermemory.py
+++ b/tests/edges/test_callermemory.py
@@ -82,3 +82,19 @@
     assert len(events) == 1
     assert events[0].connections_refused == 300
     assert events[0].bodies_evicted == 7
+
+
+# Of bodies that all go on, the slowest had the same chance as the fastest.
+async def test_the_slowest_of_those_that_go_on_is_evicted(monkeypatch):
+    memory, clock = make_memory(100, monkeypatch)
+    evicted = []
+    shares = []
+    for number in range(2):
+        share = memory.open(lambda number=number: evicted.append(number))
+        await share.resize(50)
+        shares.append(share)
+    clock.now = 2.0
+    shares[0].record_progress(40)
+    shares[1].record_progress(10)
+    await memory.open(lambda: None).resize(50)
+    assert evicted == [1]
--- a/tests/edges/test_connectionlimit.py
+++ b/tests/edges/test_connectionlimit.py
@@ -96,3 +96,15 @@
     taken = shares.caller + shares.directory + 2 * shares.probe + shares.relay
     assert shares.caller > 700
     assert taken < 1638 - 200 - 250
+
+
+# A caller that reuses its connection lost it to ones that never send.
+def test_a_connection_in_use_outlasts_one_without_a_request():
+    limit, clock = make_limit(4)
+    opened, slots = open_all(limit, '127.0.0.2', 1)
+    limit.begin_use(slots[0])
+    limit.end_use(slots[0])
+    opened += open_all(limit, '127.0.0.2', 3)[0]
+    clock.now = 2.0
+    assert None not in open_all(limit, '127.0.0.2', 1)[1]
+    assert [writer.aborted for writer in opened] == [0, 1, 0, 0]
--- a/tests/edges/test_httpserver.py
+++ b/tests/edges/test_httpserver.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import socket
 
 import pytest
 
@@ -244,3 +245,37 @@
     for writer in writers:
         writer.close()
     await server.close()
+
+
+# Up to 64 KB of responses waited in each connection that read none.
+async def test_next_request_waits_until_the_response_is_taken():
+    async def handle(request):
+        return message.Reply(200, (), b'x' * 1000)
+
+    server = httpserver.HttpServer(
+        handle, problemdetails.make_status_refusal, MAX_BODY_BYTES, 2
+    )
+    writers = []
+    serve = server.serve
+
+    async def serve_noted(reader, writer):
+        writers.append(writer)
+        await serve(reader, writer)
+
+    server.serve = serve_noted
+    address, _ = await httpserver.start_server(server, '127.0.0.1:0')
+    port = int(address.rpartition(':')[2])
+    client = socket.socket()
+    client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    client.connect(('127.0.0.1', port))
+    client.sendall(b'GET / HTTP/1.1\r\nhost: a\r\n\r\n' * 1000)
+    most = 0
+    async with asyncio.timeout(5):
+        while not (writers and writers[0].transport.get_write_buffer_size()):
+            await asyncio.sleep(0.01)
+    for _ in range(20):
+        most = max(most, writers[0].transport.get_write_buffer_size())
+        await asyncio.sleep(0.01)
+    assert most < 2000
+    client.close()
+    await server.close()
--- a/tests/edges/test_request_bytes.py
+++ b/tests/edges/test_request_bytes.py
@@ -5,6 +5,7 @@
 import h11
 import hypothesis
 from hypothesis import strategies
+import pytest
 
 from pomelopass.edges import callerload
 from pomelopass.edges import callermemory
@@ -175,3 +176,10 @@
         )
         == 1
     )
+
+
+# Two bytes that are no line end would be skipped, and a chunk begin early.
+def test_chunk_without_its_line_end_is_refused():
+    joiner = chunkjoiner.ChunkJoiner()
+    with pytest.raises(h11.RemoteProtocolError):
+        joiner.join(b'5\r\nabcdexx5\r\nabcde\r\n')
--- a/tests/test_mutants.py
+++ b/tests/test_mutants.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from scripts import clientmutants
 from scripts import configmutants
 from scripts import endmutants
 from scripts import fleetmutants
@@ -25,6 +26,7 @@
     *endmutants.MUTANTS,
     *configmutants.MUTANTS,
     *memorymutants.MUTANTS,
+    *clientmutants.MUTANTS,
 )
 
 
