--- a/soak/run.py
+++ b/soak/run.py
@@ -13,6 +13,7 @@
 from scripts import entryfleet
 from soak import checks
 from soak import clients
+from soak import crowd
 from soak import disturbance
 from soak import faults
 from soak import proxy
@@ -112,9 +113,12 @@
             operator = asyncio.ensure_future(self._operate())
             release = asyncio.ensure_future(self._release(seconds))
             stall_watch = asyncio.ensure_future(self._record_stalls())
-            await asyncio.gather(
-                callers.run(seconds), self.injector.run(seconds)
+            opened, *_ = await asyncio.gather(
+                self._run_crowd(names, seconds),
+                callers.run(seconds),
+                self.injector.run(seconds),
             )
+            self.record_event(f'{opened} connections of a crowd')
             operator.cancel()
             await release
             self._check_served(callers, seconds)
@@ -131,6 +135,18 @@
                 await running_proxy.stop()
         return self.failures
 
+    async def _run_crowd(self, names: list[str], seconds: float) -> int:
+        # Its choices do not change those of the faults of a seed.
+        rng = random.Random(self.seed)
+        addresses = [
+            self.fleet.get_address(name, kind)
+            for name in names
+            for kind in ('caller_address', 'directory_address')
+        ]
+        return await crowd.run_crowd(
+            addresses, entrybuilders.HOST, rng, seconds
+        )
+
     async def _start(self) -> None:
         await asyncio.to_thread(
             self.fleet.start_platform, '--seed', str(self.seed)
