--- a/pomelopass/edges/httpserver.py
+++ b/pomelopass/edges/httpserver.py
@@ -1,20 +1,24 @@
 """Serve HTTP with h11."""
 
 import asyncio
-import collections
 from collections import abc
 import contextlib
+import functools
 import socket
 import struct
 
 import h11
 
 from .. import message
+from . import callerload
+from . import callermemory
+from . import connectionlimit
 from . import requestreader
 
 __all__ = ['HttpServer', 'start_server']
 
-READ_BYTES = 65_536
+# Unread bytes above twice this pause a connection.
+UNREAD_BYTES = 32_768
 WRITE_BUFFER_BYTES = 65_536
 HEAD_TIMEOUT_MS = 10_000
 IDLE_TIMEOUT_MS = 60_000
@@ -36,10 +40,13 @@
         make_refusal: MakeRefusal,
         max_body_bytes: int,
         max_connections: int,
+        load: callerload.CallerLoad | None = None,
     ):
         self.handler = handler
         self.make_refusal = make_refusal
-        self.max_connections = max_connections
+        self.connections = connectionlimit.ConnectionLimit(max_connections)
+        # Shared by all servers of a process; without a limit by default.
+        self.load = load or callerload.CallerLoad()
         self.limits = requestreader.Limits(
             MAX_HEAD_BYTES, max_body_bytes, HEAD_TIMEOUT_MS, IDLE_TIMEOUT_MS
         )
@@ -48,8 +55,6 @@
         # Event loop time at which the last request was received.
         self.last_request_at_s = float('-inf')
         self.connection_count = 0
-        # Connections since the start, accepted or refused as too many.
-        self.count_by_outcome: collections.Counter[str] = collections.Counter()
         self.idle_writers: set[asyncio.StreamWriter] = set()
         self.listener: asyncio.Server | None = None
 
@@ -70,21 +75,29 @@
     ) -> None:
         """Serve the requests of one connection sequentially."""
         self.connection_count += 1
-        self.count_by_outcome['accepted'] += 1
         writer.transport.set_write_buffer_limits(WRITE_BUFFER_BYTES)
-        request_reader = requestreader.RequestReader(reader, writer)
+        request_reader = requestreader.RequestReader(reader, writer, self.load)
+        slot = self.connections.admit(writer)
         try:
-            if self.connection_count > self.max_connections:
-                self.count_by_outcome['refused'] += 1
+            if slot is None:
                 refusal = self.make_refusal(503, 'Too many connections.')
                 await self._write(request_reader.state, writer, refusal)
                 return
-            while await self._serve_request(request_reader, writer):
+            request_reader.on_progress = functools.partial(
+                self.connections.end_use, slot
+            )
+            while await self._serve_request(request_reader, writer, slot):
                 request_reader.start_next()
+                slot.is_pipelining = bool(request_reader.unread)
+                self.connections.end_use(slot)
+                await _wait_until_sent(writer)
         except (OSError, TimeoutError, h11.LocalProtocolError):
             pass
         finally:
             self.connection_count -= 1
+            request_reader.release()
+            if slot is not None:
+                self.connections.release(slot)
             self.idle_writers.discard(writer)
             _close(request_reader.state, writer)
 
@@ -92,6 +105,7 @@
         self,
         request_reader: requestreader.RequestReader,
         writer: asyncio.StreamWriter,
+        slot: connectionlimit.Slot,
     ) -> bool:
         try:
             self.idle_writers.add(writer)
@@ -106,6 +120,7 @@
             self.idle_writers.discard(writer)
         if request is None:
             return False
+        self.connections.begin_use(slot)
         self.in_flight += 1
         self.last_request_at_s = asyncio.get_running_loop().time()
         try:
@@ -170,8 +185,7 @@
         )
         data = state.send(head)
         if len(reply.body) > WRITE_BUFFER_BYTES:
-            writer.write(data)
-            await _write_large_body(state, writer, reply)
+            await self._write_large_body(state, writer, data, reply)
             data = b''
         elif reply.body:
             data += state.send(h11.Data(data=reply.body))
@@ -182,6 +196,35 @@
         writer.write(data)
         await _write_chunks(state, writer, reply.chunks)
 
+    async def _write_large_body(
+        self,
+        state: h11.Connection,
+        writer: asyncio.StreamWriter,
+        head: bytes,
+        reply: message.Reply,
+    ) -> None:
+        """Write a body in parts; a caller that reads slowly may lose it."""
+        memory = self.load.memory
+        share = memory.open(writer.transport.abort)
+        size = len(reply.body)
+        try:
+            if reply.kept is not None:
+                reply.kept.discard = writer.transport.abort
+            else:
+                # One that is larger than the account is sent alone.
+                await share.resize(int(min(size, memory.max_bytes)))
+            writer.write(head)
+            for start in range(0, size, WRITE_BUFFER_BYTES):
+                part = reply.body[start : start + WRITE_BUFFER_BYTES]
+                writer.write(state.send(h11.Data(data=part)))
+                await _drain(writer)
+                share.record_progress(len(part))
+        except callermemory.MemoryShortError:
+            # It ran: no status would be true.
+            raise ConnectionResetError from None
+        finally:
+            share.close()
+
 
 async def start_server(
     server: HttpServer, address: str
@@ -189,9 +232,13 @@
     """Listen on an address; return it with the bound port."""
     host, _, port = address.rpartition(':')
     listener = await asyncio.start_server(
-        server.serve, host.strip('[]'), int(port), limit=READ_BYTES
+        server.serve, host.strip('[]'), int(port), limit=UNREAD_BYTES
     )
     server.listener = listener
+    # Accepted connections inherit it.
+    listener.sockets[0].setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, WRITE_BUFFER_BYTES
+    )
     bound_port = listener.sockets[0].getsockname()[1]
     return f'{host}:{bound_port}', listener
 
@@ -210,18 +257,6 @@
     writer.close()
 
 
-async def _write_large_body(
-    state: h11.Connection, writer: asyncio.StreamWriter, reply: message.Reply
-) -> None:
-    """Write a body in parts; a caller that reads slowly may lose it."""
-    if reply.kept is not None:
-        reply.kept.discard = writer.transport.abort
-    for start in range(0, len(reply.body), WRITE_BUFFER_BYTES):
-        part = reply.body[start : start + WRITE_BUFFER_BYTES]
-        writer.write(state.send(h11.Data(data=part)))
-        await _drain(writer)
-
-
 async def _write_chunks(
     state: h11.Connection,
     writer: asyncio.StreamWriter,
@@ -235,6 +270,21 @@
     await _drain(writer)
 
 
+async def _wait_until_sent(writer: asyncio.StreamWriter) -> None:
+    """Wait until the caller took what was written; it is not read till then.
+
+    A caller that sends requests and reads no response fills no memory so.
+    """
+    transport = writer.transport
+    if not transport.get_write_buffer_size():
+        return
+    transport.pause_reading()
+    transport.set_write_buffer_limits(0)
+    async with asyncio.timeout(WRITE_STALL_TIMEOUT_MS / 1000):
+        await writer.drain()
+    transport.set_write_buffer_limits(WRITE_BUFFER_BYTES)
+
+
 async def _drain(writer: asyncio.StreamWriter) -> None:
     if writer.transport.get_write_buffer_size() > WRITE_BUFFER_BYTES:
         async with asyncio.timeout(WRITE_STALL_TIMEOUT_MS / 1000):
--- a/pomelopass/entry/process.py
+++ b/pomelopass/entry/process.py
@@ -4,6 +4,7 @@
 import contextlib
 import logging
 import os
+import resource
 import signal
 import sys
 
@@ -11,7 +12,12 @@
 
 from .. import exitstatus
 from . import clients
+from . import clientwatch
 from ..configuring import problem
+from . import connectionshares
+from ..edges import callerload
+from ..edges import callermemory
+from ..edges import frameguard
 from ..edges import httpserver
 from ..edges import requestreader
 from ..edges import suspendclock
@@ -26,8 +32,15 @@
 __all__ = ['main']
 
 USAGE = 'usage: python3 -m pomelopass.entry --settings PATH [--check]'
+# Until a configuration says another limit.
 MAX_BODY_BYTES = 33_554_432
-MAX_CONNECTIONS = 6000
+# Requests to the other addresses have no bodies.
+MAX_PROBE_BODY_BYTES = 16_384
+# Share of the memory limit for what callers' connections hold. On the
+# smallest instance (160 MB) one body of the largest legal size fits.
+CALLER_SHARE = 0.25
+# Chunked bodies reserve up to one step more than they have.
+STEP_MARGIN_BYTES = 65_536
 POLL_INTERVAL_MS = 100.0
 # Upper bound of reported ages; the age of a table never read is infinite.
 MAX_AGE_S = 86_400.0
@@ -78,13 +91,14 @@
     )
     loop.add_signal_handler(signal.SIGHUP, settings_watch.reload)
     try:
-        servers = await _listen(node, metrics)
+        servers, client_watch = await _listen(node, metrics)
     except OSError as error:
         write_event(logevents.ListenFailed(detail=str(error)))
         log.write_pending()
         return exitstatus.ADDRESS_IN_USE
     node.start()
     watch_task = asyncio.ensure_future(settings_watch.run())
+    client_task = asyncio.ensure_future(client_watch.run())
     write_event(
         logevents.Started(start=ports.incarnation, process=os.getpid())
     )
@@ -92,6 +106,7 @@
     await _stop(node, servers, write_event)
     await http_clients.close()
     watch_task.cancel()
+    client_task.cancel()
     log_task.cancel()
     with contextlib.suppress(asyncio.CancelledError):
         await log_task
@@ -101,12 +116,22 @@
 
 async def _listen(
     node: nodes.Node, metrics: telemetry.Telemetry
-) -> list[httpserver.HttpServer]:
+) -> tuple[list[httpserver.HttpServer], clientwatch.ClientWatch]:
     settings = node.settings
+    soft_limit = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    shares = connectionshares.make_shares(settings, soft_limit)
     handlers = [
-        (settings.caller_address, node.ingress.handle),
-        (settings.readiness_address, node.ingress.handle_readiness),
-        (settings.directory_address, node.ingress.handle_directory),
+        (settings.caller_address, node.ingress.handle, shares.caller),
+        (
+            settings.readiness_address,
+            node.ingress.handle_readiness,
+            shares.probe,
+        ),
+        (
+            settings.directory_address,
+            node.ingress.handle_directory,
+            shares.directory,
+        ),
     ]
 
     async def handle_metrics(request):
@@ -117,29 +142,55 @@
         metrics.open.set(
             {'kind': 'usage-reports'}, node.usage.count_unreported()
         )
-        for outcome, count in servers[0].count_by_outcome.items():
+        for outcome, count in servers[0].connections.count_by_outcome.items():
             metrics.connections.set({'outcome': outcome}, count)
+        for outcome, count in watch.get_counts().items():
+            metrics.limited.set({'outcome': outcome}, count)
+        metrics.client_bytes.set({}, load.memory.total)
         return await metrics.handle(request)
 
     if settings.metrics_address is not None:
-        handlers.append((settings.metrics_address, handle_metrics))
-    servers = []
-    for address, handler in handlers:
+        handlers.append(
+            (settings.metrics_address, handle_metrics, shares.probe)
+        )
+    load = callerload.CallerLoad(
+        callermemory.CallerMemory(
+            CALLER_SHARE * settings.memory_mb * nodes.BYTES_PER_MB
+        )
+    )
+    # That of callers comes first.
+    servers: list[httpserver.HttpServer] = []
+    for address, handler, max_connections in handlers:
         server = httpserver.HttpServer(
             _guard_handler(handler, node.write_event),
             ingress.make_refusal,
-            MAX_BODY_BYTES,
-            MAX_CONNECTIONS,
+            MAX_PROBE_BODY_BYTES if servers else MAX_BODY_BYTES,
+            max_connections,
+            load,
         )
         await httpserver.start_server(server, address)
         servers.append(server)
     node.view.on_limits = lambda limits: _set_limits(servers[0], limits)
     host, _, port = settings.relay_address.rpartition(':')
-    await asyncio.start_server(node.relay_server.serve, host, int(port))
-    return servers
+    guard = frameguard.FrameGuard(
+        node.relay_server.serve_frame, load, shares.relay
+    )
+    await asyncio.start_server(
+        guard.serve, host, int(port), limit=frameguard.READ_BYTES
+    )
+    limits = [server.connections for server in servers]
+    watch = clientwatch.ClientWatch(
+        load.memory, [*limits, guard.connections], node.write_event
+    )
+    return servers, watch
 
 
 def _set_limits(server: httpserver.HttpServer, limits) -> None:
+    # One body of legal size fits, whatever the share is.
+    memory = server.load.memory
+    memory.max_bytes = max(
+        memory.max_bytes, limits.max_body_bytes + STEP_MARGIN_BYTES
+    )
     server.limits = requestreader.Limits(
         limits.max_head_bytes,
         limits.max_body_bytes,
--- a/pomelopass/entry/telemetry.py
+++ b/pomelopass/entry/telemetry.py
@@ -70,6 +70,16 @@
             'Requests without a valid key, as far as they are logged.',
             **common,
         )
+        self.limited = aioprometheus.Gauge(
+            'pomelopass_clients_limited',
+            'Clients above a limit since the start, by what became of them.',
+            **common,
+        )
+        self.client_bytes = aioprometheus.Gauge(
+            'pomelopass_client_bytes',
+            'Bytes of bodies and frames that are held now.',
+            **common,
+        )
 
     def count_event(self, event: logevents.Event) -> None:
         """Update the metrics with an event."""
--- a/pomelopass/reporting/logevents.py
+++ b/pomelopass/reporting/logevents.py
@@ -8,6 +8,7 @@
 
 __all__ = [
     'FIELD_MEANINGS',
+    'ClientsLimited',
     'ConfigurationInForce',
     'ConfigurationUnreadable',
     'DutyEnded',
@@ -80,11 +81,16 @@
     'attempts': 'how often a report was sent by this holder',
     'age_ms': 'milliseconds since the table confirmed the copy that decided',
     'applied': 'whether the table applied the write',
+    'bodies_evicted': 'requests that were cut off within their body',
+    'bodies_refused': 'requests whose body was refused with 503',
+    'bodies_waited': 'requests whose body was not read for a while',
     'breaks': 'runs of an item that were cut off without progress',
     'carried': 'items that start with text from an earlier job',
     'change': 'found, ready, draining, leaving, gone, restarted, version, '
     'lost or regained',
     'configuration': 'version of the configuration that decided',
+    'connections_evicted': 'idle connections that left for new ones',
+    'connections_refused': 'connections refused as too many',
     'count': 'number of dropped lines',
     'counts': 'omitted lines by change',
     'detail': 'message of the error',
@@ -100,6 +106,7 @@
     'former': 'start of the instance that owned the job before',
     'granted_by': 'version of the configuration that last granted a key',
     'granted_ms': 'milliseconds from the start of the request to that',
+    'held_bytes': 'bytes of clients that are held now',
     'host': 'host that a request names',
     'id': 'id of a request or an item',
     'in_flight': 'requests that had not ended',
@@ -706,6 +713,18 @@
     detail: str
 
 
+@_event
+class ClientsLimited(Event):
+    """Clients exceeded a limit in the last 5 s; counts of all addresses."""
+
+    connections_refused: int
+    connections_evicted: int
+    bodies_waited: int
+    bodies_refused: int
+    bodies_evicted: int
+    held_bytes: int
+
+
 @_event
 class LinesDropped(Event):
     """Standard output was not read in time; log lines were dropped."""
--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -9,6 +9,7 @@
 import sys
 import tempfile
 
+from scripts import clientmutants
 from scripts import configmutants
 from scripts import costmutants
 from scripts import dutymutants
@@ -66,6 +67,7 @@
         *memorymutants.MUTANTS,
         *dutymutants.MUTANTS,
         *workspacemutants.MUTANTS,
+        *clientmutants.MUTANTS,
     )
     selected = [mutation for mutation in mutants if name_part in mutation.name]
     with concurrent.futures.ThreadPoolExecutor(WORKERS) as pool:
--- a/tests/edges/test_httpserver.py
+++ b/tests/edges/test_httpserver.py
@@ -2,9 +2,12 @@
 
 import asyncio
 import json
+import socket
 
 import pytest
 
+from pomelopass.edges import callerload
+from pomelopass.edges import callermemory
 from pomelopass.edges import httpserver
 from pomelopass import message
 from pomelopass.reporting import problemdetails
@@ -149,7 +152,8 @@
         reader, writer = await asyncio.open_connection('127.0.0.1', port)
         assert (await reader.read()).startswith(b'HTTP/1.1 503')
     writers.append(writer)
-    assert server.count_by_outcome == {'accepted': 3, 'refused': 1}
+    count_by_outcome = server.connections.count_by_outcome
+    assert count_by_outcome == {'accepted': 3, 'refused': 1}
     for writer in writers:
         writer.close()
     await server.close()
@@ -209,3 +213,69 @@
     assert response.startswith(b'HTTP/1.1 200')
     assert b'x-name: ' + name + b'\r\n' in response
     assert response.endswith(b'\r\n\r\nok')
+
+
+# Each response was bounded, but not those that many callers did not read.
+async def test_response_that_is_not_read_leaves_for_another():
+    body = b'x' * 8_000_000
+
+    async def handle(request):
+        return message.Reply(200, (), body)
+
+    memory = callermemory.CallerMemory(len(body) + 1)
+    server = httpserver.HttpServer(
+        handle,
+        problemdetails.make_status_refusal,
+        MAX_BODY_BYTES,
+        4,
+        callerload.CallerLoad(memory),
+    )
+    address, _ = await httpserver.start_server(server, '127.0.0.1:0')
+    port = int(address.rpartition(':')[2])
+    writers = []
+    for reads_all in (False, True):
+        reader, writer = await asyncio.open_connection('127.0.0.1', port)
+        writers.append(writer)
+        writer.write(b'GET / HTTP/1.1\r\nhost: a\r\n\r\n')
+        async with asyncio.timeout(5):
+            await reader.readuntil(b'\r\n\r\n')
+            if reads_all:
+                assert await reader.readexactly(len(body)) == body
+    assert memory.count_by_outcome['evicted'] == 1
+    for writer in writers:
+        writer.close()
+    await server.close()
+
+
+# Up to 64 KB of responses waited in each connection that read none.
+async def test_next_request_waits_until_the_response_is_taken():
+    async def handle(request):
+        return message.Reply(200, (), b'x' * 1000)
+
+    server = httpserver.HttpServer(
+        handle, problemdetails.make_status_refusal, MAX_BODY_BYTES, 2
+    )
+    writers = []
+    serve = server.serve
+
+    async def serve_noted(reader, writer):
+        writers.append(writer)
+        await serve(reader, writer)
+
+    server.serve = serve_noted
+    address, _ = await httpserver.start_server(server, '127.0.0.1:0')
+    port = int(address.rpartition(':')[2])
+    client = socket.socket()
+    client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    client.connect(('127.0.0.1', port))
+    client.sendall(b'GET / HTTP/1.1\r\nhost: a\r\n\r\n' * 1000)
+    most = 0
+    async with asyncio.timeout(5):
+        while not (writers and writers[0].transport.get_write_buffer_size()):
+            await asyncio.sleep(0.01)
+    for _ in range(20):
+        most = max(most, writers[0].transport.get_write_buffer_size())
+        await asyncio.sleep(0.01)
+    assert most < 2000
+    client.close()
+    await server.close()
--- a/tests/test_mutants.py
+++ b/tests/test_mutants.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from scripts import clientmutants
 from scripts import configmutants
 from scripts import costmutants
 from scripts import dutymutants
@@ -31,6 +32,7 @@
     *memorymutants.MUTANTS,
     *dutymutants.MUTANTS,
     *workspacemutants.MUTANTS,
+    *clientmutants.MUTANTS,
 )
 
 
