--- a/bench/fleetcost.py
+++ b/bench/fleetcost.py
@@ -21,8 +21,8 @@
 from pomelopass.edges import httpserver
 from pomelopass.fleet import heartbeat
 from pomelopass.fleet import member
+from pomelopass.leadership import leader
 from pomelopass.table import rows
-from pomelopass.versions import leader
 from scripts import entryfleet
 from standins import modelengines
 from standins import platformtable
@@ -215,7 +215,7 @@
         # Without a leader the measured instance would try to become it.
         first = self.members[0]
         row = leader.LeaderRow(first.incarnation, first.name, 1, 1)
-        key = leader.Leadership('engines', '', '').key
+        key = leader.Leadership(f'{leader.WEIGHTS_PREFIX}engines', '', '').key
         self.service.apply(rows.Transaction(puts=((key, orjson.dumps(row)),)))
 
     async def write_entries(self) -> None:
--- a/tests/versions/test_large_rollout.py
+++ b/tests/versions/test_large_rollout.py
@@ -3,10 +3,10 @@
 import asyncio
 import collections
 
+from pomelopass.leadership import duty
 from pomelopass.registry import endpoint as endpoints
 from pomelopass.registry import registry as registries
 from pomelopass.versions import assignment
-from pomelopass.versions import duty
 from pomelopass.versions import manager
 from pomelopass.versions import orders
 from standins import virtualloop
@@ -37,7 +37,7 @@
 
     async def confirm(self, service):
         now = asyncio.get_running_loop().time()
-        return duty.OrderGrant(service, 1, now + duty.GRANT_MS / 1000)
+        return duty.Grant(service, 1, now + duty.GRANT_MS / 1000)
 
     def is_valid(self, grant):
         return asyncio.get_running_loop().time() <= grant.ends_at
