--- a/pomelopass/platform/configdecode.py
+++ b/pomelopass/platform/configdecode.py
@@ -24,6 +24,19 @@
 DEFAULT_TARGET_LATENCY_MS = 500.0
 
 
+def _read_priority(
+    value: object, validate: pydantic.ValidatorFunctionWrapHandler
+) -> int | None:
+    try:
+        return validate(value)
+    except pydantic.ValidationError:
+        # It must not refuse the routes and keys of all.
+        return None
+
+
+Priority = Annotated[
+    decoding.Int64 | None, pydantic.WrapValidator(_read_priority)
+]
 KeyDigest = Annotated[str, pydantic.Field(pattern='^[0-9a-f]{64}$')]
 
 
@@ -47,7 +60,7 @@
     result_deadline_ms: decoding.FiniteFloat = 0.0
     item_ttl_s: decoding.FiniteFloat = 0.0
     anonymous: bool | None = None
-    priority: decoding.Int64 | None = None
+    priority: Priority = None
 
 
 class _Workspace(decoding.CheckedModel):
@@ -55,7 +68,7 @@
     api_keys: list[str] | None = None
     # In place of keys, in a row that a peer relays.
     api_key_digests: list[KeyDigest] | None = None
-    priority: decoding.Int64 | None = None
+    priority: Priority = None
 
 
 class _Model(decoding.CheckedModel):
--- a/tests/workspaces/test_directory.py
+++ b/tests/workspaces/test_directory.py
@@ -37,6 +37,16 @@
     assert (route.is_anonymous, route.priority) == (True, 3)
 
 
+# All routes and keys would stay those of the version before.
+@pytest.mark.parametrize('priority', [None, 1.5, 'high', [], 2**63])
+def test_odd_priority_is_none_and_refuses_no_configuration(priority):
+    workspaces = [{'name': 'red', 'api_keys': ['r'], 'priority': priority}]
+    configuration = decode(workspaces, priority=priority).unwrap()
+    assert configuration.workspaces.find('r').priority is None
+    route = routes.find_route(configuration, entrybuilders.HOST, '/jobs/x')
+    assert route.priority is None
+
+
 # Requests would be refused in deployments that have no workspaces.
 def test_configuration_without_workspaces_checks_no_keys():
     configuration = decode(None).unwrap()
