--- a/pomelopass/platform/relayedrows.py
+++ b/pomelopass/platform/relayedrows.py
@@ -49,7 +49,7 @@
 
 def _hide_all(table_rows: tuple[rows.Row, ...]) -> tuple[rows.Row, ...]:
     return tuple(
-        dataclasses.replace(row, value=hide_keys(row.value))
+        row._replace(value=hide_keys(row.value))
         if row.name.table == names.OPERATOR_TABLE
         and row.name.key == names.CONFIG_KEY
         and row.value is not None
