--- a/tests/workspaces/test_headers.py
+++ b/tests/workspaces/test_headers.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies as st
 import orjson
 
+from pomelopass.edges import callerload
 from pomelopass.edges import requestreader
 from pomelopass.platform import configdecode
 from pomelopass.platform import endpointclient
@@ -73,7 +74,9 @@
     reader = asyncio.StreamReader()
     reader.feed_data(data)
     reader.feed_eof()
-    request = await requestreader.RequestReader(reader, None).read(LIMITS)
+    request = await requestreader.RequestReader(
+        reader, None, callerload.CallerLoad()
+    ).read(LIMITS)
     value = builders.make_configuration(
         anonymous=('scores',) if is_anonymous else ()
     )
