--- a/tests/workspaces/test_headers.py
+++ b/tests/workspaces/test_headers.py
@@ -1,6 +1,7 @@
 """Test that no header of a caller passes for that of an instance."""
 
 import asyncio
+from unittest import mock
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -75,7 +76,7 @@
     reader.feed_data(data)
     reader.feed_eof()
     request = await requestreader.RequestReader(
-        reader, None, callerload.CallerLoad()
+        reader, mock.Mock(), callerload.CallerLoad()
     ).read(LIMITS)
     value = builders.make_configuration(
         anonymous=('scores',) if is_anonymous else ()
