--- a/pomelopass/reporting/logevents.py
+++ b/pomelopass/reporting/logevents.py
@@ -627,7 +627,7 @@
 
 @_event
 class UsageLate(Event):
-    """Requests of a window that was closed before they were counted."""
+    """Requests of a window that no report has: counted late, or dropped."""
 
     window: int
     requests: int
--- a/pomelopass/usage/starts.py
+++ b/pomelopass/usage/starts.py
@@ -62,22 +62,20 @@
     def make_row_value(self) -> bytes | None:
         """Return the row to store with a heartbeat; None without a clock."""
         self._place_waiting()
-        self._log_late()
         offset_ms = self.clock.get_own_offset_ms()
         if offset_ms is None:
             return None
         stored_ms = self.stored_offset_ms
         if stored_ms is None or abs(offset_ms - stored_ms) > OFFSET_STEP_MS:
             self.stored_offset_ms = offset_ms
-        windows = sorted(self.counts_by_window, reverse=True)[:MAX_WINDOWS]
-        self.counts_by_window = {
-            window: self.counts_by_window[window] for window in windows
-        }
-        while True:
-            value = rowcodec.encode_row(self._make_row(windows))
-            if len(value) <= MAX_ROW_BYTES or not windows:
-                return value
-            windows.pop()
+        while len(self.counts_by_window) > MAX_WINDOWS:
+            self._drop_oldest()
+        value = rowcodec.encode_row(self._make_row())
+        while len(value) > MAX_ROW_BYTES and self.counts_by_window:
+            self._drop_oldest()
+            value = rowcodec.encode_row(self._make_row())
+        self._log_late()
+        return value
 
     def place(self, start: '_CountedStart', at: float) -> None:
         """Count a start in the window of a time of the event loop."""
@@ -113,7 +111,13 @@
         if self.start_by_id.get(start.call_id) is start:
             del self.start_by_id[start.call_id]
 
-    def _make_row(self, windows: list[int]) -> rowcodec.CountRow:
+    def _drop_oldest(self) -> None:
+        """Drop the counts of the oldest window; they are logged as late."""
+        window = min(self.counts_by_window)
+        counts = self.counts_by_window.pop(window)
+        self.late_by_window[window] += counts.total()
+
+    def _make_row(self) -> rowcodec.CountRow:
         now = asyncio.get_running_loop().time()
         true_ms = self.clock.get_true_ms(now)
         counted_to = -1
@@ -124,8 +128,8 @@
             round(self.stored_offset_ms, 1),
             counted_to,
             {
-                str(window): dict(self.counts_by_window[window])
-                for window in windows
+                str(window): dict(counts)
+                for window, counts in self.counts_by_window.items()
             },
         )
 
@@ -158,9 +162,10 @@
 
     def _log_late(self) -> None:
         for window, count in self.late_by_window.items():
-            self.write_event(
-                logevents.UsageLate(window=window, requests=count)
-            )
+            if count:
+                self.write_event(
+                    logevents.UsageLate(window=window, requests=count)
+                )
         self.late_by_window.clear()
 
 
--- a/scripts/dutymutants.py
+++ b/scripts/dutymutants.py
@@ -267,8 +267,15 @@
     mutant.Mutant(
         'counts-of-an-outage-have-no-bound',
         STARTS,
-        'reverse=True)[:MAX_WINDOWS]',
-        'reverse=True)',
+        'while len(self.counts_by_window) > MAX_WINDOWS:',
+        'while False:',
+        (WINDOWS,),
+    ),
+    mutant.Mutant(
+        'dropped-counts-are-not-logged',
+        STARTS,
+        'self.late_by_window[window] += counts.total()',
+        'pass',
         (WINDOWS,),
     ),
     mutant.Mutant(
--- a/tests/usage/test_windows.py
+++ b/tests/usage/test_windows.py
@@ -179,12 +179,17 @@
 # would be refused together with the heartbeat.
 def test_counts_of_a_long_outage_are_bounded():
     async def scenario():
-        counter = make_counter()
+        events = []
+        counter = make_counter(events=events)
         set_progress(counter)
         for number in range(40):
             call = make_call(f'a-{number}')
             counter.open(call).place(number * WINDOW_MS / 1000)
         assert len(get_windows(counter)) == starts.MAX_WINDOWS
+        # What is dropped is logged.
+        assert sum(event.requests for event in events) == (
+            40 - starts.MAX_WINDOWS
+        )
         for number in range(9000):
             call = make_call(f'b-{number}', f'workspace-{number}')
             counter.open(call).place(40 * WINDOW_MS / 1000)
