--- a/tests/entry/test_duty_settings.py
+++ b/tests/entry/test_duty_settings.py
@@ -20,6 +20,7 @@
     'ip': '10.0.0.1',
     'limits.cores': '1',
     'limits.cpu_share': '1',
+    'limits.max_fds': '4096',
     'limits.memory_mb': '200',
 }
 # A section over the table itself is filled in once for each of its entries.
