--- a/pomelopass/entry/clients.py
+++ b/pomelopass/entry/clients.py
@@ -4,6 +4,7 @@
 import random
 import time
 
+from . import connecttimes
 from ..edges import httpclient
 from ..limits import peers
 from . import node as nodes
@@ -24,17 +25,24 @@
     table: httpclient.HttpClient = dataclasses.field(
         default_factory=httpclient.HttpClient
     )
-    endpoints: httpclient.HttpClient = dataclasses.field(
-        default_factory=lambda: httpclient.HttpClient(
-            connect_timeout_ms=endpointclient.CONNECT_TIMEOUT_MS
-        )
+    connect_times: connecttimes.ConnectTimes = dataclasses.field(
+        default_factory=connecttimes.ConnectTimes
     )
+    endpoints: httpclient.HttpClient = dataclasses.field(init=False)
     tunnels: httpclient.HttpClient = dataclasses.field(
         default_factory=lambda: httpclient.HttpClient(
             tunnelclient.open_tunnel, pathports.PEER_TIMEOUT_MS
         )
     )
 
+    def __post_init__(self) -> None:
+        """Let the client of the endpoints report its connections."""
+        endpoints = httpclient.HttpClient(
+            self.connect_times.open_connection,
+            endpointclient.CONNECT_TIMEOUT_MS,
+        )
+        object.__setattr__(self, 'endpoints', endpoints)
+
     async def close(self) -> None:
         """Close the idle connections."""
         for client in (self.table, self.endpoints, self.tunnels):
@@ -61,4 +69,5 @@
         get_lease_now=lambda: time.clock_gettime(time.CLOCK_BOOTTIME),
         incarnation=f'{settings.name}-{rng.getrandbits(48):012x}',
         permit_peers=peers.ThriftPeers(),
+        connect_times=clients.connect_times,
     )
--- a/pomelopass/entry/node.py
+++ b/pomelopass/entry/node.py
@@ -6,6 +6,7 @@
 import random
 
 from .. import answermemory
+from . import connecttimes
 from ..fleet import heartbeat
 from ..fleet import member
 from . import itemcontexts
@@ -22,6 +23,7 @@
 from ..origins import bases
 from . import pathparts
 from ..paths import ports as pathports
+from . import placementparts
 from ..platform import ingress as ingresses
 from ..platform import names
 from ..registry import registry as registries
@@ -66,6 +68,10 @@
     get_lease_now: abc.Callable[[], float]
     incarnation: str
     permit_peers: sharing.PermitPeers
+    # Reports the connections that the client of the endpoints opens.
+    connect_times: connecttimes.ConnectTimes = dataclasses.field(
+        default_factory=connecttimes.ConnectTimes
+    )
 
 
 class Node:
@@ -128,7 +134,16 @@
         )
         self.jobs = jobview.JobView()
         self.job_table = jobtable.JobTable(self.table)
-        self.scheduler = schedule.Scheduler(self.registry, self.limits.permits)
+        self.placer = placementparts.build_placer(
+            settings,
+            ports.connect_times,
+            self.registry,
+            self.paths.endpoints.get_carrier,
+            self.membership,
+        )
+        self.scheduler = schedule.Scheduler(
+            self.registry, self.limits.permits, self.placer
+        )
         self.limits.permits.on_permit = self.scheduler.dispatch
         self.quarantine = quarantines.Quarantine()
         memory_bytes = settings.memory_mb * BYTES_PER_MB
@@ -142,6 +157,7 @@
             self.quarantine,
             self.limits.permits,
             answermemory.AnswerMemory(int(ANSWER_SHARE * memory_bytes)),
+            self.placer,
         )
         self._build_jobs()
         self._build_duties()
@@ -286,6 +302,7 @@
             ('BaseKeeper.run', self.origins.bases.run),
             ('OriginRecorder.run', self.origins.recorder.run),
             ('OriginSweeper.run', self.origins.sweeper.run),
+            ('ZoneTraffic.run', self._report_zones),
         ):
             task = asyncio.ensure_future(self._supervise(task_name, run))
             self.tasks.append(task)
@@ -301,6 +318,7 @@
         """Apply changed settings; new addresses need a restart."""
         self.settings = settings
         self.ingress.directory_ttl_s = settings.directory_ttl_s
+        self.placer.transfer_ms_per_mb = settings.zone_transfer_ms_per_mb
 
     def begin_stop(self, closes_at: float) -> None:
         """Leave the directory, acquire no new duty, refuse what can't end.
@@ -356,6 +374,9 @@
             return None
         return self.ports.incarnation.encode()
 
+    async def _report_zones(self) -> None:
+        await placementparts.run_reports(self.placer, self.write_event)
+
     def _get_demand(self) -> dict[str, assignment.Demand]:
         return self.jobs.get_demand(self.table.get_now_ms())
 
--- /dev/null
+++ b/pomelopass/entry/placementparts.py
@@ -0,0 +1,65 @@
+"""Assemble the placement of an instance."""
+
+import asyncio
+from collections import abc
+
+from . import connecttimes
+from ..fleet import member
+from ..placement import placer as placers
+from ..registry import registry as registries
+from ..reporting import logevents
+from . import settings as entrysettings
+
+__all__ = ['build_placer', 'run_reports']
+
+REPORT_INTERVAL_S = 10.0
+
+
+def build_placer(
+    settings: entrysettings.EntrySettings,
+    times: connecttimes.ConnectTimes,
+    registry: registries.Registry,
+    get_carrier: abc.Callable[[str], str | None],
+    membership: member.Membership,
+) -> placers.Placer:
+    """Return the placement that learns from the opened connections."""
+    placer = placers.Placer(
+        settings.availability_zone, settings.zone_transfer_ms_per_mb
+    )
+
+    def record_connected(address: str, took_ms: float) -> None:
+        if not placer.is_enabled:
+            return
+        for state in registry.state_by_id.values():
+            if state.endpoint.address == address:
+                zone = state.endpoint.availability_zone
+                placer.latencies.record(zone, took_ms)
+                return
+
+    def get_carrier_zone(endpoint_id: str) -> str | None:
+        name = get_carrier(endpoint_id)
+        if name is None:
+            return None
+        now = asyncio.get_running_loop().time()
+        return next(
+            (
+                peer.availability_zone
+                for peer in membership.get_helpers(now)
+                if peer.name == name
+            ),
+            None,
+        )
+
+    times.on_connected = record_connected
+    placer.get_carrier_zone = get_carrier_zone
+    return placer
+
+
+async def run_reports(
+    placer: placers.Placer, write_event: logevents.WriteEvent
+) -> None:
+    """Log what left the zone in each interval, until cancelled."""
+    while True:
+        await asyncio.sleep(REPORT_INTERVAL_S)
+        for event in placer.traffic.take_events():
+            write_event(event)
--- a/pomelopass/entry/settings.py
+++ b/pomelopass/entry/settings.py
@@ -83,6 +83,14 @@
     directory_ttl_s: float = pydantic.Field(
         gt=0, description='Time for which callers cache addresses, in seconds.'
     )
+    zone_transfer_ms_per_mb: float | None = pydantic.Field(
+        default=None,
+        ge=0,
+        allow_inf_nan=False,
+        description="Milliseconds of a caller's waiting that one megabyte "
+        'between availability zones is worth; without it, work is placed '
+        'by load and pace alone.',
+    )
     log_level: str = pydantic.Field(
         default='INFO',
         pattern='^(DEBUG|INFO|WARNING|ERROR)$',
--- a/pomelopass/entry/telemetry.py
+++ b/pomelopass/entry/telemetry.py
@@ -50,6 +50,16 @@
             buckets=list(LATENCY_BUCKETS_S),
             **common,
         )
+        self.zone_left = aioprometheus.Counter(
+            'pomelopass_zone_left_total',
+            'Requests and runs that left the availability zone, by reason.',
+            **common,
+        )
+        self.zone_bytes = aioprometheus.Counter(
+            'pomelopass_zone_left_bytes_total',
+            'Bytes that crossed zone boundaries.',
+            **common,
+        )
         self.ages = aioprometheus.Gauge(
             'pomelopass_view_age_seconds',
             'Time since the table service last told of a table.',
@@ -81,6 +91,10 @@
             outcome = {'outcome': event.outcome}
             self.run_seconds.observe(outcome, event.took_ms / 1000)
             self.wait_seconds.observe({}, event.waited_ms / 1000)
+        elif isinstance(event, logevents.ZoneLeft):
+            pair = {'service': event.service, 'zone': event.zone}
+            self.zone_left.add({**pair, 'reason': event.why}, event.left)
+            self.zone_bytes.add(pair, event.bytes)
 
     def wrap(self, write_event: logevents.WriteEvent) -> logevents.WriteEvent:
         """Return a function that counts an event, then writes it."""
--- a/pomelopass/jobs/itemcontext.py
+++ b/pomelopass/jobs/itemcontext.py
@@ -55,3 +55,7 @@
     terminated: bool = False
     # Whether an engine sent nothing for the length of the stall timeout.
     was_silent: bool = False
+    # Zone of the engine that ran the item last, with its prompt in a cache.
+    cache_zone: str | None = None
+    # From the opened stream to the first event of the text.
+    prompt_ms: float = 0.0
--- a/pomelopass/jobs/itemrun.py
+++ b/pomelopass/jobs/itemrun.py
@@ -117,6 +117,14 @@
             configuration=route.configuration_version,
         )
     )
+    run.cache_zone = state.endpoint.availability_zone
+    if run.progress.whole:
+        context.scheduler.placer.sizes.record_text(
+            run.item.model,
+            run.item.expected_length,
+            len(run.progress.texts),
+            run.progress.stored_bytes,
+        )
     if run.progress.whole or run.terminated:
         return
     await _pause(
@@ -149,6 +157,9 @@
         avoid=run.avoid,
         granted=asyncio.get_running_loop().create_future(),
         can_resume_at=run.progress.can_resume_at,
+        count_events=lambda: len(run.progress.texts),
+        cache_zone=run.cache_zone if run.progress.texts else None,
+        prompt_ms=run.prompt_ms,
     )
 
 
--- a/pomelopass/jobs/itemstream.py
+++ b/pomelopass/jobs/itemstream.py
@@ -135,6 +135,7 @@
         context.version_field, run.progress.last_event_id
     )
     version = answer.weight_version
+    opened_at = loop.time()
     last_event_at = None
     stall_at = loop.time() + STALL_TIMEOUT_MS / 1000
     next_check_at = loop.time() + MOVE_CHECK_INTERVAL_MS / 1000
@@ -156,9 +157,15 @@
             if not _append_event(context, run, route, event, version):
                 return 'version'
         _update_share(run, len(parser.unread))
+        pace_ms = None
         if new_events and last_event_at is not None:
             pace_ms = (now - last_event_at) * 1000 / len(new_events)
             endpoints.record_success(state, pace_ms, now)
+        elif new_events and len(run.progress.texts) == len(new_events):
+            run.prompt_ms = (now - opened_at) * 1000
+        context.scheduler.placer.record_events(
+            state, waiting_item.service, pace_ms, len(chunk)
+        )
         if new_events:
             last_event_at = now
         if now >= next_check_at:
--- a/pomelopass/jobs/schedule.py
+++ b/pomelopass/jobs/schedule.py
@@ -6,6 +6,7 @@
 
 from . import job as jobs
 from ..limits import permits as permitpools
+from ..placement import placer as placers
 from ..registry import choice
 from ..registry import endpoint as endpoints
 from ..registry import registry as registries
@@ -14,6 +15,10 @@
 
 # A run moves when another engine generates events this many times faster.
 MOVE_FACTOR = 2.2
+# Items of one need that one dispatch lets wait for their own zone. Each costs
+# a look at all engines.
+MAX_HELD = 32
+MIN_HOLD_MS = 5.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -33,6 +38,12 @@
     granted: asyncio.Future
     # Whether an endpoint of a software version may resume the text.
     can_resume_at: abc.Callable[[str], bool] = lambda software: True
+    # Number of events that the text has.
+    count_events: abc.Callable[[], int] = lambda: 0
+    # Where the prompt of the text is cached, and how long reading it took.
+    cache_zone: str | None = None
+    prompt_ms: float = 0.0
+    queued_at: float = float('-inf')
 
 
 def get_order(waiting_item: WaitingItem) -> tuple[float, float, int, int]:
@@ -53,19 +64,26 @@
     """Assign the waiting items of all jobs of this instance."""
 
     def __init__(
-        self, registry: registries.Registry, permits: permitpools.PermitPool
+        self,
+        registry: registries.Registry,
+        permits: permitpools.PermitPool,
+        placer: placers.Placer | None = None,
     ):
+        self.placer = placer or placers.Placer('')
         self.registry = registry
         self.permits = permits
         self.get_order = get_order
         self.choose_for_run = choice.choose_for_run
         self.waiting: list[WaitingItem] = []
         self.dispatch_scheduled = False
+        # When an item that waits for its own zone has waited enough.
+        self.hold_timer: asyncio.TimerHandle | None = None
 
     async def acquire(
         self, waiting_item: WaitingItem
     ) -> endpoints.EndpointState:
         """Wait for an engine, reserve a slot of it and return it."""
+        waiting_item.queued_at = asyncio.get_running_loop().time()
         self.waiting.append(waiting_item)
         self._dispatch_soon()
         try:
@@ -100,6 +118,7 @@
             return
         # Needs that no engine has a slot for are tried once, not per item.
         unmet: set[tuple[str, str, int]] = set()
+        holds = _Holds()
         for waiting_item in sorted(self.waiting, key=self.get_order):
             need = (
                 waiting_item.service,
@@ -108,8 +127,11 @@
             )
             if need in unmet or waiting_item.granted.done():
                 continue
-            state = self._choose_preferred(waiting_item)
-            if state is not None:
+            state = self._choose_preferred(waiting_item, holds, need)
+            if holds.is_held(waiting_item):
+                if holds.is_full(need):
+                    unmet.add(need)
+            elif state is not None:
                 state.in_flight += 1
                 self.permits.take(state.endpoint.id)
                 self.waiting.remove(waiting_item)
@@ -117,10 +139,26 @@
             else:
                 unmet.add(need)
                 self._request_permits(waiting_item)
+        self._set_hold_timer(holds)
+
+    def _set_hold_timer(self, holds: '_Holds') -> None:
+        if self.hold_timer is not None:
+            self.hold_timer.cancel()
+            self.hold_timer = None
+        if holds.wait_ms is not None:
+            delay_s = max(holds.wait_ms, MIN_HOLD_MS) / 1000
+            self.hold_timer = asyncio.get_running_loop().call_later(
+                delay_s, self.dispatch
+            )
 
     def _choose_preferred(
-        self, waiting_item: WaitingItem
+        self,
+        waiting_item: WaitingItem,
+        holds: '_Holds',
+        need: tuple[str, str, int],
     ) -> endpoints.EndpointState | None:
+        if self.placer.is_enabled:
+            return self._place(waiting_item, holds, need)
         # An engine that failed the item, and one that must begin its text
         # again, are used only if there is no other.
         return (
@@ -130,12 +168,44 @@
             or self._choose(waiting_item, (), False)
         )
 
+    def _place(
+        self,
+        waiting_item: WaitingItem,
+        holds: '_Holds',
+        need: tuple[str, str, int],
+    ) -> endpoints.EndpointState | None:
+        """Return the engine of a run, or None if it waits for its zone."""
+        now = asyncio.get_running_loop().time()
+        work = _make_work(waiting_item, holds.count_by_need.get(need, 0), now)
+        for avoid, must_resume in (
+            (waiting_item.avoid, True),
+            ((), True),
+            (waiting_item.avoid, False),
+            ((), False),
+        ):
+            placed = self.placer.choose_for_run(
+                self._find_open(waiting_item, must_resume), avoid, work, now
+            )
+            if placed.decision is not None:
+                self.placer.record_run(placed.decision, work, now)
+                return placed.decision.candidate.state
+            if placed.wait_ms:
+                holds.add(waiting_item, need, placed.wait_ms)
+                return None
+        return None
+
     def _choose(
         self,
         waiting_item: WaitingItem,
         avoid: abc.Container[str],
         must_resume: bool,
     ) -> endpoints.EndpointState | None:
+        open_states = self._find_open(waiting_item, must_resume)
+        return self._choose_among(open_states, waiting_item, avoid)
+
+    def _find_open(
+        self, waiting_item: WaitingItem, must_resume: bool
+    ) -> list[endpoints.EndpointState]:
         open_states, _ = self.permits.split(
             self.registry.get_by_service(waiting_item.service)
         )
@@ -145,7 +215,7 @@
                 for state in open_states
                 if waiting_item.can_resume_at(state.endpoint.software)
             ]
-        return self._choose_among(open_states, waiting_item, avoid)
+        return open_states
 
     def _choose_among(
         self,
@@ -183,4 +253,54 @@
         best = self._choose(waiting_item, {state.endpoint.id}, True)
         if best is None or best.pace_ms == 0.0:
             return False
-        return state.pace_ms > MOVE_FACTOR * best.pace_ms
+        if state.pace_ms <= MOVE_FACTOR * best.pace_ms:
+            return False
+        now = asyncio.get_running_loop().time()
+        work = _make_work(waiting_item, 0, now)
+        return self.placer.pays_to_move(state, best, work, now)
+
+
+class _Holds:
+    """Items of one dispatch that wait for an engine of their zone."""
+
+    def __init__(self) -> None:
+        self.count_by_need: dict[tuple[str, str, int], int] = {}
+        self.wait_ms: float | None = None
+        self.last: WaitingItem | None = None
+
+    def add(
+        self,
+        waiting_item: WaitingItem,
+        need: tuple[str, str, int],
+        wait_ms: float,
+    ) -> None:
+        """Record that an item waits for so long."""
+        self.last = waiting_item
+        self.count_by_need[need] = self.count_by_need.get(need, 0) + 1
+        self.wait_ms = min(self.wait_ms or wait_ms, wait_ms)
+
+    def is_held(self, waiting_item: WaitingItem) -> bool:
+        """Return whether the item waits."""
+        return self.last is waiting_item
+
+    def is_full(self, need: tuple[str, str, int]) -> bool:
+        """Return whether no further item of a need is looked at."""
+        return self.count_by_need[need] >= MAX_HELD
+
+
+def _make_work(
+    waiting_item: WaitingItem, ahead: int, now: float
+) -> placers.ItemWork:
+    item = waiting_item.item
+    return placers.ItemWork(
+        waiting_item.service,
+        waiting_item.model,
+        waiting_item.min_version,
+        len(item.body),
+        item.expected_length,
+        waiting_item.count_events(),
+        (now - waiting_item.queued_at) * 1000,
+        ahead,
+        waiting_item.cache_zone,
+        waiting_item.prompt_ms,
+    )
--- a/pomelopass/paths/endpointpaths.py
+++ b/pomelopass/paths/endpointpaths.py
@@ -41,6 +41,8 @@
         self.watch = watch
         self.search = search
         self.peer_book = search.peer_book
+        # Name of the peer that carried the last call, by endpoint id.
+        self.carrier_by_id: dict[str, str] = {}
         self.reported: set[tuple[str, str, int]] = set()
         self.reports: set[asyncio.Task] = set()
 
@@ -122,8 +124,17 @@
         if answer.is_leaving:
             self._report_leaving(peer, target)
         self.book.record_detour(target.id)
+        if len(self.carrier_by_id) >= MAX_REPORTED:
+            self.carrier_by_id.clear()
+        self.carrier_by_id[target.id] = peer.name
         return answer
 
+    def get_carrier(self, endpoint_id: str) -> str | None:
+        """Return the name of the peer that carries calls, if one does."""
+        if not self.book.needs_peer(endpoint_id):
+            return None
+        return self.carrier_by_id.get(endpoint_id)
+
     async def is_refused(self, target: endpoints.Endpoint) -> bool:
         """Return whether an endpoint refuses connections on all paths."""
         if not await self.direct.is_refused(target):
--- /dev/null
+++ b/pomelopass/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Decide when work leaves the availability zone, and how much of it."""
--- a/pomelopass/registry/choice.py
+++ b/pomelopass/registry/choice.py
@@ -4,7 +4,15 @@
 
 from . import endpoint as endpoints
 
-__all__ = ['choose_for_call', 'choose_for_run']
+__all__ = [
+    'DEFAULT_PACE_MS',
+    'RUN_LOAD_WEIGHT',
+    'choose_for_call',
+    'choose_for_run',
+    'find_for_run',
+    'get_free_slots',
+    'get_run_pace_ms',
+]
 
 # Assumed for an endpoint that has not answered yet.
 DEFAULT_PACE_MS = 20.0
@@ -56,27 +64,45 @@
     The generations of a batch arrive at once. They are spread by free
     slots and by pace, newest weights first.
     """
-    free = [
+    fit = find_for_run(states, avoid, model, min_version, now)
+    free = [state for state in fit if get_free_slots(state) > 0]
+    newest = max((state.get_version(model) for state in free), default=0)
+    return min(
+        free,
+        key=lambda state: get_run_pace_ms(
+            state, model, newest, state.pace_ms or DEFAULT_PACE_MS
+        ),
+        default=None,
+    )
+
+
+def find_for_run(
+    states: abc.Iterable[endpoints.EndpointState],
+    avoid: abc.Container[str],
+    model: str,
+    min_version: int,
+    now: float,
+) -> list[endpoints.EndpointState]:
+    """Return the endpoints that may run a generation, full ones included."""
+    return [
         state
         for state in states
         if state.endpoint.id not in avoid
         and not state.is_backing_off(now)
         and state.get_version(model) >= min_version
-        and get_free_slots(state) > 0
     ]
 
-    newest = max((state.get_version(model) for state in free), default=0)
 
-    def get_cost(state: endpoints.EndpointState) -> float:
-        pace_ms = state.pace_ms or DEFAULT_PACE_MS
-        in_flight_total = state.in_flight + state.in_flight_elsewhere
-        penalty = OLD_WEIGHTS_PENALTY
-        if state.get_version(model) == newest:
-            penalty = 1.0
-        load = in_flight_total / max(state.endpoint.slots, 1)
-        return pace_ms * (1.0 + RUN_LOAD_WEIGHT * load) * penalty
-
-    return min(free, key=get_cost, default=None)
+def get_run_pace_ms(
+    state: endpoints.EndpointState, model: str, newest: int, pace_ms: float
+) -> float:
+    """Return the expected time of an event, with load and old weights."""
+    in_flight_total = state.in_flight + state.in_flight_elsewhere
+    penalty = OLD_WEIGHTS_PENALTY
+    if state.get_version(model) == newest:
+        penalty = 1.0
+    load = in_flight_total / max(state.endpoint.slots, 1)
+    return pace_ms * (1.0 + RUN_LOAD_WEIGHT * load) * penalty
 
 
 def get_free_slots(state: endpoints.EndpointState) -> int:
--- a/pomelopass/registry/endpoint.py
+++ b/pomelopass/registry/endpoint.py
@@ -8,15 +8,30 @@
     'Endpoint',
     'EndpointState',
     'LoadReport',
+    'Pace',
+    'count_load',
+    'get_pace_ms',
     'record_failure',
+    'record_pace',
     'record_unreachable',
     'record_success',
 ]
 
 PACE_SMOOTHING = 0.2
+# Servers are slow for turns of 600 ms: the recent pace must be near the
+# present one after a few answers, and counts no more after one turn.
+RECENT_SMOOTHING = 0.4
+USUAL_SMOOTHING = 0.05
+RECENT_TTL_MS = 600.0
+# Routes are few; a bound all the same, as callers may add to them.
+MAX_KINDS = 64
 MIN_FAILURE_BACKOFF_MS = 300.0
 MAX_FAILURE_BACKOFF_MS = 4000.0
 LOAD_REPORT_TTL_MS = 1000.0
+# An endpoint that this instance did not call for a second is not idle: two
+# zones that were both full sent each other their requests.
+USUAL_LOAD_TTL_MS = 5000.0
+LOAD_SMOOTHING = 0.2
 # The endpoint is not to blame if no path leads to it.
 UNREACHABLE_BACKOFF_MS = 300.0
 MIN_REFUSAL_BACKOFF_MS = 100.0
@@ -49,6 +64,15 @@
     slowness: float = 1.0
 
 
+@dataclasses.dataclass(slots=True)
+class Pace:
+    """Recent and usual time of one kind of work, in milliseconds."""
+
+    recent_ms: float
+    usual_ms: float
+    recorded_at: float
+
+
 @dataclasses.dataclass(slots=True)
 class EndpointState:
     """Own counts and measurements of one endpoint.
@@ -69,6 +93,11 @@
     backoff_until: float = float('-inf')
     load: LoadReport | None = None
     load_received_at: float = float('-inf')
+    # Reported requests that are not those of this instance.
+    load_elsewhere: float = 0.0
+    usual_load_elsewhere: float = 0.0
+    # By kind of work, for instance by route.
+    pace_by_kind: dict[str, Pace] = dataclasses.field(default_factory=dict)
     version_by_model: dict[str, int] = dataclasses.field(default_factory=dict)
 
     @property
@@ -138,8 +167,42 @@
 
 def record_load(state: EndpointState, load: LoadReport, now: float) -> None:
     """Record a load report."""
+    age_ms = (now - state.load_received_at) * 1000
     state.load = load
     state.load_received_at = now
+    # The report counts the request with whose reply it came.
+    elsewhere = load.running + load.waiting - state.in_flight - 1
+    state.load_elsewhere = float(max(elsewhere, 0))
+    if age_ms >= USUAL_LOAD_TTL_MS:
+        state.usual_load_elsewhere = state.load_elsewhere
+    state.usual_load_elsewhere += LOAD_SMOOTHING * (
+        state.load_elsewhere - state.usual_load_elsewhere
+    )
+
+
+def record_pace(
+    state: EndpointState, kind: str, pace_ms: float, now: float
+) -> None:
+    """Record the time of one kind of work."""
+    pace = state.pace_by_kind.get(kind)
+    if pace is None:
+        if len(state.pace_by_kind) >= MAX_KINDS:
+            del state.pace_by_kind[next(iter(state.pace_by_kind))]
+        state.pace_by_kind[kind] = Pace(pace_ms, pace_ms, now)
+        return
+    # The first answer after a pause is all that is known of the present pace.
+    age = min((now - pace.recorded_at) * 1000 / RECENT_TTL_MS, 1.0)
+    weight = RECENT_SMOOTHING + (1.0 - RECENT_SMOOTHING) * age
+    pace.recent_ms += weight * (pace_ms - pace.recent_ms)
+    pace.usual_ms += USUAL_SMOOTHING * (pace_ms - pace.usual_ms)
+    pace.recorded_at = now
+
+
+def get_pace_ms(pace: Pace, now: float) -> float:
+    """Return the recent pace, which turns into the usual one with age."""
+    age_ms = (now - pace.recorded_at) * 1000
+    weight = max(0.0, 1.0 - age_ms / RECENT_TTL_MS)
+    return pace.usual_ms + weight * (pace.recent_ms - pace.usual_ms)
 
 
 def record_version(state: EndpointState, model: str, version: int) -> None:
@@ -151,5 +214,21 @@
     """Return the reported queue length, reduced by the report's age."""
     if state.load is None:
         return 0.0
+    return state.load.waiting * _get_report_weight(state, now)
+
+
+def count_load(state: EndpointState, now: float) -> float:
+    """Return the own requests and the reported ones of other instances."""
+    usual = state.usual_load_elsewhere
+    weight = _get_report_weight(state, now)
+    elsewhere = usual + weight * (state.load_elsewhere - usual)
+    return state.in_flight + elsewhere * _get_report_weight(
+        state, now, USUAL_LOAD_TTL_MS
+    )
+
+
+def _get_report_weight(
+    state: EndpointState, now: float, ttl_ms: float = LOAD_REPORT_TTL_MS
+) -> float:
     age_ms = (now - state.load_received_at) * 1000
-    return state.load.waiting * max(0.0, 1.0 - age_ms / LOAD_REPORT_TTL_MS)
+    return max(0.0, 1.0 - age_ms / ttl_ms)
--- a/pomelopass/reporting/logevents.py
+++ b/pomelopass/reporting/logevents.py
@@ -60,6 +60,7 @@
     'VersionNamed',
     'VersionUnreadable',
     'WriteEvent',
+    'ZoneLeft',
     'get_all_events',
     'get_fields',
 ]
@@ -80,6 +81,7 @@
     'endpoints': 'ids of the endpoints that may have run it',
     'errors': 'error replies of endpoints',
     'events': 'stream events received so far',
+    'bytes': 'bytes that crossed zone boundaries, both ways',
     'fence': 'fencing number of the orders of one holder',
     'fingerprint': 'digest of the content of a request',
     'first': 'index of the first result among those of the job',
@@ -93,6 +95,7 @@
     'key': 'key of a row',
     'last_event_id': 'id of the last event that a stream passed on',
     'leaving': 'whether the endpoint says that it stops soon',
+    'left': 'requests and runs that went to another availability zone',
     'limit': 'requests per second that an endpoint takes from all instances',
     'listed': 'results that are already visible to readers',
     'may_have_run': 'number of endpoints that may have run it',
@@ -125,7 +128,9 @@
     'version': 'weight version, or version of the configuration',
     'versions': 'weight versions, by model or in the order of the text',
     'waited_ms': 'milliseconds until an engine had a free slot',
-    'why': 'why it is invalid',
+    'why': 'why it is invalid, or why work left its zone: no-endpoint, '
+    'queue, pace, failed, scout or begun-before',
+    'zone': 'availability zone of the endpoints',
 }
 
 
@@ -288,6 +293,20 @@
     """A link to an endpoint works again."""
 
 
+@_event
+class ZoneLeft(Event):
+    """Work left the availability zone in the last ten seconds.
+
+    One line for each service, zone and reason.
+    """
+
+    service: str
+    zone: str
+    why: str
+    left: int
+    bytes: int
+
+
 @_event
 class EndpointUnreadable(Event):
     """An endpoint's entry is invalid; the endpoint gets no work."""
--- a/pomelopass/requests/attempt.py
+++ b/pomelopass/requests/attempt.py
@@ -7,6 +7,7 @@
 from . import answerbody
 from . import call as calls
 from . import outcome as outcomes
+from ..placement import placer as placers
 from . import quarantine as quarantines
 from ..registry import endpoint as endpoints
 from ..reporting import logevents
@@ -18,6 +19,8 @@
     'run_attempt',
 ]
 
+NO_SIGNATURE = 'no-signature'
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AttemptContext:
@@ -27,6 +30,7 @@
     quarantine: quarantines.Quarantine
     write_event: logevents.WriteEvent
     memory: answermemory.AnswerMemory
+    placer: placers.Placer
 
 
 async def run_attempt(
@@ -36,6 +40,7 @@
     give_up_at: float,
     fresh: bool,
     fingerprint: str | None,
+    work: placers.CallWork,
 ) -> outcomes.Attempt:
     """Send the call to an endpoint and return the result."""
     loop = asyncio.get_running_loop()
@@ -51,7 +56,14 @@
         return outcomes.Attempt(
             state.endpoint.id, not error.may_have_run, reason=error.kind
         )
-    return _classify_answer(state, answer, body, kept, started_at)
+    attempt = _classify_answer(state, answer, body, kept, started_at)
+    if not attempt.not_run and attempt.reason != NO_SIGNATURE:
+        took_ms = (loop.time() - started_at) * 1000
+        is_served = answer.status < 500
+        context.placer.record_answer(
+            state, work, took_ms if is_served else None, len(body)
+        )
+    return attempt
 
 
 def record_failure(state: endpoints.EndpointState, kind: str) -> None:
@@ -78,7 +90,7 @@
         return outcomes.Attempt(endpoint_id, True, reason='endpoint-refused')
     if 200 <= answer.status < 300 and answer.signature is None:
         endpoints.record_failure(state, loop.time())
-        return outcomes.Attempt(endpoint_id, False, reason='no-signature')
+        return outcomes.Attempt(endpoint_id, False, reason=NO_SIGNATURE)
     if answer.status < 500:
         took_ms = (loop.time() - started_at) * 1000
         endpoints.record_success(state, took_ms, loop.time())
--- a/pomelopass/requests/callstate.py
+++ b/pomelopass/requests/callstate.py
@@ -9,6 +9,7 @@
 from ..core import rendezvous
 from ..limits import permits as permitpools
 from . import outcome as outcomes
+from ..placement import placer as placers
 from . import quarantine as quarantines
 from ..registry import choice
 from ..registry import endpoint as endpoints
@@ -21,6 +22,7 @@
     'choose_endpoint',
     'get_capacity_deadline',
     'get_final_outcome',
+    'get_work',
     'make_ended_event',
     'make_state',
     'may_attempt',
@@ -64,6 +66,9 @@
     software: str | None = None
     # When an endpoint may take a request again, if limits exclude them all.
     permit_expected_at: float | None = None
+    # Where the prompt of a resumed text is cached, and how long it took.
+    cache_zone: str | None = None
+    prompt_ms: float = 0.0
 
 
 def make_state(
@@ -95,10 +100,13 @@
     state: CallState,
     registry: registries.Registry,
     permits: permitpools.PermitPool,
-    availability_zone: str,
+    placer: placers.Placer,
     only_untried: bool = False,
 ) -> endpoints.EndpointState | None:
-    """Return the endpoint for an attempt that starts now, or None."""
+    """Return the endpoint for an attempt that starts now, or None.
+
+    A hedge goes to an endpoint that was not tried yet.
+    """
     now = asyncio.get_running_loop().time()
     candidates, limited_states = permits.split(
         endpoint_state
@@ -106,13 +114,13 @@
         if state.software in (None, endpoint_state.endpoint.software)
     )
     avoid = state.tried | state.refused | state.unreachable
-    endpoint_state = choice.choose_for_call(
-        candidates, avoid, availability_zone, now
-    )
+    hedged_ms = (now - state.started_at) * 1000 if only_untried else None
+    work = get_work(state, hedged_ms)
+    endpoint_state = placer.choose_for_call(candidates, avoid, work, now)
     if endpoint_state is None and not (state.refused or only_untried):
         # Each endpoint failed once; a further attempt is still allowed.
-        endpoint_state = choice.choose_for_call(
-            candidates, state.unreachable, availability_zone, now
+        endpoint_state = placer.choose_for_call(
+            candidates, state.unreachable, work, now
         )
     state.permit_expected_at = None
     if endpoint_state is None or choice.get_free_slots(endpoint_state) <= 0:
@@ -122,6 +130,20 @@
     return endpoint_state
 
 
+def get_work(
+    state: CallState, hedged_ms: float | None = None
+) -> placers.CallWork:
+    """Return what the placement knows of the request."""
+    return placers.CallWork(
+        state.service,
+        state.route.name,
+        len(state.call.body),
+        hedged_ms,
+        state.cache_zone,
+        state.prompt_ms,
+    )
+
+
 def _request_permit(
     state: CallState,
     permits: permitpools.PermitPool,
--- a/pomelopass/requests/forward.py
+++ b/pomelopass/requests/forward.py
@@ -11,6 +11,7 @@
 from . import callstate
 from ..limits import permits as permitpools
 from . import outcome as outcomes
+from ..placement import placer as placers
 from . import quarantine as quarantines
 from ..registry import endpoint as endpoints
 from ..registry import registry as registries
@@ -41,16 +42,17 @@
         quarantine: quarantines.Quarantine,
         permits: permitpools.PermitPool,
         memory: answermemory.AnswerMemory,
+        placer: placers.Placer | None = None,
     ):
         self.memory = memory
+        self.placer = placer or placers.Placer(availability_zone)
         self.permits = permits
         self.quarantine = quarantine
         self.attempts = attempts.AttemptContext(
-            port, quarantine, write_event, memory
+            port, quarantine, write_event, memory, self.placer
         )
         self.registry = registry
         self.port = port
-        self.availability_zone = availability_zone
         self.rng = rng
         self.write_event = write_event
 
@@ -146,7 +148,7 @@
             state,
             self.registry,
             self.permits,
-            self.availability_zone,
+            self.placer,
             only_untried,
         )
 
@@ -167,6 +169,7 @@
                 state.give_up_at,
                 fresh,
                 state.fingerprint,
+                callstate.get_work(state),
             )
         )
 
--- a/pomelopass/requests/stream.py
+++ b/pomelopass/requests/stream.py
@@ -112,6 +112,8 @@
         pending = b''
         is_complete = False
         has_events = False
+        opened_at = loop.time()
+        received_bytes = 0
         stall_at = loop.time() + stream.stall_ms / 1000
         kept = self.forwarder.memory.open(
             opened.endpoint_state.endpoint.id, lambda: None
@@ -119,6 +121,7 @@
         opened.endpoint_state.in_flight += 1
         try:
             async for chunk in opened.answer.reply.chunks:
+                received_bytes += len(chunk)
                 if not stream.state.route.resumable:
                     yield chunk
                     continue
@@ -128,6 +131,9 @@
                 ).rpartition(EVENT_END)
                 parsed_events = parser.feed(chunk)
                 if parsed_events:
+                    if not has_events and stream.last_event_id is None:
+                        first_ms = (loop.time() - opened_at) * 1000
+                        stream.state.prompt_ms = first_ms
                     has_events = True
                     stream.last_event_id = parsed_events[-1].id
                     stall_at = loop.time() + stream.stall_ms / 1000
@@ -147,6 +153,12 @@
             raise message.ExchangeError(answerbody.DISCARDED, 1) from None
         finally:
             opened.endpoint_state.in_flight -= 1
+            self.forwarder.placer.record_answer(
+                opened.endpoint_state,
+                callstate.get_work(stream.state),
+                None,
+                received_bytes,
+            )
             if not is_complete:
                 await opened.answer.reply.close()
 
--- a/pomelopass/requests/streamopen.py
+++ b/pomelopass/requests/streamopen.py
@@ -115,7 +115,7 @@
                 state,
                 self.forwarder.registry,
                 self.forwarder.permits,
-                self.forwarder.availability_zone,
+                self.forwarder.placer,
             )
             if endpoint_state is None:
                 if await callstate.wait_for_capacity(
@@ -211,6 +211,8 @@
                 stream.state.call, avoids_idle=True
             )
         stream.state.tried.add(endpoint_state.endpoint.id)
+        if stream.last_event_id is not None:
+            stream.state.cache_zone = endpoint_state.endpoint.availability_zone
         if reason == calls.UNREACHABLE:
             callstate.record_unreachable(
                 stream.state, endpoint_state.endpoint.id
--- a/standins/entries.py
+++ b/standins/entries.py
@@ -8,6 +8,7 @@
 
 import orjson
 
+from pomelopass.entry import connecttimes
 from pomelopass.entry import node as nodes
 from pomelopass.entry import settings as entrysettings
 from pomelopass.fleet import member
@@ -76,24 +77,26 @@
         target = {'model': model, 'version': version}
         self.service.put('op', f'version/{model}', orjson.dumps(target))
 
-    def start(self, name: str) -> Entry:
+    def start(self, name: str, zone: str = 'north', **settings) -> Entry:
         """Start an instance, or restart it with a new incarnation."""
         self.start_count += 1
         client = rowtable.RowClient(self.service, self.rng)
-        links = instancelinks.InstanceLinks(self.pool)
+        times = connecttimes.ConnectTimes()
+        links = instancelinks.InstanceLinks(self.pool, zone, times)
         events: list[dict] = []
         ports = nodes.NodePorts(
             table=client,
             fresh_table=client,
             endpoints=links,
-            peer_endpoints=_InMemoryPeerEndpoints(self.entry_by_name),
+            peer_endpoints=_InMemoryPeerEndpoints(self.entry_by_name, links),
             rng=self.rng,
             write_event=self.make_write_event(events),
             get_lease_now=asyncio.get_running_loop().time,
             incarnation=f'{name}-{self.start_count}',
             permit_peers=_InMemoryPeers(self.entry_by_name),
+            connect_times=times,
         )
-        node = nodes.build_node(_make_settings(name), ports)
+        node = nodes.build_node(_make_settings(name, zone, settings), ports)
         if self.relays:
             _set_relays(node, self.entry_by_name, name, self.rng)
         node.start()
@@ -214,8 +217,13 @@
 class _InMemoryPeerEndpoints:
     """Call endpoints over the links of other instances of the cluster."""
 
-    def __init__(self, entry_by_name: dict[str, Entry]):
+    def __init__(
+        self,
+        entry_by_name: dict[str, Entry],
+        links: instancelinks.InstanceLinks,
+    ):
         self.entry_by_name = entry_by_name
+        self.links = links
 
     async def open(
         self,
@@ -271,7 +279,9 @@
     ) -> Entry:
         await asyncio.sleep(PEER_ANSWER_S)
         entry = self.entry_by_name[peer.name]
-        if not entry.alive or entry.unreachable:
+        zone = entry.node.settings.availability_zone
+        is_lost = zone in self.links.lost_zones and zone != self.links.zone
+        if not entry.alive or entry.unreachable or is_lost:
             raise calls.CallFailedError('connect-failed', False)
         refusal = entry.node.paths.tunnels.check(target.id)
         if refusal is not None:
@@ -288,10 +298,12 @@
         return wait_forever
 
 
-def _make_settings(name: str) -> entrysettings.EntrySettings:
+def _make_settings(
+    name: str, zone: str, settings: dict
+) -> entrysettings.EntrySettings:
     return entrysettings.EntrySettings(
         name=name,
-        availability_zone='north',
+        availability_zone=zone,
         caller_address='10.0.0.1:80',
         readiness_address='10.0.0.1:81',
         directory_address='10.0.0.1:82',
@@ -302,4 +314,5 @@
         engines_check_fences=True,
         job_kept_s=120,
         directory_ttl_s=1,
+        **settings,
     )
--- a/standins/links.py
+++ b/standins/links.py
@@ -6,6 +6,7 @@
 import dataclasses
 import enum
 
+from pomelopass.entry import connecttimes
 from pomelopass import message
 from pomelopass.registry import endpoint as endpoints
 from pomelopass.requests import call as calls
@@ -41,8 +42,17 @@
 class InstanceLinks:
     """Endpoint port of one instance over links that may be cut."""
 
-    def __init__(self, pool: modelengines.EndpointPool):
+    def __init__(
+        self,
+        pool: modelengines.EndpointPool,
+        zone: str = 'north',
+        times: connecttimes.ConnectTimes | None = None,
+    ):
         self.pool = pool
+        self.zone = zone
+        self.times = times or connecttimes.ConnectTimes()
+        # Zones to which new requests hang; open ones are answered.
+        self.lost_zones: set[str] = set()
         self.cut: CutKind | None = None
         # Endpoints with idle connections, and those whose last one died.
         self.idle_ids: set[str] = set()
@@ -82,6 +92,8 @@
         if self.cut in (CutKind.RESET, CutKind.REFUSE):
             # An idle connection shows that it was reset.
             self.idle_ids.clear()
+        if target.availability_zone in self.lost_zones:
+            self.idle_ids.discard(target.id)
         try:
             if fresh or call.avoids_idle or target.id not in self.idle_ids:
                 await self._connect(target, timeout_ms)
@@ -89,7 +101,9 @@
                 await self._wait_in_silence(use, timeout_ms, stall_ms)
             else:
                 await self._pass_cut(use, timeout_ms, stall_ms)
+            await self._pass_way(target)
             answer = await self.pool.open(target, call, timeout_ms, stall_ms)
+            await self._pass_way(target)
             await self._pass_cut(use, timeout_ms, stall_ms)
         except message.ExchangeError as error:
             self.uses.remove(use)
@@ -194,12 +208,26 @@
         self, target: endpoints.Endpoint, timeout_ms: float
     ) -> None:
         self.connects.append(target.id)
+        zone = target.availability_zone
+        if zone in self.lost_zones:
+            await asyncio.sleep(min(CONNECT_TIMEOUT_S, timeout_ms / 1000))
+            raise calls.CallFailedError('connect-timeout', False)
         if self.cut in (CutKind.REFUSE, CutKind.LIVE_ON):
             await asyncio.sleep(0.002)
             raise calls.CallFailedError('connect-failed', False)
         if self.cut is not None:
             await asyncio.sleep(min(CONNECT_TIMEOUT_S, timeout_ms / 1000))
             raise calls.CallFailedError('connect-timeout', False)
+        started_at = asyncio.get_running_loop().time()
+        await self._pass_way(target)
+        await self._pass_way(target)
+        took_s = asyncio.get_running_loop().time() - started_at
+        self.times.on_connected(target.address, took_s * 1000)
+
+    async def _pass_way(self, target: endpoints.Endpoint) -> None:
+        way_s = self.pool.draw_way_s(self.zone, target.availability_zone)
+        if way_s:
+            await asyncio.sleep(way_s)
 
     async def _pass_cut(
         self, use: _Use, timeout_ms: float, stall_ms: float | None
--- a/standins/modelengines.py
+++ b/standins/modelengines.py
@@ -68,6 +68,17 @@
     ordered_at: list[float] = dataclasses.field(default_factory=list)
     started_at_ms: int = 1
     address: str = '10.0.0.1:8000'
+    availability_zone: str = 'north'
+    # Plain services: time of a request by the first part of its path.
+    work_s_by_path: dict[str, float] = dataclasses.field(default_factory=dict)
+    # Requests that may wait for a slot; others are refused. Without any, the
+    # endpoint reports no load.
+    queue: int = 0
+    waiting: int = 0
+    answer_bytes: int = 4
+    # Whether the end of a stream differs from a lost connection.
+    marks_end: bool = False
+    free: asyncio.Semaphore | None = None
     # Version of the software, which marks the events that it writes.
     software: str = ''
     # Where bytes come without end until the caller closes, by name.
@@ -83,6 +94,10 @@
         self.rng = rng
         self.endpoint_by_id: dict[str, FakeEndpoint] = {}
         self.events_by_item: dict[str, int] = {}
+        # One way between zones in seconds, and its share that varies.
+        self.way_s = 0.0
+        self.way_jitter = 0.0
+        self.way_factor_by_zone: dict[str, float] = {}
         # Endpoints crash by bad luck while they begin to run these ids.
         self.crashes_left_by_id: dict[str, int] = {}
         self.run_times_by_id: dict[str, list[float]] = {}
@@ -100,7 +115,7 @@
         entry = {
             'service': endpoint.service,
             'address': endpoint.address,
-            'zone': 'north',
+            'zone': endpoint.availability_zone,
             'slots': endpoint.slots,
             'state': 'draining' if endpoint.draining else 'ready',
             'seq': endpoint.order_count,
@@ -113,6 +128,17 @@
         }
         self.service.put(ENDPOINT_TABLE, endpoint.id, orjson.dumps(entry))
 
+    def draw_way_s(self, zone: str, other: str) -> float:
+        """Return the time of one way between two zones."""
+        if zone == other or not self.way_s:
+            return 0.0
+        factor = max(
+            self.way_factor_by_zone.get(zone, 1.0),
+            self.way_factor_by_zone.get(other, 1.0),
+        )
+        jitter = 1.0 + self.way_jitter * self.rng.random()
+        return self.way_s * factor * jitter
+
     def crash(self, endpoint_id: str) -> None:
         """End an endpoint without draining and remove its row."""
         self.endpoint_by_id[endpoint_id].alive = False
@@ -171,6 +197,8 @@
             raise calls.CallFailedError('reset', True)
         if not endpoint.alive:
             raise calls.CallFailedError('connect-failed', False)
+        if endpoint.queue:
+            return await self._serve_queued(endpoint, call)
         if endpoint.running >= endpoint.slots or (
             endpoint.loading and endpoint.loading == _get_model(call, endpoint)
         ):
@@ -195,6 +223,36 @@
             raise calls.CallFailedError('reset', True)
         return _make_answer(200, b'done', signature=f's-{call.id}')
 
+    async def _serve_queued(
+        self, endpoint: FakeEndpoint, call: calls.Call
+    ) -> calls.Answer:
+        """Run a request of a plain service once a slot is free."""
+        if endpoint.waiting >= endpoint.queue:
+            return _make_answer(503, b'', not_run=True)
+        if endpoint.free is None:
+            endpoint.free = asyncio.Semaphore(endpoint.slots)
+        endpoint.waiting += 1
+        try:
+            await endpoint.free.acquire()
+        finally:
+            endpoint.waiting -= 1
+        endpoint.running += 1
+        endpoint.ran.append(call.id)
+        try:
+            path = call.target.split('/')[1]
+            work_s = endpoint.work_s_by_path.get(path, WORK_S)
+            await asyncio.sleep(work_s * endpoint.slowness)
+        finally:
+            endpoint.running -= 1
+            endpoint.free.release()
+        answer = _make_answer(
+            200, b'x' * endpoint.answer_bytes, signature=f's-{call.id}'
+        )
+        answer.load = endpoints.LoadReport(
+            endpoint.running, endpoint.waiting, endpoint.slots
+        )
+        return answer
+
     async def is_refused(self, target: endpoints.Endpoint) -> bool:
         """Return whether connections to an endpoint are refused."""
         await asyncio.sleep(0.002)
@@ -268,6 +326,8 @@
         answer = _make_answer(200, b'', signature=f's-{call.id}')
         model = _get_model(call, endpoint)
         answer.weight_version = endpoint.version_by_model[model]
+        if endpoint.marks_end:
+            answer.reply.headers = (('transfer-encoding', 'chunked'),)
         answer.reply.chunks = self._make_events(
             endpoint, call, first, stall_ms
         )
--- a/tests/jobs/test_schedule.py
+++ b/tests/jobs/test_schedule.py
@@ -4,6 +4,8 @@
 
 from pomelopass.jobs import job as jobs
 from pomelopass.jobs import schedule
+from pomelopass.placement import placer as placers
+from pomelopass.placement import runs
 from pomelopass.registry import endpoint
 from pomelopass.registry import registry as registries
 from standins import virtualloop
@@ -111,3 +113,67 @@
         assert not scheduler.waiting
 
     virtualloop.run(scenario())
+
+
+def make_zone_scheduler(pace_ms_by_zone, price=1000.0):
+    """Return a scheduler with an engine of one slot in each zone."""
+    registry = registries.Registry(lambda event: None)
+    loop = asyncio.get_running_loop()
+    for zone, pace_ms in pace_ms_by_zone.items():
+        registry.put(
+            endpoint.Endpoint(
+                *(zone, 'engines', f'{zone}:1', zone, 1, False, {'m': 1}, 1)
+            )
+        )
+        state = registry.state_by_id[zone]
+        endpoint.record_success(state, pace_ms, loop.time())
+        endpoint.record_pace(state, runs.ITEM_KIND, pace_ms, loop.time())
+    placer = placers.Placer('east', price)
+    return schedule.Scheduler(registry, entrybuilders.make_permits(), placer)
+
+
+def make_zone_item(body=b'') -> schedule.WaitingItem:
+    return schedule.WaitingItem(
+        jobs.Item('i', '/', (), body, 'g', 'm', expected_length=20.0),
+        *('m', 'engines', 1, 0.0, lambda: 1, 0, set()),
+        asyncio.get_running_loop().create_future(),
+    )
+
+
+def test_item_waits_for_its_zone_but_not_longer_than_leaving_costs():
+    async def scenario():
+        scheduler = make_zone_scheduler({'east': 20.0, 'west': 60.0})
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        first = await scheduler.acquire(make_zone_item())
+        second = await scheduler.acquire(make_zone_item())
+        assert first.endpoint.id == 'east'
+        assert second.endpoint.id == 'west'
+        # No slot became free meanwhile.
+        assert 0.3 < loop.time() - started_at < 0.9
+        assert not scheduler.waiting
+
+    virtualloop.run(scenario())
+
+
+def test_item_that_waits_gets_the_slot_that_its_zone_releases():
+    async def scenario():
+        scheduler = make_zone_scheduler({'east': 20.0, 'west': 60.0})
+        first = await scheduler.acquire(make_zone_item())
+        loop = asyncio.get_running_loop()
+        loop.call_later(0.1, scheduler.release, first)
+        second = await scheduler.acquire(make_zone_item())
+        assert second.endpoint.id == 'east'
+
+    virtualloop.run(scenario())
+
+
+def test_slow_run_moves_to_another_zone_only_if_that_pays():
+    async def scenario():
+        scheduler = make_zone_scheduler({'east': 90.0, 'west': 30.0})
+        state = scheduler.registry.state_by_id['east']
+        assert scheduler.should_move(state, make_zone_item())
+        large = make_zone_item(b'x' * 5_000_000)
+        assert not scheduler.should_move(state, large)
+
+    virtualloop.run(scenario())
--- /dev/null
+++ b/tests/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Test the placement across availability zones."""
