--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -12,6 +12,7 @@
 from bench import sharing
 from bench import steps
 from bench import training
+from bench import zones
 
 SEED = 1
 VIRTUAL_CLOCK_MEASURES = (
@@ -26,6 +27,7 @@
     outages.measure_overload,
     outages.measure_retries,
     outages.measure_poison,
+    zones.measure_zones,
 )
 
 
