--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -17,6 +17,7 @@
 from scripts import memorymutants
 from scripts import mutant
 from scripts import pathmutants
+from scripts import placementmutants
 from scripts import requestmutants
 from scripts import sharedmutants
 
@@ -59,6 +60,7 @@
         *endmutants.MUTANTS,
         *configmutants.MUTANTS,
         *memorymutants.MUTANTS,
+        *placementmutants.MUTANTS,
     )
     selected = [mutation for mutation in mutants if name_part in mutation.name]
     with concurrent.futures.ThreadPoolExecutor(WORKERS) as pool:
--- a/tests/placement/test_unchanged.py
+++ b/tests/placement/test_unchanged.py
@@ -69,6 +69,13 @@
     return min(free, key=get_cost, default=None)
 
 
+# Paces are often near each other, so that load and zone decide.
+PACES_MS = strategies.one_of(
+    strategies.sampled_from((0.0, 20.0, 21.0, 22.0)),
+    strategies.floats(0.0, 500.0),
+)
+
+
 @strategies.composite
 def draw_state(draw, number):
     small = strategies.integers(0, 9)
@@ -78,17 +85,18 @@
             'desk',
             f'10.0.0.{number}:1',
             draw(strategies.sampled_from(ZONES)),
-            draw(small),
+            # Enough that some runs find a free slot.
+            draw(strategies.integers(0, 30)),
             False,
             {},
             1,
         ),
         in_flight=draw(small),
         in_flight_elsewhere=draw(small),
-        pace_ms=draw(strategies.floats(0.0, 500.0)),
+        pace_ms=draw(PACES_MS),
         consecutive_refusals=draw(strategies.integers(0, 1)),
-        backoff_until=draw(strategies.sampled_from((0.0, NOW + 1, NOW + 2))),
-        version_by_model={'m': draw(strategies.integers(0, 3))},
+        backoff_until=draw(strategies.sampled_from((0.0, 0.0, 0.0, NOW + 1))),
+        version_by_model={'m': draw(strategies.integers(1, 2))},
     )
     if draw(strategies.booleans()):
         report = endpoints.LoadReport(draw(small), draw(small), 6)
@@ -120,13 +128,27 @@
     assert chosen is choose_call_before(states, avoid, 'east', NOW)
 
 
-@hypothesis.given(draw_states(), AVOID, strategies.integers(0, 3))
+@hypothesis.given(draw_states(), AVOID, strategies.integers(0, 2))
 @hypothesis.settings(max_examples=300, derandomize=True, deadline=None)
 def test_runs_go_where_they_went(states, avoid, min_version):
     chosen = choice.choose_for_run(states, avoid, 'm', min_version, NOW)
     assert chosen is choose_run_before(states, avoid, 'm', min_version, NOW)
 
 
+def test_load_decides_between_equal_engines():
+    states = []
+    for name, in_flight in (('e0', 5), ('e1', 2)):
+        endpoint = endpoints.Endpoint(
+            *(name, 'engines', f'{name}:1', 'east', 10, False, {'m': 1}, 1)
+        )
+        state = endpoints.EndpointState(endpoint, version_by_model={'m': 1})
+        state.in_flight = in_flight
+        states.append(state)
+    chosen = choice.choose_for_run(states, (), 'm', 1, NOW)
+    assert chosen is choose_run_before(states, (), 'm', 1, NOW)
+    assert chosen.endpoint.id == 'e1'
+
+
 def test_nothing_is_learned_without_the_setting():
     placer = placers.Placer('east')
     endpoint = endpoints.Endpoint('e', 'desk', 'e:1', 'west', 6, False, {}, 1)
--- a/tests/test_mutants.py
+++ b/tests/test_mutants.py
@@ -11,6 +11,7 @@
 from scripts import leavingmutants
 from scripts import memorymutants
 from scripts import pathmutants
+from scripts import placementmutants
 from scripts import requestmutants
 from scripts import sharedmutants
 
@@ -25,6 +26,7 @@
     *endmutants.MUTANTS,
     *configmutants.MUTANTS,
     *memorymutants.MUTANTS,
+    *placementmutants.MUTANTS,
 )
 
 
