--- a/pomelopass/jobs/itemstream.py
+++ b/pomelopass/jobs/itemstream.py
@@ -163,6 +163,7 @@
             endpoints.record_success(state, pace_ms, now)
         elif new_events and len(run.progress.texts) == len(new_events):
             run.prompt_ms = (now - opened_at) * 1000
+            waiting_item.prompt_ms = run.prompt_ms
         context.scheduler.placer.record_events(
             state, waiting_item.service, pace_ms, len(chunk)
         )
--- a/pomelopass/jobs/schedule.py
+++ b/pomelopass/jobs/schedule.py
@@ -256,6 +256,8 @@
         if state.pace_ms <= MOVE_FACTOR * best.pace_ms:
             return False
         now = asyncio.get_running_loop().time()
+        # The engine that runs the text has its prompt in its cache.
+        waiting_item.cache_zone = state.endpoint.availability_zone
         work = _make_work(waiting_item, 0, now)
         return self.placer.pays_to_move(state, best, work, now)
 
--- a/tests/jobs/test_schedule.py
+++ b/tests/jobs/test_schedule.py
@@ -175,5 +175,9 @@
         assert scheduler.should_move(state, make_zone_item())
         large = make_zone_item(b'x' * 5_000_000)
         assert not scheduler.should_move(state, large)
+        # The text's prompt would have to be read again for 5 s.
+        long_prompt = make_zone_item()
+        long_prompt.prompt_ms = 5000.0
+        assert not scheduler.should_move(state, long_prompt)
 
     virtualloop.run(scenario())
