--- a/pomelopass/entry/placementparts.py
+++ b/pomelopass/entry/placementparts.py
@@ -13,6 +13,7 @@
 __all__ = ['build_placer', 'run_reports']
 
 REPORT_INTERVAL_S = 10.0
+MAX_ADDRESSES = 4096
 
 
 def build_placer(
@@ -27,14 +28,23 @@
         settings.availability_zone, settings.zone_transfer_ms_per_mb
     )
 
+    # A search among 3,000 endpoints for each connection would take longer
+    # than the connection.
+    zone_by_address: dict[str, str | None] = {}
+
     def record_connected(address: str, took_ms: float) -> None:
         if not placer.is_enabled:
             return
-        for state in registry.state_by_id.values():
-            if state.endpoint.address == address:
-                zone = state.endpoint.availability_zone
-                placer.latencies.record(zone, took_ms)
-                return
+        if address not in zone_by_address:
+            if len(zone_by_address) >= MAX_ADDRESSES:
+                zone_by_address.clear()
+            zone_by_address[address] = _find_zone(registry, address)
+        zone = zone_by_address[address]
+        if zone is None:
+            # Its entry may come later.
+            del zone_by_address[address]
+            return
+        placer.latencies.record(zone, took_ms)
 
     def get_carrier_zone(endpoint_id: str) -> str | None:
         name = get_carrier(endpoint_id)
@@ -55,6 +65,17 @@
     return placer
 
 
+def _find_zone(registry: registries.Registry, address: str) -> str | None:
+    return next(
+        (
+            state.endpoint.availability_zone
+            for state in registry.state_by_id.values()
+            if state.endpoint.address == address
+        ),
+        None,
+    )
+
+
 async def run_reports(
     placer: placers.Placer, write_event: logevents.WriteEvent
 ) -> None:
--- a/pomelopass/placement/latency.py
+++ b/pomelopass/placement/latency.py
@@ -34,9 +34,12 @@
     def __init__(self, own_zone: str):
         self.own_zone = own_zone
         self.latency_by_zone: dict[str, Latency] = {}
+        # Asked for each endpoint and request, changed by connections only.
+        self.way_by_zone: dict[str, Latency] = {}
 
     def record(self, zone: str, round_trip_ms: float) -> None:
         """Record the time in which a connection opened."""
+        self.way_by_zone.clear()
         known = self.latency_by_zone.get(zone)
         if known is None:
             # RFC 6298 takes half of the first sample for its spread.
@@ -58,6 +61,12 @@
         The time that this process itself takes to open connections is in
         both and cancels out.
         """
+        way = self.way_by_zone.get(zone)
+        if way is None:
+            way = self.way_by_zone[zone] = self._find_way(zone)
+        return way
+
+    def _find_way(self, zone: str) -> Latency:
         if zone == self.own_zone:
             return Latency()
         own = self.latency_by_zone.get(self.own_zone, Latency())
