--- a/pomelopass/cmdline.py
+++ b/pomelopass/cmdline.py
@@ -13,6 +13,7 @@
 from .commands import logs
 from .commands import status
 from .commands import timeline
+from .commands import where
 
 __all__ = ['main']
 
@@ -28,6 +29,7 @@
         | timeline.Timeline
         | explain.Explain
         | logs.Logs
+        | where.Where
     ]
     instance: Annotated[
         str,
@@ -62,7 +64,7 @@
 
 def _run(tool: Tool) -> None:
     action = tool.action
-    offline = isinstance(action, logs.Logs) or (
+    offline = isinstance(action, logs.Logs | where.Where) or (
         isinstance(action, config.Config)
         and isinstance(action.action, config.Check)
     )
--- a/pomelopass/entry/node.py
+++ b/pomelopass/entry/node.py
@@ -23,6 +23,7 @@
 from ..origins import bases
 from . import pathparts
 from ..paths import ports as pathports
+from ..placement import snapshot as snapshots
 from . import placementparts
 from ..platform import ingress as ingresses
 from ..platform import names
@@ -374,6 +375,16 @@
             return None
         return self.ports.incarnation.encode()
 
+    def take_placement(self) -> snapshots.Snapshot:
+        """Return what the placement decides by now."""
+        return placementparts.take_snapshot(
+            self.settings.name,
+            self.placer,
+            self.registry,
+            self.view.configuration,
+            [item.service for item in self.scheduler.waiting],
+        )
+
     async def _report_zones(self) -> None:
         await placementparts.run_reports(self.placer, self.write_event)
 
--- a/pomelopass/entry/placementparts.py
+++ b/pomelopass/entry/placementparts.py
@@ -1,17 +1,29 @@
 """Assemble the placement of an instance."""
 
 import asyncio
+import collections
 from collections import abc
 
+from .. import message
 from . import connecttimes
 from ..fleet import member
 from ..placement import placer as placers
+from ..placement import snapshot as snapshots
 from ..registry import registry as registries
 from ..reporting import logevents
+from ..requests import routes
 from . import settings as entrysettings
 
-__all__ = ['build_placer', 'run_reports']
+__all__ = [
+    'STATE_PATH',
+    'build_placer',
+    'make_state_reply',
+    'run_reports',
+    'take_snapshot',
+]
 
+# On the metrics address.
+STATE_PATH = '/placement'
 REPORT_INTERVAL_S = 10.0
 MAX_ADDRESSES = 4096
 
@@ -84,3 +96,38 @@
         await asyncio.sleep(REPORT_INTERVAL_S)
         for event in placer.traffic.take_events():
             write_event(event)
+
+
+def take_snapshot(
+    instance: str,
+    placer: placers.Placer,
+    registry: registries.Registry,
+    configuration: routes.Configuration | None,
+    waiting_services: abc.Iterable[str],
+) -> snapshots.Snapshot:
+    """Return the state by which an instance places its work."""
+    routes_by_host = {}
+    if configuration is not None:
+        routes_by_host = configuration.routes_by_host
+    return snapshots.take(
+        instance,
+        placer,
+        registry.state_by_id.values(),
+        [
+            snapshots.RouteServices(
+                name=route.name,
+                services=[share.service for share in route.shares],
+                is_jobs=route.route_type is routes.RouteType.JOBS,
+            )
+            for host_routes in routes_by_host.values()
+            for route in host_routes
+        ],
+        dict(collections.Counter(waiting_services)),
+        asyncio.get_running_loop().time(),
+    )
+
+
+def make_state_reply(snapshot: snapshots.Snapshot) -> message.Reply:
+    """Return the state as JSON."""
+    headers = (('content-type', 'application/json'),)
+    return message.Reply(200, headers, snapshot.model_dump_json().encode())
--- a/pomelopass/entry/process.py
+++ b/pomelopass/entry/process.py
@@ -17,6 +17,7 @@
 from ..edges import suspendclock
 from . import eventlog
 from . import node as nodes
+from . import placementparts
 from ..platform import ingress
 from . import reload
 from ..reporting import logevents
@@ -110,6 +111,8 @@
     ]
 
     async def handle_metrics(request):
+        if request.target == placementparts.STATE_PATH:
+            return placementparts.make_state_reply(node.take_placement())
         for table_name, age_s in node.get_ages_s().items():
             metrics.ages.set({'table': table_name}, min(age_s, MAX_AGE_S))
         metrics.open.set({'kind': 'jobs'}, len(node.job_manager.task_by_id))
--- a/pomelopass/placement/placer.py
+++ b/pomelopass/placement/placer.py
@@ -216,6 +216,20 @@
             candidates.append(spill.Candidate(state, way, cost))
         return candidates
 
+    def is_away(self, service: str) -> bool:
+        """Return whether work of a service leaves the zone at present."""
+        return service in self.get_away_services()
+
+    def get_away_services(self) -> list[str]:
+        """Return the services whose work leaves the zone at present."""
+        return [
+            name for name, state in self.by_service.items() if state.is_away
+        ]
+
+    def set_away(self, service: str) -> None:
+        """Set that work of a service leaves the zone at present."""
+        self._get_service(service).is_away = True
+
     def get_way(self, state: endpoints.EndpointState) -> costs.Way:
         """Return the way to an endpoint, over a peer if one carries it."""
         zone = state.endpoint.availability_zone
--- a/scripts/placementmutants.py
+++ b/scripts/placementmutants.py
@@ -7,6 +7,7 @@
 PLACEMENT = 'pomelopass/placement'
 PLACER = 'tests/placement/test_placer.py'
 RUNS = 'tests/placement/test_runs.py'
+EXPLAIN = 'tests/placement/test_explain.py'
 LATENCY = 'tests/placement/test_latency.py'
 UNCHANGED = 'tests/placement/test_unchanged.py'
 ZONES = 'tests/entry/test_zones.py'
@@ -227,4 +228,32 @@
         'return True',
         ('tests/jobs/test_schedule.py',),
     ),
+    mutant.Mutant(
+        'explanations-forget-that-work-leaves',
+        f'{PLACEMENT}/snapshot.py',
+        '        placer.set_away(service)',
+        '        pass',
+        (EXPLAIN,),
+    ),
+    mutant.Mutant(
+        'explanations-forget-the-way',
+        f'{PLACEMENT}/snapshot.py',
+        'dict(snapshot.latency_by_zone)',
+        '{}',
+        (EXPLAIN,),
+    ),
+    mutant.Mutant(
+        'state-holds-addresses',
+        f'{PLACEMENT}/snapshot.py',
+        "dataclasses.replace(state.endpoint, address='')",
+        'state.endpoint',
+        (EXPLAIN,),
+    ),
+    mutant.Mutant(
+        'full-engines-are-shown-as-open',
+        f'{PLACEMENT}/explain.py',
+        "'full' if is_full else 'open'",
+        "'open'",
+        (EXPLAIN,),
+    ),
 )
--- a/tests/entry/test_zones.py
+++ b/tests/entry/test_zones.py
@@ -1,9 +1,12 @@
 """Test the placement of whole instances in several zones."""
 
 import asyncio
+import json
 
 from bench import zonedata
 from bench import zonefleet
+from pomelopass.commands import where
+from pomelopass.entry import placementparts
 from pomelopass.entry import telemetry
 from pomelopass.requests import call as calls
 from pomelopass.requests import routes
@@ -171,3 +174,20 @@
     run_fleet(
         scenario, work=[], steps={'count': 1, 'groups': 1, 'group_size': 1}
     )
+
+
+def test_command_explains_the_saved_state_of_an_instance(tmp_path, capsys):
+    path = tmp_path / 'state.json'
+
+    async def scenario(cluster):
+        zones = await send(cluster, 'east-0', 40)
+        assert zones[-1] == 'west'
+        node = cluster.entry_by_name['east-0'].node
+        reply = placementparts.make_state_reply(node.take_placement())
+        path.write_bytes(reply.body)
+
+    run_fleet(scenario)
+    where.Where('score', state=str(path), json=True).run(None)
+    explained = json.loads(capsys.readouterr().out)
+    assert explained['endpoint'] == 'west-server-0'
+    assert explained['rows'][0]['parts_ms']['way'] == 4.0
