--- a/bench/zones.py
+++ b/bench/zones.py
@@ -49,6 +49,10 @@
     windows: dict[tuple[str, int], list[int]] = dataclasses.field(
         default_factory=dict
     )
+    # Those that went from one zone to another, in all and by window.
+    left_by_window: dict[tuple[str, str, int], int] = dataclasses.field(
+        default_factory=dict
+    )
     left_by_zone: dict[tuple[str, str], int] = dataclasses.field(
         default_factory=dict
     )
@@ -271,11 +275,13 @@
     ]
     counts.left += bool(others)
     counts.bytes_left += size * len(others)
+    begun_at = event['at'] - event['took_ms'] / 1000
+    window = int((begun_at - started_at) / WINDOW_S)
     for other in others:
         pair = (zone, other)
         counts.left_by_zone[pair] = counts.left_by_zone.get(pair, 0) + 1
-    begun_at = event['at'] - event['took_ms'] / 1000
-    window = int((begun_at - started_at) / WINDOW_S)
+        key = (zone, other, window)
+        counts.left_by_window[key] = counts.left_by_window.get(key, 0) + 1
     total = counts.windows.setdefault((zone, window), [0, 0])
     total[0] += bool(others)
     total[1] += 1
--- a/tests/bench/test_zones.py
+++ b/tests/bench/test_zones.py
@@ -20,6 +20,15 @@
     return left / max(sum(total[1] for total in totals), 1)
 
 
+def get_share_to(counts, zone, other, windows):
+    left = sum(
+        counts.left_by_window.get((zone, other, number), 0)
+        for number in windows
+    )
+    totals = [counts.windows.get((zone, number), [0, 0]) for number in windows]
+    return left / max(sum(total[1] for total in totals), 1)
+
+
 def get_windows(from_s, to_s):
     return range(int(from_s / zones.WINDOW_S), int(to_s / zones.WINDOW_S))
 
@@ -92,12 +101,13 @@
 def test_partitioned_zone_is_left_and_used_again():
     counts = replay('partitioned')
     assert counts.failed == 0
-    before = get_share(counts, 'east', get_windows(1.2, 2.4))
-    cut = get_share(counts, 'east', get_windows(3.3, 5.1))
-    after = get_share(counts, 'east', get_windows(9.3, 10.8))
-    assert cut < 0.35
-    assert before > cut + 0.2
-    assert after > cut + 0.2
+    before, cut, after = (
+        get_share_to(counts, 'east', 'west', get_windows(from_s, to_s))
+        for from_s, to_s in ((1.2, 2.4), (3.3, 5.1), (9.3, 10.8))
+    )
+    assert before > 0.4
+    assert cut < 0.2
+    assert after > 0.4
 
 
 def test_zone_without_servers_sends_all_and_the_others_little():
