--- a/pomelopass/entry/node.py
+++ b/pomelopass/entry/node.py
@@ -6,6 +6,7 @@
 import random
 
 from .. import answermemory
+from . import connecttimes
 from ..fleet import heartbeat
 from ..fleet import member
 from . import itemcontexts
@@ -24,6 +25,8 @@
 from ..origins import bases
 from . import pathparts
 from ..paths import ports as pathports
+from ..placement import snapshot as snapshots
+from . import placementparts
 from ..platform import ingress as ingresses
 from ..platform import names
 from ..platform import relayedrows
@@ -71,6 +74,10 @@
     permit_peers: sharing.PermitPeers
     # None where the platform has no API for duties.
     duties: usageparts.DutyPorts | None = None
+    # Reports the connections that the client of the endpoints opens.
+    connect_times: connecttimes.ConnectTimes = dataclasses.field(
+        default_factory=connecttimes.ConnectTimes
+    )
 
 
 class Node:
@@ -143,7 +150,16 @@
         )
         self.jobs = jobview.JobView()
         self.job_table = jobtable.JobTable(self.table)
-        self.scheduler = schedule.Scheduler(self.registry, self.limits.permits)
+        self.placer = placementparts.build_placer(
+            settings,
+            ports.connect_times,
+            self.registry,
+            self.paths.endpoints.get_carrier,
+            self.membership,
+        )
+        self.scheduler = schedule.Scheduler(
+            self.registry, self.limits.permits, self.placer
+        )
         self.limits.permits.on_permit = self.scheduler.dispatch
         self.quarantine = quarantines.Quarantine()
         memory_bytes = settings.memory_mb * BYTES_PER_MB
@@ -158,6 +174,7 @@
             self.limits.permits,
             answermemory.AnswerMemory(int(ANSWER_SHARE * memory_bytes)),
             self.usage.get_start_book(),
+            self.placer,
         )
         self._build_jobs()
         self._build_duties()
@@ -307,6 +324,7 @@
             ('OriginRecorder.run', self.origins.recorder.run),
             ('OriginSweeper.run', self.origins.sweeper.run),
             *self.usage.get_tasks(),
+            ('ZoneTraffic.run', self._report_zones),
         ):
             task = asyncio.ensure_future(self._supervise(task_name, run))
             self.tasks.append(task)
@@ -322,6 +340,7 @@
         """Apply changed settings; new addresses need a restart."""
         self.settings = settings
         self.ingress.directory_ttl_s = settings.directory_ttl_s
+        self.placer.transfer_ms_per_mb = settings.zone_transfer_ms_per_mb
 
     def begin_stop(self, closes_at: float) -> None:
         """Leave the directory, acquire no new duty, refuse what can't end.
@@ -376,6 +395,19 @@
             return None
         return self.ports.incarnation.encode()
 
+    def take_placement(self) -> snapshots.Snapshot:
+        """Return what the placement decides by now."""
+        return placementparts.take_snapshot(
+            self.settings.name,
+            self.placer,
+            self.registry,
+            self.view.configuration,
+            [item.service for item in self.scheduler.waiting],
+        )
+
+    async def _report_zones(self) -> None:
+        await placementparts.run_reports(self.placer, self.write_event)
+
     def _get_demand(self) -> dict[str, assignment.Demand]:
         return self.jobs.get_demand(self.table.get_now_ms())
 
--- a/pomelopass/reporting/logevents.py
+++ b/pomelopass/reporting/logevents.py
@@ -71,6 +71,7 @@
     'VersionNamed',
     'VersionUnreadable',
     'WriteEvent',
+    'ZoneLeft',
     'get_all_events',
     'get_fields',
 ]
@@ -85,6 +86,7 @@
     'bodies_refused': 'requests whose body was refused with 503',
     'bodies_waited': 'requests whose body was not read for a while',
     'breaks': 'runs of an item that were cut off without progress',
+    'bytes': 'bytes that crossed zone boundaries, both ways',
     'carried': 'items that start with text from an earlier job',
     'change': 'found, ready, draining, leaving, gone, restarted, version, '
     'lost or regained',
@@ -116,6 +118,7 @@
     'key': 'key of a row',
     'last_event_id': 'id of the last event that a stream passed on',
     'leaving': 'whether the endpoint says that it stops soon',
+    'left': 'requests and runs that went to another availability zone',
     'limit': 'requests per second that an endpoint takes from all instances',
     'listed': 'results that are already visible to readers',
     'may_have_run': 'number of endpoints that may have run it',
@@ -152,11 +155,13 @@
     'version': 'weight version, or version of the configuration',
     'versions': 'weight versions, by model or in the order of the text',
     'waited_ms': 'milliseconds until an engine had a free slot',
-    'why': 'why it is invalid or ended',
+    'why': 'why it is invalid or ended, or why work left its zone: '
+    'no-endpoint, queue, pace, failed, scout or begun-before',
     'window': 'number of a window of usage reports',
     'workspace': 'name of the workspace of the caller or the job',
     'workspace_count': 'number of workspaces in a report',
     'workspaces': 'names of workspaces',
+    'zone': 'availability zone of the endpoints',
 }
 
 
@@ -326,6 +331,20 @@
     """A link to an endpoint works again."""
 
 
+@_event
+class ZoneLeft(Event):
+    """Work left the availability zone in the last ten seconds.
+
+    One line for each service, zone and reason.
+    """
+
+    service: str
+    zone: str
+    why: str
+    left: int
+    bytes: int
+
+
 @_event
 class EndpointUnreadable(Event):
     """An endpoint's entry is invalid; the endpoint gets no work."""
--- a/pomelopass/requests/attempt.py
+++ b/pomelopass/requests/attempt.py
@@ -8,6 +8,7 @@
 from . import answerbody
 from . import call as calls
 from . import outcome as outcomes
+from ..placement import placer as placers
 from . import quarantine as quarantines
 from ..registry import endpoint as endpoints
 from ..reporting import logevents
@@ -20,6 +21,8 @@
     'run_attempt',
 ]
 
+NO_SIGNATURE = 'no-signature'
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AttemptContext:
@@ -29,6 +32,7 @@
     quarantine: quarantines.Quarantine
     write_event: logevents.WriteEvent
     memory: answermemory.AnswerMemory
+    placer: placers.Placer
 
 
 async def run_attempt(
@@ -38,6 +42,7 @@
     give_up_at: float,
     fresh: bool,
     fingerprint: str | None,
+    work: placers.CallWork,
 ) -> outcomes.Attempt:
     """Send the call to an endpoint and return the result."""
     loop = asyncio.get_running_loop()
@@ -56,7 +61,14 @@
             reason=error.kind,
             began_at=started_at,
         )
-    return _classify_answer(state, answer, body, kept, started_at)
+    attempt = _classify_answer(state, answer, body, kept, started_at)
+    if not attempt.not_run and attempt.reason != NO_SIGNATURE:
+        took_ms = (loop.time() - started_at) * 1000
+        is_served = answer.status < 500
+        context.placer.record_answer(
+            state, work, took_ms if is_served else None, len(body)
+        )
+    return attempt
 
 
 def record_failure(state: endpoints.EndpointState, kind: str) -> None:
@@ -87,7 +99,7 @@
     if 200 <= answer.status < 300 and answer.signature is None:
         endpoints.record_failure(state, loop.time())
         return outcomes.Attempt(
-            endpoint_id, False, reason='no-signature', began_at=began_at
+            endpoint_id, False, reason=NO_SIGNATURE, began_at=began_at
         )
     if answer.status < 500:
         took_ms = (loop.time() - started_at) * 1000
--- a/pomelopass/requests/forward.py
+++ b/pomelopass/requests/forward.py
@@ -12,6 +12,7 @@
 from . import callstate
 from ..limits import permits as permitpools
 from . import outcome as outcomes
+from ..placement import placer as placers
 from . import quarantine as quarantines
 from ..registry import endpoint as endpoints
 from ..registry import registry as registries
@@ -44,17 +45,18 @@
         permits: permitpools.PermitPool,
         memory: answermemory.AnswerMemory,
         start_book: starts.StartBook = starts.NO_STARTS,
+        placer: placers.Placer | None = None,
     ):
         self.start_book = start_book
         self.memory = memory
+        self.placer = placer or placers.Placer(availability_zone)
         self.permits = permits
         self.quarantine = quarantine
         self.attempts = attempts.AttemptContext(
-            port, quarantine, write_event, memory
+            port, quarantine, write_event, memory, self.placer
         )
         self.registry = registry
         self.port = port
-        self.availability_zone = availability_zone
         self.rng = rng
         self.write_event = write_event
 
@@ -159,7 +161,7 @@
             state,
             self.registry,
             self.permits,
-            self.availability_zone,
+            self.placer,
             only_untried,
         )
 
@@ -180,6 +182,7 @@
                 state.give_up_at,
                 fresh,
                 state.fingerprint,
+                callstate.get_work(state),
             )
         )
 
--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -20,6 +20,7 @@
 from scripts import memorymutants
 from scripts import mutant
 from scripts import pathmutants
+from scripts import placementmutants
 from scripts import requestmutants
 from scripts import sharedmutants
 from scripts import workspacemutants
@@ -68,6 +69,7 @@
         *dutymutants.MUTANTS,
         *workspacemutants.MUTANTS,
         *clientmutants.MUTANTS,
+        *placementmutants.MUTANTS,
     )
     selected = [mutation for mutation in mutants if name_part in mutation.name]
     with concurrent.futures.ThreadPoolExecutor(WORKERS) as pool:
--- a/tests/test_mutants.py
+++ b/tests/test_mutants.py
@@ -14,6 +14,7 @@
 from scripts import leavingmutants
 from scripts import memorymutants
 from scripts import pathmutants
+from scripts import placementmutants
 from scripts import requestmutants
 from scripts import sharedmutants
 from scripts import workspacemutants
@@ -33,6 +34,7 @@
     *dutymutants.MUTANTS,
     *workspacemutants.MUTANTS,
     *clientmutants.MUTANTS,
+    *placementmutants.MUTANTS,
 )
 
 
