--- a/pomelopass/edges/httpserver.py
+++ b/pomelopass/edges/httpserver.py
@@ -107,17 +107,21 @@
         writer: asyncio.StreamWriter,
         slot: connectionlimit.Slot,
     ) -> bool:
+        request = refusal = None
         try:
             self.idle_writers.add(writer)
             request = await request_reader.read(self.limits)
         except requestreader.BadRequestError as error:
             refusal = self.make_refusal(error.status, error.detail)
+        finally:
+            self.idle_writers.discard(writer)
+        if refusal is not None:
+            # The error, and the body that it keeps, are gone by now.
+            request_reader.release()
             await self._write(
                 request_reader.state, writer, refusal, close=True
             )
-            return False
-        finally:
-            self.idle_writers.discard(writer)
+            await request_reader.discard_rest()
         if request is None:
             return False
         self.connections.begin_use(slot)
--- a/pomelopass/edges/requestreader.py
+++ b/pomelopass/edges/requestreader.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import abc
+import contextlib
 import dataclasses
 
 import h11
@@ -22,6 +23,9 @@
 READ_AHEAD_BYTES = 4096
 # Parts of a body that are parsed before other work has its turn.
 MAX_PARTS = 64
+# What a refused caller still sends is read for so long, and so much of it.
+DISCARD_MS = 500.0
+MAX_DISCARDED_READS = 256
 HEAD_END = b'\r\n\r\n'
 HEADER_EXTRA_BYTES = 4
 
@@ -105,6 +109,17 @@
             detail = f'The request is not HTTP: {error}.'
             raise BadRequestError(status, detail) from None
 
+    async def discard_rest(self) -> None:
+        """Read on for a moment, so that a refusal is not lost in a reset."""
+        self.writer.write_eof()
+        with contextlib.suppress(
+            OSError, TimeoutError, callermemory.MemoryShortError
+        ):
+            async with asyncio.timeout(DISCARD_MS / 1000):
+                for _ in range(MAX_DISCARDED_READS):
+                    if not await self._read_some():
+                        return
+
     async def wait_for_close(self) -> None:
         """Wait until the caller closes; buffer bytes received meanwhile."""
         while len(self.unread) <= READ_AHEAD_BYTES:
--- a/tests/edges/test_httpserver.py
+++ b/tests/edges/test_httpserver.py
@@ -279,3 +279,28 @@
     assert most < 2000
     client.close()
     await server.close()
+
+
+# The close reset the connection, and the caller could not know that nothing
+# ran.
+async def test_caller_reads_why_its_body_was_refused():
+    memory = callermemory.CallerMemory(20_000)
+    server = httpserver.HttpServer(
+        echo,
+        problemdetails.make_status_refusal,
+        2_000_000,
+        2,
+        callerload.CallerLoad(memory),
+    )
+    address, _ = await httpserver.start_server(server, '127.0.0.1:0')
+    port = int(address.rpartition(':')[2])
+    reader, writer = await asyncio.open_connection('127.0.0.1', port)
+    head = b'POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 1000000\r\n\r\n'
+    writer.write(head + b'x' * 1_000_000)
+    async with asyncio.timeout(5):
+        await writer.drain()
+        response = await reader.read()
+    assert response.startswith(b'HTTP/1.1 503')
+    assert memory.total == 0
+    writer.close()
+    await server.close()
