--- a/tests/processes/test_open_doors.py
+++ b/tests/processes/test_open_doors.py
@@ -1,5 +1,6 @@
 """Test that clients without good intent neither end nor fill an instance."""
 
+import http.client
 import itertools
 import pathlib
 import resource
@@ -26,6 +27,11 @@
 HTTP_KINDS = ('readiness_address', 'directory_address', 'metrics_address')
 
 
+# The smallest instance, and the largest body that a configuration allows.
+SMALLEST_MEMORY_MB = 160
+LARGEST_BODY_BYTES = 33_554_432
+
+
 @pytest.fixture
 def running_fleet(tmp_path):
     with entryfleet.EntryFleet(tmp_path, entrycalls.ZONES) as fleet:
@@ -205,3 +211,25 @@
     size = 1_000_000
     crowd.send(lambda _: size.to_bytes(4, 'big'), b'x' * (size - 1), 262_144)
     check_held(running_fleet, crowd)
+
+
+# A limit on all bodies together may not refuse one that is alone.
+def test_largest_body_is_served_by_the_smallest_instance(tmp_path):
+    configuration = entrybuilders.make_configuration()
+    configuration['limits']['max_body_bytes'] = LARGEST_BODY_BYTES
+    with entryfleet.EntryFleet(tmp_path, entrycalls.ZONES) as fleet:
+        fleet.start_platform()
+        fleet.put_row('op', 'config', configuration)
+        fleet.start_entry('entry-0', memory_mb=SMALLEST_MEMORY_MB)
+        fleet.wait_ready()
+        connection = http.client.HTTPConnection(fleet.get_address('entry-0'))
+        headers = {**entrycalls.HOST, 'Attempt-Id': 'largest'}
+        body = b'x' * LARGEST_BODY_BYTES
+        connection.request('POST', '/orders/1', body, headers)
+        answer = connection.getresponse()
+        answer.read()
+        connection.close()
+        peak_mb = test_memory.get_peak_mb(fleet)
+        print('PEAK', peak_mb)
+        assert answer.status == 200
+        assert peak_mb < SMALLEST_MEMORY_MB
