--- a/pomelopass/jobs/schedule.py
+++ b/pomelopass/jobs/schedule.py
@@ -250,7 +250,8 @@
         """Return whether a run on a slow engine should move to another."""
         if self.waiting or state.pace_ms == 0.0:
             return False
-        best = self._choose(waiting_item, {state.endpoint.id}, True)
+        avoid = {state.endpoint.id, *waiting_item.avoid}
+        best = self._choose(waiting_item, avoid, True)
         if best is None or best.pace_ms == 0.0:
             return False
         if state.pace_ms <= MOVE_FACTOR * best.pace_ms:
--- a/tests/jobs/test_schedule.py
+++ b/tests/jobs/test_schedule.py
@@ -181,3 +181,17 @@
         assert not scheduler.should_move(state, long_prompt)
 
     virtualloop.run(scenario())
+
+
+# A run was moved to an engine whose answers the item cannot use, since such
+# an engine looks fast, until the item expired.
+def test_run_is_not_moved_to_an_engine_that_its_item_avoids():
+    async def scenario():
+        scheduler = make_zone_scheduler({'east': 90.0, 'west': 30.0})
+        state = scheduler.registry.state_by_id['east']
+        waiting_item = make_zone_item()
+        assert scheduler.should_move(state, waiting_item)
+        waiting_item.avoid = {'west'}
+        assert not scheduler.should_move(state, waiting_item)
+
+    virtualloop.run(scenario())
