--- a/pomelopass/entry/clients.py
+++ b/pomelopass/entry/clients.py
@@ -81,12 +81,10 @@
 ) -> usageparts.DutyPorts | None:
     if not settings.duty_address or not settings.duty_calls_per_s:
         return None
-    return usageparts.DutyPorts(
-        dutyclient.DutyClient(
-            clients.duties,
-            settings.duty_address,
-            settings.duty_calls_per_s,
-            settings.engines_check_fences,
-        ),
-        lambda: time.time() * 1000,
+    client = dutyclient.DutyClient(
+        clients.duties,
+        settings.duty_address,
+        settings.duty_calls_per_s,
+        settings.engines_check_fences,
     )
+    return usageparts.DutyPorts(client, client, lambda: time.time() * 1000)
--- a/pomelopass/entry/node.py
+++ b/pomelopass/entry/node.py
@@ -33,6 +33,8 @@
 from ..requests import quarantine as quarantines
 from ..requests import stopgate
 from ..requests import stream as streams
+from ..scaling import manager as scalingmanagers
+from . import scalingparts
 from . import settings as entrysettings
 from ..table import fallback
 from ..table import relay
@@ -142,6 +144,22 @@
             lambda: self.paths.book.is_cut_off,
         )
         self.jobs = jobview.JobView()
+        self.scaling = scalingparts.build_scaling_parts(
+            settings,
+            ports.duties,
+            ports.incarnation,
+            self.table,
+            scalingmanagers.ScalingViews(
+                self.registry,
+                self.membership,
+                lambda: self.view.configuration,
+                self._count_open_items,
+                lambda: self.watch.shows_demand(),
+            ),
+            ports.write_event,
+            ports.get_lease_now,
+            lambda: self.paths.book.is_cut_off,
+        )
         self.job_table = jobtable.JobTable(self.table)
         self.scheduler = schedule.Scheduler(self.registry, self.limits.permits)
         self.limits.permits.on_permit = self.scheduler.dispatch
@@ -307,6 +325,7 @@
             ('OriginRecorder.run', self.origins.recorder.run),
             ('OriginSweeper.run', self.origins.sweeper.run),
             *self.usage.get_tasks(),
+            *self.scaling.get_tasks(),
         ):
             task = asyncio.ensure_future(self._supervise(task_name, run))
             self.tasks.append(task)
@@ -332,6 +351,7 @@
         self.stop_gate.begin(asyncio.get_running_loop().time(), closes_at)
         self.versions.stopping = True
         self.usage.begin_stop()
+        self.scaling.begin_stop()
         self.heartbeat.stop_accepting()
 
     async def end_stop(self) -> None:
@@ -359,7 +379,10 @@
             self.limits.book,
             self.origins.bases,
             self.write_event,
-            {leader.USAGE_PREFIX: self.usage.apply_row},
+            {
+                leader.USAGE_PREFIX: self.usage.apply_row,
+                leader.SCALING_PREFIX: self.scaling.apply_row,
+            },
         )
 
     def _get_crashes(self) -> dict[str, int]:
@@ -379,6 +402,9 @@
     def _get_demand(self) -> dict[str, assignment.Demand]:
         return self.jobs.get_demand(self.table.get_now_ms())
 
+    def _count_open_items(self, models: abc.Container[str]) -> int:
+        return self.jobs.count_open_items(models, self.table.get_now_ms())
+
     def _get_routable(self) -> list[member.Member]:
         now = asyncio.get_running_loop().time()
         return self.membership.get_routable(now)
--- a/pomelopass/entry/settings.py
+++ b/pomelopass/entry/settings.py
@@ -166,6 +166,11 @@
         """Return whether the instances report the usage of workspaces."""
         return names.USAGE_DUTY in self.duties
 
+    @property
+    def orders_engines(self) -> bool:
+        """Return whether the instances order engines by demand."""
+        return names.SCALING_DUTY in self.duties
+
     @pydantic.field_validator('duty_address', 'duty_calls_per_s')
     @classmethod
     def _check_duty_field(
--- a/pomelopass/entry/tablewatch.py
+++ b/pomelopass/entry/tablewatch.py
@@ -172,6 +172,16 @@
             self.in_outage or self._is_unavailable()
         )
 
+    def shows_demand(self) -> bool:
+        """Return whether entries, jobs and heartbeats are up to date."""
+        return (
+            self.is_registry_fresh()
+            and self.jobs.loaded
+            and self.fleet.loaded
+            and self.jobs.get_age_ms() <= OUTAGE_AFTER_MS
+            and self.fleet.get_age_ms() <= OUTAGE_AFTER_MS
+        )
+
     def _guard(self, on_row: OnRow) -> OnRow:
         """Return a handler whose failure costs no row but its own."""
 
--- a/pomelopass/entry/usageparts.py
+++ b/pomelopass/entry/usageparts.py
@@ -8,6 +8,7 @@
 from ..leadership import leader
 from ..reporting import logevents
 from ..requests import start as starts
+from ..scaling import manager as scalingmanagers
 from . import settings as entrysettings
 from ..table import rows
 from . import tableclock
@@ -24,6 +25,7 @@
     """What an instance needs for the duties of the platform's API."""
 
     usage: managers.UsagePort
+    engines: scalingmanagers.EnginePort
     # UTC of the instance in milliseconds.
     get_utc_ms: abc.Callable[[], float]
 
--- a/pomelopass/jobs/demand.py
+++ b/pomelopass/jobs/demand.py
@@ -5,7 +5,7 @@
 from . import job as jobs
 from ..versions import assignment
 
-__all__ = ['get_demand']
+__all__ = ['count_open_items', 'get_demand']
 
 # Older jobs do not reflect the current demand of a trainer.
 WINDOW_MS = 20_000
@@ -25,3 +25,18 @@
             previous.tokens + record.tokens, record.allowed_lag
         )
     return demand_by_model
+
+
+def count_open_items(
+    records: abc.Iterable[jobs.JobRecord],
+    models: abc.Container[str],
+    now_ms: int,
+) -> int:
+    """Return how many items of recent jobs for these models have no result."""
+    return sum(
+        record.total - record.listed
+        for record in records
+        if record.is_open
+        and record.model in models
+        and now_ms - record.accepted_ms < WINDOW_MS
+    )
--- a/pomelopass/jobs/jobview.py
+++ b/pomelopass/jobs/jobview.py
@@ -1,6 +1,7 @@
 """Local view of the jobs in the table service."""
 
 import asyncio
+from collections import abc
 import dataclasses
 
 from . import demand as demands
@@ -65,6 +66,11 @@
         records = (state.stored.record for state in self.state_by_id.values())
         return demands.get_demand(records, now_ms)
 
+    def count_open_items(self, models: abc.Container[str], now_ms: int) -> int:
+        """Return the items of recent jobs that have no result yet."""
+        records = (state.stored.record for state in self.state_by_id.values())
+        return demands.count_open_items(records, models, now_ms)
+
     async def wait_for_change(self, job_id: str, timeout_s: float) -> None:
         """Wait until a job may have changed or the timeout has passed."""
         state = self.state_by_id.get(job_id)
--- a/pomelopass/leadership/duty.py
+++ b/pomelopass/leadership/duty.py
@@ -98,6 +98,11 @@
         """Return whether this start of the instance holds the duty."""
         return self._get_leadership(subject).is_own
 
+    def get_fence(self, subject: str) -> int:
+        """Return the token of the last known holder, or 0."""
+        row = self._get_leadership(subject).row
+        return 0 if row is None else row.fence
+
     def get_condition(self, subject: str) -> tuple[rows.Key, int]:
         """Return the leader row as last known, for conditional writes.
 
--- a/pomelopass/platform/configdecode.py
+++ b/pomelopass/platform/configdecode.py
@@ -9,6 +9,7 @@
 
 from .. import decoding
 from ..requests import routes
+from ..scaling import plan
 from ..workspaces import directory
 
 __all__ = ['decode_configuration']
@@ -24,9 +25,9 @@
 DEFAULT_TARGET_LATENCY_MS = 500.0
 
 
-def _read_priority(
+def _read_optional(
     value: object, validate: pydantic.ValidatorFunctionWrapHandler
-) -> int | None:
+) -> object | None:
     try:
         return validate(value)
     except pydantic.ValidationError:
@@ -35,7 +36,7 @@
 
 
 Priority = Annotated[
-    decoding.Int64 | None, pydantic.WrapValidator(_read_priority)
+    decoding.Int64 | None, pydantic.WrapValidator(_read_optional)
 ]
 KeyDigest = Annotated[str, pydantic.Field(pattern='^[0-9a-f]{64}$')]
 
@@ -79,9 +80,29 @@
     models: list[_Model] = []
 
 
+class _Scaling(decoding.CheckedModel):
+    min: Annotated[decoding.Int64, pydantic.Field(ge=0)]
+    max: Annotated[decoding.Int64, pydantic.Field(ge=1)]
+    boot_s: Annotated[decoding.FiniteFloat, pydantic.Field(gt=0)] = 4.0
+    spot_price: Annotated[decoding.FiniteFloat, pydantic.Field(ge=0)] = 0.22
+    zone_prices: dict[
+        str, Annotated[decoding.FiniteFloat, pydantic.Field(ge=0)]
+    ] = {}
+
+    @pydantic.model_validator(mode='after')
+    def _check_bounds(self) -> '_Scaling':
+        if self.min > self.max:
+            raise ValueError('min is above max')
+        return self
+
+
 class _Service(decoding.CheckedModel):
     name: str
     engine: _Engine | None = None
+    # Without valid bounds, nothing is ordered; the service is still served.
+    scaling: Annotated[
+        _Scaling | None, pydantic.WrapValidator(_read_optional)
+    ] = None
 
 
 class _Limits(decoding.CheckedModel):
@@ -173,7 +194,21 @@
 def _decode_service(service: _Service) -> routes.ServiceTarget:
     models = service.engine.models if service.engine is not None else []
     return routes.ServiceTarget(
-        service.name, tuple(model.name for model in models)
+        service.name,
+        tuple(model.name for model in models),
+        _decode_scaling(service.scaling),
+    )
+
+
+def _decode_scaling(scaling: _Scaling | None) -> plan.Scaling | None:
+    if scaling is None:
+        return None
+    return plan.Scaling(
+        scaling.min,
+        scaling.max,
+        scaling.boot_s,
+        scaling.spot_price,
+        scaling.zone_prices,
     )
 
 
--- a/pomelopass/platform/endpointdecode.py
+++ b/pomelopass/platform/endpointdecode.py
@@ -28,6 +28,8 @@
     born: decoding.Int64 = 0
     # Of the endpoint's software, not of weights.
     version: str = ''
+    spot: bool = False
+    leaves_ms: decoding.FiniteFloat | None = None
 
 
 class _Report(decoding.CheckedModel):
@@ -62,6 +64,8 @@
             },
             started_at_ms=entry.born,
             software=entry.version,
+            is_spot=entry.spot,
+            leaves_ms=entry.leaves_ms,
         )
     )
 
--- a/pomelopass/registry/endpoint.py
+++ b/pomelopass/registry/endpoint.py
@@ -37,6 +37,10 @@
     started_at_ms: int
     # Version of the endpoint's own software; empty if it names none.
     software: str = ''
+    # Cheaper, and may be reclaimed at any time.
+    is_spot: bool = False
+    # Time until a reclaimed engine ends, as its entry says.
+    leaves_ms: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/pomelopass/reporting/logevents.py
+++ b/pomelopass/reporting/logevents.py
@@ -54,6 +54,8 @@
     'ResultsListed',
     'RouteNotFound',
     'RowFailed',
+    'ScalingDelayed',
+    'ScalingOrdered',
     'SettingsRefused',
     'SettingsReloaded',
     'Started',
@@ -81,6 +83,7 @@
     'attempts': 'how often a report was sent by this holder',
     'age_ms': 'milliseconds since the table confirmed the copy that decided',
     'applied': 'whether the table applied the write',
+    'availability_zone': 'availability zone of the engines',
     'bodies_evicted': 'requests that were cut off within their body',
     'bodies_refused': 'requests whose body was refused with 503',
     'bodies_waited': 'requests whose body was not read for a while',
@@ -88,6 +91,7 @@
     'carried': 'items that start with text from an earlier job',
     'change': 'found, ready, draining, leaving, gone, restarted, version, '
     'lost or regained',
+    'committed': 'engines that accepted jobs need to be in time',
     'configuration': 'version of the configuration that decided',
     'connections_evicted': 'idle connections that left for new ones',
     'connections_refused': 'connections refused as too many',
@@ -98,6 +102,7 @@
     'duty': 'name of a duty that one instance at a time performs',
     'endpoint': 'id of an endpoint',
     'endpoints': 'ids of the endpoints that may have run it',
+    'engines': 'number of engines that was ordered',
     'errors': 'error replies of endpoints',
     'events': 'stream events received so far',
     'fence': 'fencing number of the calls of one holder',
@@ -123,13 +128,14 @@
     'model': 'name of a model',
     'not_run': 'whether the endpoint reports that it ran nothing',
     'offset_ms': 'true time less the time of the table service',
+    'open_items': 'items of recent jobs without a result',
     'outcome': 'result of the operation',
     'owned': 'jobs owned by the instance',
     'owner': 'name of the instance that runs a job',
     'peer': 'name of the instance that was asked',
     'problems': 'validation errors of the settings, each with its place',
     'process': 'process id',
-    'reason': 'why the last attempt failed',
+    'reason': 'why the last attempt failed, or why engines were ordered',
     'refusals': 'requests refused since the line before',
     'refused_by': 'ids of the endpoints that reported that they ran nothing',
     'requests': 'number of requests of workspaces',
@@ -137,8 +143,12 @@
     'resumes': 'id of the request that brought the first event of a stream',
     'route': 'name of the route',
     'rows': 'number of removed or compared rows',
+    'runs': 'runs at engines that all instances reported',
+    'seen_on_demand': 'on-demand engines that serve and stay',
+    'seen_spot': 'spot engines that serve and stay',
     'service': 'name of a service',
     'software': 'software version of an endpoint, empty if unknown',
+    'spot': 'whether spot engines were ordered',
     'start': 'name of one start of an instance',
     'status': 'HTTP status; 0 without an answer',
     'step': 'number of the training step',
@@ -152,6 +162,7 @@
     'version': 'weight version, or version of the configuration',
     'versions': 'weight versions, by model or in the order of the text',
     'waited_ms': 'milliseconds until an engine had a free slot',
+    'wanted': 'engines for all work that waits or runs',
     'why': 'why it is invalid or ended',
     'window': 'number of a window of usage reports',
     'workspace': 'name of the workspace of the caller or the job',
@@ -687,6 +698,33 @@
     detail: str
 
 
+@_event
+class ScalingOrdered(Event):
+    """The holder ordered a number of engines, by demand and engines seen."""
+
+    service: str
+    availability_zone: str
+    spot: bool
+    engines: int
+    reason: str
+    outcome: str
+    fence: int
+    seen_on_demand: int
+    seen_spot: int
+    open_items: int
+    runs: int
+    wanted: float
+    committed: float
+    took_ms: float
+
+
+@_event
+class ScalingDelayed(Event):
+    """The table service did not answer; engines are ordered later."""
+
+    detail: str
+
+
 @_event
 class RowFailed(Event):
     """An internal error left a changed row unused; please report it."""
--- a/pomelopass/requests/routes.py
+++ b/pomelopass/requests/routes.py
@@ -5,6 +5,7 @@
 import enum
 import random
 
+from ..scaling import plan
 from ..workspaces import directory
 
 __all__ = [
@@ -73,6 +74,8 @@
 
     name: str
     models: tuple[str, ...] = ()
+    # None where the number of engines is not this system's to order.
+    scaling: plan.Scaling | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/pomelopass/scaling/plan.py
+++ b/pomelopass/scaling/plan.py
@@ -21,9 +21,16 @@
 HOLD_BOOTS = 4
 # Until engines that were not available are ordered again.
 UNAVAILABLE_BOOTS = 2
-# Until an order whose engines are not seen is sent again: they boot, and
-# their entries appear.
-RESEND_BOOTS = 2
+# Until an order whose engines are not seen is sent again, beyond their boot:
+# a call without an answer may be executed 6 s later, and entries appear.
+RESEND_DELAY_S = 8.0
+# Until engines that another holder should order are not counted on, beyond
+# two boots: a lost order is sent again, and its engines boot.
+UNSERVED_DELAY_S = 10.0
+# On-demand engines that ran at the start leave only after the demand was
+# below this share of them for so many boots: pauses of trainers are shorter.
+LOW_SHARE = 0.5
+LOW_BOOTS = 15
 # Engines that run are kept unless others are this much cheaper.
 KEEP_SHARE = 0.85
 
@@ -84,6 +91,7 @@
 
     count: int
     at: float = float('-inf')
+    found_at: float = float('-inf')
     raised_at: float = float('-inf')
     lowered_at: float = float('-inf')
     unavailable_until: float = float('-inf')
@@ -100,6 +108,36 @@
         self.peaks: collections.deque[tuple[float, float]] = (
             collections.deque()
         )
+        # On-demand engines that stay, by zone: those found at the start.
+        self.floor_by_zone: dict[str, int] = {}
+        # Since when the demand is low, and when floors were lowered last.
+        self.low_since: float | None = None
+        self.floors_lowered_at = float('-inf')
+        # Zones whose orders another instance gives.
+        self.zones_elsewhere: set[str] = set()
+        # Since when engines of these are missing, and their numbers when
+        # they were missing for too long to be counted on.
+        self.missing_since_by_kind: dict[_Kind, float] = {}
+        self.unserved_by_kind: dict[_Kind, int] = {}
+
+    def set_zones_elsewhere(self, zones: abc.Iterable[str]) -> None:
+        """Set the zones whose orders another instance gives."""
+        # What runs when this instance takes a zone over counts as ordered.
+        for zone in self.zones_elsewhere.union(zones):
+            self._forget_zone(zone)
+        self.zones_elsewhere = set(zones)
+
+    def _forget_zone(self, zone: str) -> None:
+        for is_spot in (False, True):
+            self.ordered_by_kind.pop(_Kind(zone, is_spot), None)
+        self.floor_by_zone.pop(zone, None)
+
+    def explain(self, order: orders.EngineOrder) -> str:
+        """Return why an order is due, as a value in the log."""
+        rise = self._get_rise(order)
+        if rise == 0:
+            return 'not-seen'
+        return 'more-needed' if rise > 0 else 'fewer-needed'
 
     def plan(
         self,
@@ -111,9 +149,15 @@
         for kind in _list_kinds(supply_by_zone):
             present = supply_by_zone[kind.zone].count(kind.is_spot)
             # A new planner takes what it finds as ordered.
-            self.ordered_by_kind.setdefault(kind, _Ordered(present))
-        wanted = self._get_peak(now, max(demand.wanted, demand.committed))
+            ordered = self.ordered_by_kind.setdefault(
+                kind, _Ordered(present, raised_at=now, found_at=now)
+            )
+            self._record_found(now, kind, ordered, present)
+        needed = max(demand.wanted, demand.committed)
+        self._lower_floors(now, needed, supply_by_zone)
+        wanted = self._get_peak(now, needed)
         target = self._choose(now, wanted, demand.committed, supply_by_zone)
+        self._record_unserved(now, target, supply_by_zone)
         target = self._hold(now, target, demand, supply_by_zone)
         due = [
             orders.EngineOrder(self.service, kind.zone, count, kind.is_spot)
@@ -148,6 +192,80 @@
         ordered.count = order.count
         ordered.at = now
 
+    def _record_found(
+        self, now: float, kind: _Kind, ordered: _Ordered, present: int
+    ) -> None:
+        """Keep what an earlier holder ordered and what boots meanwhile."""
+        if not kind.is_spot:
+            self.floor_by_zone.setdefault(kind.zone, present)
+        since_s = now - ordered.found_at
+        if (
+            present <= ordered.count
+            or ordered.at > float('-inf')
+            or since_s >= self.scaling.boot_s + RESEND_DELAY_S
+        ):
+            return
+        ordered.count = present
+        ordered.raised_at = now
+        if not kind.is_spot:
+            self.floor_by_zone[kind.zone] = max(
+                self.floor_by_zone[kind.zone], present
+            )
+
+    def _record_unserved(
+        self,
+        now: float,
+        target: dict[_Kind, int],
+        supply_by_zone: abc.Mapping[str, ZoneSupply],
+    ) -> None:
+        """Record the zones of others in which no more engines appear.
+
+        Only the holder of a zone hears that none are available there. A zone
+        counts again once it has more.
+        """
+        for kind, count in target.items():
+            present = supply_by_zone[kind.zone].count(kind.is_spot)
+            if kind.zone not in self.zones_elsewhere:
+                self.missing_since_by_kind.pop(kind, None)
+                self.unserved_by_kind.pop(kind, None)
+                continue
+            if present > self.unserved_by_kind.get(kind, present):
+                del self.unserved_by_kind[kind]
+            if count <= present:
+                self.missing_since_by_kind.pop(kind, None)
+                continue
+            since = self.missing_since_by_kind.setdefault(kind, now)
+            if now - since >= 2 * self.scaling.boot_s + UNSERVED_DELAY_S:
+                self.unserved_by_kind[kind] = present
+
+    def _lower_floors(
+        self,
+        now: float,
+        needed: float,
+        supply_by_zone: abc.Mapping[str, ZoneSupply],
+    ) -> None:
+        """Lower each floor by an engine after a long time of low demand."""
+        capacity = sum(
+            self.floor_by_zone[zone] * supply.pace
+            for zone, supply in supply_by_zone.items()
+        )
+        if needed >= LOW_SHARE * capacity:
+            self.low_since = None
+            return
+        if self.low_since is None:
+            self.low_since = now
+        if (
+            now - self.low_since < LOW_BOOTS * self.scaling.boot_s
+            or now - self.floors_lowered_at < self.scaling.hold_s
+        ):
+            return
+        self.floors_lowered_at = now
+        for zone in supply_by_zone:
+            self.floor_by_zone[zone] = max(self.floor_by_zone[zone] - 1, 0)
+
+    def _get_floor(self, zone: str) -> int:
+        return min(self.floor_by_zone[zone], self.scaling.max_count)
+
     def _get_peak(self, now: float, wanted: float) -> float:
         while self.peaks and self.peaks[-1][1] <= wanted:
             self.peaks.pop()
@@ -165,6 +283,13 @@
     ) -> dict[_Kind, int]:
         """Return the cheapest numbers that serve the demand."""
         target = dict.fromkeys(_list_kinds(supply_by_zone), 0)
+        for zone in supply_by_zone:
+            kind = _Kind(zone, is_spot=False)
+            # Others carry the work of those that are not available.
+            while target[kind] < self._get_floor(zone) and self._is_available(
+                now, kind, target, supply_by_zone
+            ):
+                target[kind] += 1
 
         def find_cheapest(kinds: abc.Iterable[_Kind]) -> _Kind | None:
             available = [
@@ -249,7 +374,10 @@
         target: dict[_Kind, int],
         supply_by_zone: abc.Mapping[str, ZoneSupply],
     ) -> bool:
-        if self.ordered_by_kind[kind].unavailable_until <= now:
+        if (
+            self.ordered_by_kind[kind].unavailable_until <= now
+            and kind not in self.unserved_by_kind
+        ):
             return True
         present = supply_by_zone[kind.zone].count(kind.is_spot)
         return target[kind] < present
@@ -298,6 +426,9 @@
             # Engines leave once those that replace them serve.
             for kind, count in held.items():
                 held[kind] = max(count, self.ordered_by_kind[kind].count)
+        for zone in supply_by_zone:
+            kind = _Kind(zone, is_spot=False)
+            held[kind] = max(held[kind], self._get_floor(zone))
         for kind in held:
             # What is held may leave no room for a rise of the other kind.
             excess = _count_zone(held, kind.zone) - self.scaling.max_count
@@ -320,7 +451,7 @@
             return False
         # The order was lost, an older one was executed after it, or engines
         # were reclaimed.
-        resend_s = RESEND_BOOTS * self.scaling.boot_s
+        resend_s = self.scaling.boot_s + RESEND_DELAY_S
         present = supply_by_zone[kind.zone].count(kind.is_spot)
         return present != count and now - ordered.at >= resend_s
 
--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -21,6 +21,7 @@
 from scripts import mutant
 from scripts import pathmutants
 from scripts import requestmutants
+from scripts import scalingmutants
 from scripts import sharedmutants
 from scripts import workspacemutants
 
@@ -66,6 +67,7 @@
         *costmutants.MUTANTS,
         *memorymutants.MUTANTS,
         *dutymutants.MUTANTS,
+        *scalingmutants.MUTANTS,
         *workspacemutants.MUTANTS,
         *clientmutants.MUTANTS,
     )
--- a/standins/dutyapi.py
+++ b/standins/dutyapi.py
@@ -29,6 +29,7 @@
 class DutyApi:
     """The API of a platform; times are seconds of the event loop."""
 
+    duties: tuple[str, ...] = ('usage_report',)
     checks_fences: bool = True
     lease_s: float = 3.0
     # Answered with 503.
@@ -38,6 +39,12 @@
     # So many calls get no answer and are executed that much later.
     late_calls: int = 0
     late_s: float = 5.0
+    # Zones and whether spot: orders of more get 409.
+    unavailable: set[tuple[str, bool]] = dataclasses.field(default_factory=set)
+    # Called with the zone, whether spot, and the number of engines ordered.
+    on_order: abc.Callable[[str, bool, int], None] = (
+        lambda zone, is_spot, count: None
+    )
     calls: list[DutyCall] = dataclasses.field(default_factory=list)
     fence_by_subject: dict[str, int] = dataclasses.field(default_factory=dict)
     # First body accepted for each window of usage.
@@ -74,6 +81,11 @@
             window = content['window_id']
             self.body_by_window.setdefault(window, request.body)
             self.reported_at_by_window.setdefault(window, now)
+            return 200
+        is_spot = content.get('spot', False)
+        if (content['zone'], is_spot) in self.unavailable:
+            return 409
+        self.on_order(content['zone'], is_spot, content['target_groups'])
         return 200
 
     async def handle(self, request: message.Request) -> message.Reply:
--- a/standins/entries.py
+++ b/standins/entries.py
@@ -39,7 +39,6 @@
 # UTC at the start of the loop's clock, within a window of usage reports.
 UTC_START_MS = 1_700_000_001_300.0
 DUTY_SETTINGS = {
-    'duties': ('usage_report',),
     'duty_address': '10.0.0.3:80',
     'duty_calls_per_s': 50,
     'usage_window_s': 5,
@@ -118,6 +117,7 @@
             settings = settings.model_copy(
                 update={
                     **DUTY_SETTINGS,
+                    'duties': self.duty_api.duties,
                     'engines_check_fences': self.duty_api.checks_fences,
                 }
             )
@@ -148,7 +148,7 @@
             skew_ms = self.skew_ms_by_name.get(name, 0.0)
             return loop.time() * 1000 + UTC_START_MS + skew_ms
 
-        return links, usageparts.DutyPorts(client, get_utc_ms)
+        return links, usageparts.DutyPorts(client, client, get_utc_ms)
 
     def kill(self, name: str) -> None:
         """End an instance immediately with all its tasks."""
--- a/standins/modelengines.py
+++ b/standins/modelengines.py
@@ -76,6 +76,8 @@
     # Where bytes come without end until the caller closes, by name.
     endless: str | None = None
     endless_bytes: int = 0
+    availability_zone: str = 'north'
+    is_spot: bool = False
     # Id and headers of the newest requests.
     received: collections.deque[tuple[str, message.Headers]] = (
         dataclasses.field(
@@ -109,7 +111,7 @@
         entry = {
             'service': endpoint.service,
             'address': endpoint.address,
-            'zone': 'north',
+            'zone': endpoint.availability_zone,
             'slots': endpoint.slots,
             'state': 'draining' if endpoint.draining else 'ready',
             'seq': endpoint.order_count,
@@ -120,6 +122,8 @@
                 for name, version in endpoint.version_by_model.items()
             ],
         }
+        if endpoint.is_spot:
+            entry['spot'] = True
         self.service.put(ENDPOINT_TABLE, endpoint.id, orjson.dumps(entry))
 
     def crash(self, endpoint_id: str) -> None:
--- a/tests/test_mutants.py
+++ b/tests/test_mutants.py
@@ -15,6 +15,7 @@
 from scripts import memorymutants
 from scripts import pathmutants
 from scripts import requestmutants
+from scripts import scalingmutants
 from scripts import sharedmutants
 from scripts import workspacemutants
 
@@ -31,6 +32,7 @@
     *costmutants.MUTANTS,
     *memorymutants.MUTANTS,
     *dutymutants.MUTANTS,
+    *scalingmutants.MUTANTS,
     *workspacemutants.MUTANTS,
     *clientmutants.MUTANTS,
 )
