--- a/tests/scaling/test_manager.py
+++ b/tests/scaling/test_manager.py
@@ -1,6 +1,7 @@
 """Test the orders of engines of whole clusters, with each fault forced."""
 
 import asyncio
+import random
 
 import orjson
 import pytest
@@ -276,3 +277,40 @@
         assert 1 <= asked <= 3
 
     run(scenario, checks_fences=False)
+
+
+# Takeovers, lost answers and outages in any order must neither break the
+# rules of duties nor end engines that the demand needs.
+@pytest.mark.parametrize('checks_fences', [True, False])
+@pytest.mark.parametrize('seed', range(3))
+def test_random_faults_end_in_the_engines_that_are_needed(seed, checks_fences):
+    async def scenario(cluster, api, fleet):
+        rng = random.Random(seed)
+        for _ in range(8):
+            demand_more(cluster, items=rng.choice([16, 24, 40]))
+            kind = rng.choice(['kill', 'lost', 'late', 'api', 'table'])
+            name = get_holder(cluster, rng.choice(ZONES))
+            if kind == 'kill' and name is not None:
+                cluster.kill(name)
+                await asyncio.sleep(rng.uniform(0.1, 5))
+                cluster.start(name)
+            api.lost_answers += kind == 'lost'
+            api.late_calls, api.late_s = int(kind == 'late'), 1.5
+            api.down = kind == 'api'
+            cluster.service.down = kind == 'table'
+            await asyncio.sleep(rng.uniform(0.5, 6))
+            api.down = cluster.service.down = False
+            await asyncio.sleep(rng.uniform(0.5, 6))
+        api.late_calls = api.lost_answers = 0
+        demand_more(cluster, items=40)
+        await asyncio.sleep(15 * BOOT_S)
+        for zone in ZONES:
+            assert fleet.list(zone, False)
+        assert not [o for o in get_orders(api) if o[1:] == (False, 0)]
+        count = sum(len(fleet.list(z, s)) for z in ZONES for s in (0, 1))
+        assert 5 <= count <= 6
+        settled = len(api.calls)
+        await asyncio.sleep(15 * BOOT_S)
+        assert len(api.calls) == settled
+
+    run(scenario, checks_fences=checks_fences)
