--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -22,6 +22,7 @@
 from scripts import pathmutants
 from scripts import placementmutants
 from scripts import requestmutants
+from scripts import scalingmutants
 from scripts import sharedmutants
 from scripts import workspacemutants
 
@@ -67,6 +68,7 @@
         *costmutants.MUTANTS,
         *memorymutants.MUTANTS,
         *dutymutants.MUTANTS,
+        *scalingmutants.MUTANTS,
         *workspacemutants.MUTANTS,
         *clientmutants.MUTANTS,
         *placementmutants.MUTANTS,
--- a/standins/modelengines.py
+++ b/standins/modelengines.py
@@ -87,6 +87,8 @@
     # Where bytes come without end until the caller closes, by name.
     endless: str | None = None
     endless_bytes: int = 0
+    availability_zone: str = 'north'
+    is_spot: bool = False
     # Id and headers of the newest requests.
     received: collections.deque[tuple[str, message.Headers]] = (
         dataclasses.field(
@@ -135,6 +137,8 @@
                 for name, version in endpoint.version_by_model.items()
             ],
         }
+        if endpoint.is_spot:
+            entry['spot'] = True
         self.service.put(ENDPOINT_TABLE, endpoint.id, orjson.dumps(entry))
 
     def draw_way_s(self, zone: str, other: str) -> float:
--- a/tests/test_mutants.py
+++ b/tests/test_mutants.py
@@ -16,6 +16,7 @@
 from scripts import pathmutants
 from scripts import placementmutants
 from scripts import requestmutants
+from scripts import scalingmutants
 from scripts import sharedmutants
 from scripts import workspacemutants
 
@@ -32,6 +33,7 @@
     *costmutants.MUTANTS,
     *memorymutants.MUTANTS,
     *dutymutants.MUTANTS,
+    *scalingmutants.MUTANTS,
     *workspacemutants.MUTANTS,
     *clientmutants.MUTANTS,
     *placementmutants.MUTANTS,
