--- a/pomelopass/usage/clock.py
+++ b/pomelopass/usage/clock.py
@@ -1,4 +1,4 @@
-"""Tell true time by the table's clock and an offset for the whole fleet.
+"""Derive UTC from the table's clock and an offset that the fleet agrees on.
 
 The load pattern: the wall clocks of instances differ, and some step by
 seconds, so that the same request would fall into another window at each of
@@ -11,14 +11,16 @@
 
 __all__ = ['OffsetAgreement', 'UsageClock']
 
-# The table's clock is known best by the fastest answer of this long.
+# The fastest answer within this time determines the table's clock; older ones
+# are dropped, as the loop's clock drifts against the table's.
 SPAN_S = 10.0
-# Offsets that differ by less are taken for noise of the answers.
+# Smaller differences of offsets are measurement noise.
 NOISE_MS = 100.0
-# A step of most clocks counts once it has lasted for so many windows.
+# The agreed offset follows a step of most clocks after this many consecutive
+# rounds; there is about one round for each window.
 LASTING_ROUNDS = 3
-# Wall clocks are off by seconds. If true time seems to be off by more, the
-# table's clock has begun anew.
+# Wall clocks differ by seconds. A larger error of the agreed offset means that
+# the table's clock was reset.
 MAX_ERROR_MS = 30_000.0
 # Without an agreement for this long, an instance uses its own offset.
 OWN_OFFSET_AFTER_S = 20.0
@@ -42,7 +44,7 @@
         self.first_known_at: float | None = None
 
     def sample(self) -> None:
-        """Take the table's clock from its last answer.
+        """Update the table's clock from its last answer.
 
         A slow answer makes the table's clock seem slow, never fast.
         """
@@ -114,7 +116,7 @@
     ) -> float | None:
         """Return the offset to agree on; None while too few are known.
 
-        The middle one stands, whatever fewer than half of the clocks do.
+        The median is right as long as fewer than half of the clocks are off.
         """
         if not offsets_ms or 2 * len(offsets_ms) < instance_count:
             return agreed_ms
--- a/pomelopass/usage/manager.py
+++ b/pomelopass/usage/manager.py
@@ -24,16 +24,19 @@
 RETRY_INTERVAL_MS = 300.0
 # Reports of windows that were missed are stored in groups of this size.
 MAX_STORED_AT_ONCE = 20
-# Another instance may reach the platform's API when this one does not. It
-# waits for the lease, and the report must still be in time.
+# Another instance may reach the platform's API when this one does not. The
+# limit leaves it time to wait for the lease and to report before the deadline.
 GIVE_UP_UNREACHABLE_MS = 2500.0
-# An API that is slow for all is no reason to change the holder.
+# Longer, since an API that is slow for all instances gains nothing from a new
+# holder.
 GIVE_UP_UNANSWERED_MS = 10_000.0
-# A fleet that starts agrees on a clock once most instances are known.
+# Time after a start within which most instances become known.
 FIRST_AGREEMENT_DELAY_MS = 3000.0
-# Counts of an instance that counts as alive may never arrive.
+# Limit of the wait for counts: those of an instance that has just died, and is
+# still considered alive, never arrive.
 MAX_COUNT_WAIT_MS = 3000.0
-# Rows of instances that are gone are removed when no window needs them.
+# Rows of dead instances are kept for this many accepted windows, so that
+# late counts can be logged.
 KEPT_WINDOWS = 1
 
 
@@ -54,8 +57,8 @@
     ) -> outcomes.DutyOutcome:
         """Send the report of a window.
 
-        may_send is called last before the first byte is sent; without its
-        consent the report is withdrawn.
+        may_send is called right before the first byte is sent; if it returns
+        False, the report is withdrawn.
         """
 
 
@@ -86,12 +89,13 @@
         self.stored: stores.StoredReports | None = None
         self.fence = 0
         self.attempts_by_window: dict[int, int] = {}
-        # Accepted before an older window was.
+        # Accepted windows that follow one not yet accepted.
         self.accepted: set[int] = set()
         self.requests_by_window: dict[int, int] = {}
-        # Start of the calls in a row without an answer, in seconds.
+        # Start of the first of consecutive calls without an answer, in
+        # seconds of the event loop, as all times below.
         self.unanswered_since: float | None = None
-        # Start of the calls in a row for which no connection opened.
+        # Start of the first of consecutive calls without a connection.
         self.unreachable_since: float | None = None
         # Since when the counts of a window that is over are incomplete.
         self.incomplete_since: float | None = None
@@ -378,7 +382,8 @@
         settings = self.duty.settings
         is_open = (now - self.unanswered_at) * 1000 < settings.lease_ms
         if is_open and not settings.fences_are_checked:
-            # The next holder waits as for one that died.
+            # The late call may still run: without a release, the next holder
+            # waits as after a crash.
             return
         if await self.duty.release(stores.SUBJECT):
             self._record_end(why)
@@ -431,7 +436,7 @@
     async def _remove_outdated(
         self, counts: list[tuple[rows.Row, rowcodec.CountRow]]
     ) -> None:
-        """Remove the counts of instances that are gone, once reported."""
+        """Remove the reported counts of dead instances."""
         now = asyncio.get_running_loop().time()
         needed_from = self.stored.progress.reported_to - KEPT_WINDOWS
         outdated = [
@@ -450,12 +455,9 @@
             self.write_event(logevents.UsageDelayed(detail=error.detail))
         self.is_delayed = True
 
-    def _get_retry_at(self) -> float:
-        now = asyncio.get_running_loop().time()
-        return now + RETRY_INTERVAL_MS / 1000
-
     def _delay_retry(self) -> None:
-        self.retry_at = self._get_retry_at()
+        now = asyncio.get_running_loop().time()
+        self.retry_at = now + RETRY_INTERVAL_MS / 1000
 
 
 def _make_digest(body: bytes) -> str:
--- a/pomelopass/usage/rowcodec.py
+++ b/pomelopass/usage/rowcodec.py
@@ -31,7 +31,7 @@
 PROGRESS_KEY = rows.Key(
     heartbeat.MEMBER_TABLE, '', f'{leader.USAGE_PREFIX}progress'
 )
-# Keys in the order of the windows.
+# Digits of a key, so that keys sort as their windows do.
 WINDOW_DIGITS = 12
 
 
@@ -50,7 +50,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Progress:
-    """What all instances know of the reports."""
+    """Agreed clock and last accepted window, read by all instances."""
 
     # Agreed difference of true time and the time of the table service.
     offset_ms: decoding.FiniteFloat
--- a/pomelopass/usage/starts.py
+++ b/pomelopass/usage/starts.py
@@ -11,13 +11,13 @@
 
 __all__ = ['StartCounter']
 
-# Windows whose counts are kept while they are not reported.
+# Unreported windows whose counts are kept, as during an outage of the table.
 MAX_WINDOWS = 12
-# Requests whose ids are remembered, so that none counts twice.
+# Request ids that are kept to count repeated requests once.
 MAX_IDS = 20_000
-# Longer rows are refused, and the heartbeat with them.
+# The table refuses a transaction with a longer row, and so the heartbeat.
 MAX_ROW_BYTES = 60_000
-# Answers of the table make the measured offset vary by less.
+# Smaller changes of the measured offset are noise, and not worth a write.
 OFFSET_STEP_MS = 50.0
 
 
@@ -54,7 +54,7 @@
         self.clock.agreed_offset_ms = progress.offset_ms
         self.reported_to = max(self.reported_to, progress.reported_to)
         for window in list(self.counts_by_window):
-            # The last one shows the holder what came too late for it.
+            # The holder logs the late requests of the last window.
             if window < self.reported_to:
                 del self.counts_by_window[window]
         self._place_waiting()
@@ -150,7 +150,7 @@
             del counts[start.workspace]
 
     def _place_waiting(self) -> None:
-        """Count the starts whose window was not known before."""
+        """Count the kept starts once their windows are known."""
         now = asyncio.get_running_loop().time()
         if not self.unplaced or self.clock.get_true_ms(now) is None:
             return
--- a/pomelopass/usage/store.py
+++ b/pomelopass/usage/store.py
@@ -12,7 +12,7 @@
 
 # All windows form one subject.
 SUBJECT = 'windows'
-# Reports that remain after their acceptance, for whoever traces a fault.
+# Accepted reports that are kept for diagnosis: two minutes of windows of 5 s.
 KEPT_REPORTS = 24
 
 
@@ -46,7 +46,7 @@
 class ReportStore:
     """Rows of reports; each write is conditional on the duty's row.
 
-    So a write of a former holder is never applied, however late it arrives.
+    A write of a former holder is thus never applied, however late it arrives.
     """
 
     def __init__(self, table: rows.RowTable, usage_duty: duty.Duty):
@@ -68,7 +68,7 @@
 
     async def read_counts(self) -> list[tuple[rows.Row, rowcodec.CountRow]]:
         """Read the counts of all starts of instances; raise TableError."""
-        # The grant may end before 16 reads one after the other do.
+        # Sequential reads of all parts may take longer than the grant.
         found_by_part = await asyncio.gather(
             *(self._read_part(part) for part in rowcodec.COUNT_PARTS)
         )
@@ -85,7 +85,7 @@
                 try:
                     found.append((row, rowcodec.decode_counts(row.value)))
                 except ValueError:
-                    # The others count, whatever one instance wrote.
+                    # A malformed row must not block the report.
                     continue
         return found
 
--- a/pomelopass/usage/windows.py
+++ b/pomelopass/usage/windows.py
@@ -14,10 +14,11 @@
 ]
 
 # Share of the time until a report is due after which the counts are summed.
-# Requests that were sent near the end have been answered or refused by then;
-# a new holder of the duty, which waits for the lease, needs the rest.
+# Requests that were sent near the end have been answered or refused by then.
+# The rest is left for a new holder of the duty, which waits for the lease.
 CLOSE_SHARE = 0.2
-# Requests are served for some seconds before the first agreement on a clock.
+# Windows before the first agreement on a clock that are reported as well:
+# requests are served for some seconds before it.
 WINDOWS_BEFORE_START = 2
 
 
