--- a/pomelopass/usage/starts.py
+++ b/pomelopass/usage/starts.py
@@ -100,6 +100,7 @@
             window, collections.Counter()
         )
         counts[start.workspace] += 1
+        start.counts = counts
 
     def withdraw(self, start: '_CountedStart') -> None:
         """Count a start no longer: no endpoint ran the request."""
@@ -142,9 +143,10 @@
             del self.start_by_id[next(iter(self.start_by_id))]
 
     def _uncount(self, start: '_CountedStart') -> None:
-        counts = self.counts_by_window.get(start.window)
+        counts = start.counts
         if counts is None:
             return
+        start.counts = None
         counts[start.workspace] -= 1
         if not counts[start.workspace]:
             del counts[start.workspace]
@@ -172,7 +174,7 @@
 class _CountedStart:
     """The start of one request, which counts in at most one window."""
 
-    __slots__ = ('at', 'call_id', 'counter', 'window', 'workspace')
+    __slots__ = ('at', 'call_id', 'counter', 'counts', 'window', 'workspace')
 
     def __init__(self, counter: StartCounter, call_id: str, workspace: str):
         self.counter = counter
@@ -180,6 +182,9 @@
         self.workspace = workspace
         self.at: float | None = None
         self.window: int | None = None
+        # Counts that include the start. They may have been dropped since, and
+        # others may be kept for the same window.
+        self.counts: collections.Counter[str] | None = None
 
     def place(self, at: float) -> None:
         """Set the start, in seconds of the event loop."""
--- a/scripts/dutymutants.py
+++ b/scripts/dutymutants.py
@@ -278,6 +278,13 @@
         'pass',
         (WINDOWS,),
     ),
+    mutant.Mutant(
+        'start-leaves-a-window-that-was-dropped',
+        STARTS,
+        'counts = start.counts\n',
+        'counts = self.counts_by_window.get(start.window)\n',
+        (WINDOWS,),
+    ),
     mutant.Mutant(
         'first-starts-are-lost',
         STARTS,
--- a/tests/usage/test_windows.py
+++ b/tests/usage/test_windows.py
@@ -198,6 +198,27 @@
     virtualloop.run(scenario())
 
 
+# A negative count makes the row malformed, so that the holder ignores all
+# counts of the instance.
+def test_starts_of_a_dropped_window_leave_no_negative_count():
+    async def scenario():
+        counter = make_counter()
+        set_progress(counter)
+        dropped = counter.open(make_call('a'))
+        dropped.place(0.0)
+        for number in range(9000):
+            call = make_call(f'b-{number}', f'workspace-{number}')
+            counter.open(call).place(0.0)
+        assert get_windows(counter) == {}
+        counter.open(make_call('c', 'other')).place(1.0)
+        dropped.withdraw()
+        row = rowcodec.decode_counts(counter.make_row_value())
+        window = str(int(UTC_MS // WINDOW_MS))
+        assert row.windows == {window: {'other': 1}}
+
+    virtualloop.run(scenario())
+
+
 def test_starts_wait_for_the_agreed_clock():
     async def scenario():
         counter = make_counter(make_clock(skew_ms=2000.0))
