--- a/pomelopass/edges/callermemory.py
+++ b/pomelopass/edges/callermemory.py
@@ -69,10 +69,11 @@
             share.is_waiting = False
             if not waiter.done.is_set():
                 self.waiting.remove(waiter)
+                # Shares behind a waiter that timed out or was cancelled may
+                # fit.
+                self.admit()
         if not waiter.done.is_set():
             self.count_by_outcome['refused'] += 1
-            # Those behind it may fit.
-            self.admit()
             raise MemoryShortError
 
     def admit(self) -> None:
--- a/scripts/clientmutants.py
+++ b/scripts/clientmutants.py
@@ -25,6 +25,13 @@
         'return self.fits(growth)',
         (ACCOUNT,),
     ),
+    mutant.Mutant(
+        'cancelled-wait-blocks-those-behind-it',
+        f'{EDGES}/callermemory.py',
+        '                # fit.\n                self.admit()\n',
+        '                # fit.\n',
+        (ACCOUNT,),
+    ),
     mutant.Mutant(
         'best-progress-is-evicted',
         f'{EDGES}/callermemory.py',
--- a/tests/edges/test_callermemory.py
+++ b/tests/edges/test_callermemory.py
@@ -67,6 +67,21 @@
     assert (large.size, small.size, memory.total) == (80, 5, 85)
 
 
+# Those behind a connection that closed were refused although they fit.
+async def test_a_cancelled_wait_admits_those_behind_it(monkeypatch):
+    memory, _ = make_memory(100, monkeypatch)
+    monkeypatch.setattr(callermemory, 'WAIT_MS', 5000.0)
+    await memory.open(lambda: None).resize(90)
+    large, small = memory.open(lambda: None), memory.open(lambda: None)
+    cancelled = asyncio.ensure_future(large.resize(80))
+    waiting = asyncio.ensure_future(small.resize(5))
+    await asyncio.sleep(0)
+    cancelled.cancel()
+    await asyncio.wait((cancelled,))
+    assert (small.size, memory.total) == (5, 95)
+    await waiting
+
+
 # A line for each refused client would fill the log.
 def test_limited_clients_are_reported_in_one_line():
     memory = callermemory.CallerMemory(100)
