--- a/pomelopass/entry/node.py
+++ b/pomelopass/entry/node.py
@@ -96,23 +96,7 @@
         )
         self.stopping = False
         self.stop_gate = stopgate.StopGate()
-        choice = relay.PeerChoice()
-        self.fallback = fallback.FallbackTable(
-            fallback.Paths(
-                ports.table,
-                ports.fresh_table,
-                relay.RelayedTable(
-                    self._get_relay_addresses, ports.rng, choice
-                ),
-                relay.RelayedTable(
-                    self._get_near_relay_addresses,
-                    ports.rng,
-                    choice,
-                    is_second=True,
-                ),
-            ),
-            ports.write_event,
-        )
+        self.fallback = self._make_fallback()
         self.table = tableclock.TableClock(self.fallback)
         self.paths = pathparts.build_path_parts(
             settings.availability_zone,
@@ -150,9 +134,39 @@
         )
         self.jobs = jobview.JobView()
         self.job_table = jobtable.JobTable(self.table)
+        self._build_requests()
+        self._build_jobs()
+        self._build_versions()
+        self._build_heartbeat()
+        self._build_ingress()
+        self.watch = tablewatch.TableWatch(
+            self.table, self._make_listeners(), ports.rng
+        )
+        self.tasks: list[asyncio.Task] = []
+
+    def _make_fallback(self) -> fallback.FallbackTable:
+        choice = relay.PeerChoice()
+        return fallback.FallbackTable(
+            fallback.Paths(
+                self.ports.table,
+                self.ports.fresh_table,
+                relay.RelayedTable(
+                    self._get_relay_addresses, self.ports.rng, choice
+                ),
+                relay.RelayedTable(
+                    self._get_near_relay_addresses,
+                    self.ports.rng,
+                    choice,
+                    is_second=True,
+                ),
+            ),
+            self.ports.write_event,
+        )
+
+    def _build_requests(self) -> None:
         self.placer = placementparts.build_placer(
-            settings,
-            ports.connect_times,
+            self.settings,
+            self.ports.connect_times,
             self.registry,
             self.paths.endpoints.get_carrier,
             self.membership,
@@ -162,54 +176,20 @@
         )
         self.limits.permits.on_permit = self.scheduler.dispatch
         self.quarantine = quarantines.Quarantine()
-        memory_bytes = settings.memory_mb * BYTES_PER_MB
+        memory_bytes = self.settings.memory_mb * BYTES_PER_MB
         self.max_cached_bytes = int(CACHE_SHARE * memory_bytes)
         self.forwarder = forward.Forwarder(
             self.registry,
             self.limits.endpoints,
-            settings.availability_zone,
-            ports.rng,
-            ports.write_event,
+            self.settings.availability_zone,
+            self.ports.rng,
+            self.ports.write_event,
             self.quarantine,
             self.limits.permits,
             answermemory.AnswerMemory(int(ANSWER_SHARE * memory_bytes)),
             self.usage.get_start_book(),
             self.placer,
         )
-        self._build_jobs()
-        self._build_duties()
-        self.origins = originparts.build_origin_parts(
-            self.table,
-            self.registry,
-            self.membership,
-            lambda: self.view.resumable_services,
-            lambda: self.watch.is_registry_fresh(),
-            bases.CopyAges(
-                lambda: self.watch.fleet.get_confirmed_age_ms(),
-                lambda: self.watch.endpoints.get_confirmed_age_ms(),
-            ),
-            ports.write_event,
-        )
-        self.ingress = ingresses.Ingress(
-            get_configuration=lambda: self.view.configuration,
-            forwarder=self.forwarder,
-            streams=streams.StreamForwarder(
-                self.forwarder, self.origins.recorder, names.WEIGHT_VERSION
-            ),
-            job_api=self.job_api,
-            get_members=self._get_routable,
-            is_ready=self.is_ready,
-            directory_ttl_s=settings.directory_ttl_s,
-            write_event=ports.write_event,
-            stop_gate=self.stop_gate,
-            get_configuration_age_ms=lambda: (
-                self.watch.operator.get_confirmed_age_ms()
-            ),
-        )
-        self.watch = tablewatch.TableWatch(
-            self.table, self._make_listeners(), ports.rng
-        )
-        self.tasks: list[asyncio.Task] = []
 
     def _build_jobs(self) -> None:
         contexts = itemcontexts.ItemContexts(
@@ -251,7 +231,7 @@
             self.ports.write_event,
         )
 
-    def _build_duties(self) -> None:
+    def _build_versions(self) -> None:
         order_duty = duty.Duty(
             leader.WEIGHTS_PREFIX,
             self.settings.name,
@@ -277,6 +257,8 @@
             self._get_demand,
             self.ports.write_event,
         )
+
+    def _build_heartbeat(self) -> None:
         self.heartbeat = heartbeat.Heartbeat(
             self.table.transact_repeatable,
             member.Member(
@@ -302,6 +284,36 @@
             self.usage.value_by_kept_key,
         )
 
+    def _build_ingress(self) -> None:
+        self.origins = originparts.build_origin_parts(
+            self.table,
+            self.registry,
+            self.membership,
+            lambda: self.view.resumable_services,
+            lambda: self.watch.is_registry_fresh(),
+            bases.CopyAges(
+                lambda: self.watch.fleet.get_confirmed_age_ms(),
+                lambda: self.watch.endpoints.get_confirmed_age_ms(),
+            ),
+            self.ports.write_event,
+        )
+        self.ingress = ingresses.Ingress(
+            get_configuration=lambda: self.view.configuration,
+            forwarder=self.forwarder,
+            streams=streams.StreamForwarder(
+                self.forwarder, self.origins.recorder, names.WEIGHT_VERSION
+            ),
+            job_api=self.job_api,
+            get_members=self._get_routable,
+            is_ready=self.is_ready,
+            directory_ttl_s=self.settings.directory_ttl_s,
+            write_event=self.ports.write_event,
+            stop_gate=self.stop_gate,
+            get_configuration_age_ms=lambda: (
+                self.watch.operator.get_confirmed_age_ms()
+            ),
+        )
+
     def is_ready(self) -> bool:
         """Return whether the instance accepts callers."""
         return not self.stopping and self.view.configuration is not None
--- a/pomelopass/entry/process.py
+++ b/pomelopass/entry/process.py
@@ -138,18 +138,7 @@
     async def handle_metrics(request):
         if request.target == placementparts.STATE_PATH:
             return placementparts.make_state_reply(node.take_placement())
-        for table_name, age_s in node.get_ages_s().items():
-            metrics.ages.set({'table': table_name}, min(age_s, MAX_AGE_S))
-        metrics.open.set({'kind': 'jobs'}, len(node.job_manager.task_by_id))
-        metrics.open.set({'kind': 'waiting'}, len(node.scheduler.waiting))
-        metrics.open.set(
-            {'kind': 'usage-reports'}, node.usage.count_unreported()
-        )
-        for outcome, count in servers[0].connections.count_by_outcome.items():
-            metrics.connections.set({'outcome': outcome}, count)
-        for outcome, count in watch.get_counts().items():
-            metrics.limited.set({'outcome': outcome}, count)
-        metrics.client_bytes.set({}, load.memory.total)
+        _set_gauges(metrics, node, servers[0], watch)
         return await metrics.handle(request)
 
     if settings.metrics_address is not None:
@@ -161,7 +150,7 @@
             CALLER_SHARE * settings.memory_mb * nodes.BYTES_PER_MB
         )
     )
-    # That of callers comes first.
+    # The server of the caller address is the first.
     servers: list[httpserver.HttpServer] = []
     for address, handler, max_connections in handlers:
         server = httpserver.HttpServer(
@@ -174,13 +163,7 @@
         await httpserver.start_server(server, address)
         servers.append(server)
     node.view.on_limits = lambda limits: _set_limits(servers[0], limits)
-    host, _, port = settings.relay_address.rpartition(':')
-    guard = frameguard.FrameGuard(
-        node.relay_server.serve_frame, load, shares.relay
-    )
-    await asyncio.start_server(
-        guard.serve, host, int(port), limit=frameguard.READ_BYTES
-    )
+    guard = await _listen_to_peers(node, load, shares.relay)
     limits = [server.connections for server in servers]
     watch = clientwatch.ClientWatch(
         load.memory, [*limits, guard.connections], node.write_event
@@ -188,6 +171,37 @@
     return servers, watch
 
 
+async def _listen_to_peers(
+    node: nodes.Node, load: callerload.CallerLoad, max_connections: int
+) -> frameguard.FrameGuard:
+    host, _, port = node.settings.relay_address.rpartition(':')
+    guard = frameguard.FrameGuard(
+        node.relay_server.serve_frame, load, max_connections
+    )
+    await asyncio.start_server(
+        guard.serve, host, int(port), limit=frameguard.READ_BYTES
+    )
+    return guard
+
+
+def _set_gauges(
+    metrics: telemetry.Telemetry,
+    node: nodes.Node,
+    caller_server: httpserver.HttpServer,
+    watch: clientwatch.ClientWatch,
+) -> None:
+    for table_name, age_s in node.get_ages_s().items():
+        metrics.ages.set({'table': table_name}, min(age_s, MAX_AGE_S))
+    metrics.open.set({'kind': 'jobs'}, len(node.job_manager.task_by_id))
+    metrics.open.set({'kind': 'waiting'}, len(node.scheduler.waiting))
+    metrics.open.set({'kind': 'usage-reports'}, node.usage.count_unreported())
+    for outcome, count in caller_server.connections.count_by_outcome.items():
+        metrics.connections.set({'outcome': outcome}, count)
+    for outcome, count in watch.get_counts().items():
+        metrics.limited.set({'outcome': outcome}, count)
+    metrics.client_bytes.set({}, watch.memory.total)
+
+
 def _set_limits(server: httpserver.HttpServer, limits) -> None:
     # One body of legal size fits, whatever the share is.
     memory = server.load.memory
--- a/pomelopass/entry/telemetry.py
+++ b/pomelopass/entry/telemetry.py
@@ -32,6 +32,12 @@
         self.events = aioprometheus.Counter(
             'pomelopass_events_total', 'Events by kind and outcome.', **common
         )
+        self._make_time_metrics(common)
+        self._make_zone_metrics(common)
+        self._make_state_metrics(common)
+        self._make_client_metrics(common)
+
+    def _make_time_metrics(self, common: dict[str, object]) -> None:
         self.request_seconds = aioprometheus.Histogram(
             'pomelopass_request_seconds',
             'Time from a request to its end, by outcome.',
@@ -50,6 +56,8 @@
             buckets=list(LATENCY_BUCKETS_S),
             **common,
         )
+
+    def _make_zone_metrics(self, common: dict[str, object]) -> None:
         self.zone_left = aioprometheus.Counter(
             'pomelopass_zone_left_total',
             'Requests and runs that left the availability zone, by reason.',
@@ -60,6 +68,8 @@
             'Bytes that crossed zone boundaries.',
             **common,
         )
+
+    def _make_state_metrics(self, common: dict[str, object]) -> None:
         self.ages = aioprometheus.Gauge(
             'pomelopass_view_age_seconds',
             'Time since the table service last told of a table.',
@@ -69,12 +79,12 @@
             'pomelopass_open', 'Things at work now, by kind.', **common
         )
 
+    def _make_client_metrics(self, common: dict[str, object]) -> None:
         self.connections = aioprometheus.Gauge(
             'pomelopass_caller_connections',
             'Connections of callers since the start, by outcome.',
             **common,
         )
-
         self.refused_keys = aioprometheus.Counter(
             'pomelopass_refused_keys_total',
             'Requests without a valid key, as far as they are logged.',
