--- a/pomelopass/usage/starts.py
+++ b/pomelopass/usage/starts.py
@@ -11,13 +11,13 @@
 
 __all__ = ['StartCounter']
 
-# Windows whose counts are kept while they are not reported.
+# Unreported windows whose counts are kept, as during an outage of the table.
 MAX_WINDOWS = 12
-# Requests whose ids are remembered, so that none counts twice.
+# Request ids that are kept to count repeated requests once.
 MAX_IDS = 20_000
-# Longer rows are refused, and the heartbeat with them.
+# The table refuses a transaction with a longer row, and so the heartbeat.
 MAX_ROW_BYTES = 60_000
-# Answers of the table make the measured offset vary by less.
+# Smaller changes of the measured offset are noise, and not worth a write.
 OFFSET_STEP_MS = 50.0
 
 
@@ -45,7 +45,7 @@
 
     def open(self, call: calls.Call) -> starts.Start:
         """Return the start of a request; it counts once by its id."""
-        if not call.workspace or call.id in self.start_by_id:
+        if not call.workspace:
             return starts.NO_START
         return _CountedStart(self, call.id, call.workspace)
 
@@ -54,7 +54,7 @@
         self.clock.agreed_offset_ms = progress.offset_ms
         self.reported_to = max(self.reported_to, progress.reported_to)
         for window in list(self.counts_by_window):
-            # The last one shows the holder what came too late for it.
+            # The holder logs the late requests of the last window.
             if window < self.reported_to:
                 del self.counts_by_window[window]
         self._place_waiting()
@@ -78,7 +78,13 @@
         return value
 
     def place(self, start: '_CountedStart', at: float) -> None:
-        """Count a start in the window of a time of the event loop."""
+        """Count a start in the window of a time of the event loop.
+
+        Requests with one id may wait at the same time; the first one that
+        starts is counted.
+        """
+        if self.start_by_id.get(start.call_id, start) is not start:
+            return
         is_new = start.at is None
         start.at = at
         if is_new:
@@ -100,6 +106,7 @@
             window, collections.Counter()
         )
         counts[start.workspace] += 1
+        start.counts = counts
 
     def withdraw(self, start: '_CountedStart') -> None:
         """Count a start no longer: no endpoint ran the request."""
@@ -142,15 +149,16 @@
             del self.start_by_id[next(iter(self.start_by_id))]
 
     def _uncount(self, start: '_CountedStart') -> None:
-        counts = self.counts_by_window.get(start.window)
+        counts = start.counts
         if counts is None:
             return
+        start.counts = None
         counts[start.workspace] -= 1
         if not counts[start.workspace]:
             del counts[start.workspace]
 
     def _place_waiting(self) -> None:
-        """Count the starts whose window was not known before."""
+        """Count the kept starts once their windows are known."""
         now = asyncio.get_running_loop().time()
         if not self.unplaced or self.clock.get_true_ms(now) is None:
             return
@@ -172,7 +180,7 @@
 class _CountedStart:
     """The start of one request, which counts in at most one window."""
 
-    __slots__ = ('at', 'call_id', 'counter', 'window', 'workspace')
+    __slots__ = ('at', 'call_id', 'counter', 'counts', 'window', 'workspace')
 
     def __init__(self, counter: StartCounter, call_id: str, workspace: str):
         self.counter = counter
@@ -180,6 +188,9 @@
         self.workspace = workspace
         self.at: float | None = None
         self.window: int | None = None
+        # Counts that include the start. They may have been dropped since, and
+        # others may be kept for the same window.
+        self.counts: collections.Counter[str] | None = None
 
     def place(self, at: float) -> None:
         """Set the start, in seconds of the event loop."""
--- a/scripts/dutymutants.py
+++ b/scripts/dutymutants.py
@@ -246,8 +246,8 @@
     mutant.Mutant(
         'request-counts-twice-by-its-id',
         STARTS,
-        'if not call.workspace or call.id in self.start_by_id:',
-        'if not call.workspace:',
+        'if self.start_by_id.get(start.call_id, start) is not start:',
+        'if False:',
         (WINDOWS,),
     ),
     mutant.Mutant(
@@ -278,6 +278,13 @@
         'pass',
         (WINDOWS,),
     ),
+    mutant.Mutant(
+        'start-leaves-a-window-that-was-dropped',
+        STARTS,
+        'counts = start.counts\n',
+        'counts = self.counts_by_window.get(start.window)\n',
+        (WINDOWS,),
+    ),
     mutant.Mutant(
         'first-starts-are-lost',
         STARTS,
--- a/tests/usage/test_windows.py
+++ b/tests/usage/test_windows.py
@@ -153,6 +153,26 @@
     virtualloop.run(scenario())
 
 
+# A request that the caller repeated while the first one waited counted twice.
+def test_requests_that_wait_under_one_id_count_once():
+    async def scenario():
+        counter = make_counter()
+        set_progress(counter)
+        pair = [counter.open(make_call('a')) for _ in range(2)]
+        for start in pair:
+            start.place(0.0)
+        # The other one counts if no endpoint ran the first.
+        pair[1].place(1.0)
+        window = str(int(UTC_MS // WINDOW_MS))
+        assert get_windows(counter) == {window: {'team': 1}}
+        pair[0].withdraw()
+        assert get_windows(counter) == {window: {}}
+        pair[1].place(1.0)
+        assert get_windows(counter) == {window: {'team': 1}}
+
+    virtualloop.run(scenario())
+
+
 # A window that was reported must not be counted again elsewhere.
 def test_late_starts_are_dropped_and_logged():
     async def scenario():
@@ -198,6 +218,27 @@
     virtualloop.run(scenario())
 
 
+# A negative count makes the row malformed, so that the holder ignores all
+# counts of the instance.
+def test_starts_of_a_dropped_window_leave_no_negative_count():
+    async def scenario():
+        counter = make_counter()
+        set_progress(counter)
+        dropped = counter.open(make_call('a'))
+        dropped.place(0.0)
+        for number in range(9000):
+            call = make_call(f'b-{number}', f'workspace-{number}')
+            counter.open(call).place(0.0)
+        assert get_windows(counter) == {}
+        counter.open(make_call('c', 'other')).place(1.0)
+        dropped.withdraw()
+        row = rowcodec.decode_counts(counter.make_row_value())
+        window = str(int(UTC_MS // WINDOW_MS))
+        assert row.windows == {window: {'other': 1}}
+
+    virtualloop.run(scenario())
+
+
 def test_starts_wait_for_the_agreed_clock():
     async def scenario():
         counter = make_counter(make_clock(skew_ms=2000.0))
