--- a/pomelopass/leadership/duty.py
+++ b/pomelopass/leadership/duty.py
@@ -11,7 +11,8 @@
 
 __all__ = ['Duty', 'DutySettings', 'Grant']
 
-# Calls are sent only within this time after a confirmation was requested.
+# Calls are sent only within this time after a confirmation was requested. A
+# new leader waits for it in addition to the lease.
 GRANT_MS = 800.0
 
 
@@ -23,8 +24,8 @@
     lease_ms: float
     # Receivers that check fencing tokens refuse those of a dead leader.
     fences_are_checked: bool
-    # Whether holders must be a lease apart however the duty changed hands,
-    # and the platform counts an instance that started again as the same.
+    # Whether calls of two holders must be a lease apart even after a release.
+    # A restarted instance is the same holder.
     separates_holders: bool = False
 
 
@@ -39,9 +40,9 @@
 
 
 class Duty:
-    """A duty with one leader for each subject, as this instance knows it.
+    """This instance's view of a duty with one leader for each subject.
 
-    The prefix is that of the row keys of its subjects.
+    The prefix precedes the names of its subjects in their row keys.
     """
 
     def __init__(
@@ -187,7 +188,7 @@
             wait_ms = self.settings.lease_ms
         elif not self.settings.fences_are_checked:
             since = leadership.taken_over_at
-            # The leader before may call until its last grant ends.
+            # The previous leader may call until its last grant ends.
             wait_ms = self.settings.lease_ms + GRANT_MS
         else:
             return True
--- a/pomelopass/leadership/leader.py
+++ b/pomelopass/leadership/leader.py
@@ -51,7 +51,7 @@
     version: int = rows.ABSENT
     # When the duty came from another leader, in seconds.
     taken_over_at: float = float('-inf')
-    # Whether the leader before gave the duty up and still lives.
+    # Whether the previous leader released the duty.
     was_released: bool = False
     # When the row was last seen as that of another instance, in seconds.
     held_elsewhere_at: float = float('-inf')
--- a/pomelopass/leadership/outcome.py
+++ b/pomelopass/leadership/outcome.py
@@ -6,7 +6,7 @@
 
 
 class DutyOutcome(enum.Enum):
-    """Answer of the platform to a call of a duty's holder."""
+    """Result of a call that the holder of a duty makes."""
 
     ACCEPTED = 'accepted'
     # A higher fencing token was seen.
--- a/pomelopass/platform/configdecode.py
+++ b/pomelopass/platform/configdecode.py
@@ -30,7 +30,7 @@
     try:
         return validate(value)
     except pydantic.ValidationError:
-        # It must not refuse the routes and keys of all.
+        # A malformed priority must not reject the whole configuration.
         return None
 
 
--- a/pomelopass/platform/dutyclient.py
+++ b/pomelopass/platform/dutyclient.py
@@ -19,11 +19,11 @@
 # waits for longer than the end of the grant and this time.
 CALL_TIMEOUT_MS = 2000
 MAX_REPLY_BYTES = 65_536
-# The holders of a subject before and after a change may both have called
-# within one second.
+# Share of the platform's rate limit that is used. When a subject changes its
+# holder, both holders may call within one second.
 RATE_SHARE = 0.8
 USAGE_SUBJECT = 'usage'
-# With these statuses the platform guarantees that nothing was run.
+# Statuses with which the platform guarantees that the call was not run.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
 MaySend = abc.Callable[[], bool]
@@ -71,7 +71,7 @@
         fence: int,
         may_send: MaySend,
     ) -> outcomes.DutyOutcome:
-        """Send the report of a window if it may still be sent then."""
+        """Send the report of a window unless may_send forbids it by then."""
         return await self._call(
             USAGE_SUBJECT,
             names.USAGE_PATH,
@@ -88,7 +88,7 @@
         fence: int,
         may_send: MaySend,
     ) -> outcomes.DutyOutcome:
-        """Order a number of engines if it may still be ordered then."""
+        """Order a number of engines unless may_send forbids it by then."""
         content = {
             'service': order.service,
             'zone': order.availability_zone,
--- a/pomelopass/platform/ingress.py
+++ b/pomelopass/platform/ingress.py
@@ -171,7 +171,7 @@
             newest = self.get_configuration()
             if newest is configuration:
                 return access, newest.version
-            # The route may be gone: a request that waits is still served.
+            # A waiting request is still served after its route was removed.
             newest_route = routes.find_route(newest, host, path) or route
             return _decide(request, newest, newest_route), newest.version
 
@@ -184,7 +184,7 @@
         self, request_id: str, configuration_version: int
     ) -> message.Reply:
         age_ms = self.get_configuration_age_ms()
-        # The key may have been added since: another instance will know.
+        # A key may have been added after an old copy: the caller can retry.
         status = 401 if routes.proves_absence(age_ms) else 503
         self.refusal_log.record(
             request_id, status, configuration_version, age_ms
@@ -334,7 +334,7 @@
         if not workspace:
             configuration = self.get_configuration()
             return self._refuse_key('', configuration.version)
-        # The key may be that of another workspace since.
+        # An old copy may name a workspace that the key no longer belongs to.
         is_absent = routes.proves_absence(self.get_configuration_age_ms())
         return make_refusal(404 if is_absent else 503, detail)
 
--- a/pomelopass/platform/names.py
+++ b/pomelopass/platform/names.py
@@ -21,7 +21,7 @@
 AUTHORIZATION = 'authorization'
 # Name of the workspace; only instances set it.
 WORKSPACE = 'tenant'
-# What a request presents of its workspace; never passed on.
+# Headers of callers that are never forwarded where keys are checked.
 CREDENTIALS = frozenset((AUTHORIZATION, WORKSPACE))
 WAIT_MS = 'wait-ms'
 LENGTH_HINT = 'length-hint'
@@ -47,7 +47,7 @@
 
 USAGE_PATH = '/usage'
 SCALING_PATH = '/scale'
-# Name of the instance that holds a duty, and the number of its holding.
+# Name of the instance that holds a duty, and its fencing token.
 DUTY_HOLDER = 'duty-holder'
 FENCE_TOKEN = 'fence-token'
 USAGE_DUTY = 'usage_report'
--- a/pomelopass/platform/relayedrows.py
+++ b/pomelopass/platform/relayedrows.py
@@ -58,13 +58,13 @@
     )
 
 
-# Peers ask for the same version again.
+# Peers read the same version repeatedly, and during a change the previous one.
 @functools.lru_cache(maxsize=2)
 def hide_keys(value: bytes) -> bytes:
     """Return a configuration with the digest of each key in its place.
 
-    One without workspaces stays as it is. What would be refused is refused in
-    this form too.
+    One without workspaces is unchanged. One that an instance would reject is
+    rejected in this form too.
     """
     try:
         configuration = orjson.loads(value)
--- a/pomelopass/workspaces/access.py
+++ b/pomelopass/workspaces/access.py
@@ -1,4 +1,4 @@
-"""Decide whether a request may be served, and for which workspace."""
+"""Decide whether a request is granted, and for which workspace."""
 
 import dataclasses
 
@@ -32,14 +32,14 @@
         return OPEN
     workspace = directory.find_by_digest(digest)
     if workspace is None:
-        return Access(True, is_anonymous)
-    return Access(True, True, workspace.name)
+        return Access(checks_keys=True, is_granted=is_anonymous)
+    return Access(checks_keys=True, workspace=workspace.name)
 
 
 def may_use(access: Access, workspace: str) -> bool:
-    """Return whether a caller may use what belongs to a workspace.
+    """Return whether a caller may use a job or stream of a workspace.
 
-    What belongs to none is open to all, and so is everything where the
+    Those without a workspace are open to all, and so is everything where the
     configuration has no workspaces.
     """
     return not access.checks_keys or workspace in ('', access.workspace)
--- a/pomelopass/workspaces/credentials.py
+++ b/pomelopass/workspaces/credentials.py
@@ -12,8 +12,8 @@
 def find_key_digest(values: abc.Iterable[str]) -> bytes | None:
     """Return the digest of the only key, or None if missing or malformed.
 
-    The values are those of all Authorization headers of a request, as Latin-1
-    text of the received bytes. Equal ones count as one.
+    The values are those of all Authorization headers of a request, decoded as
+    Latin-1. Equal ones count as one.
     """
     parsed = {_parse(value) for value in values}
     if len(parsed) != 1:
--- a/pomelopass/workspaces/directory.py
+++ b/pomelopass/workspaces/directory.py
@@ -39,6 +39,11 @@
         """Return the workspace of a key's digest, or None if unknown."""
         return self.workspace_by_digest.get(digest)
 
+    def find_name(self, digest: bytes) -> str | None:
+        """Return the name of the workspace of a key's digest, or None."""
+        workspace = self.find_by_digest(digest)
+        return None if workspace is None else workspace.name
+
 
 def make_digest(key: bytes) -> bytes:
     """Return the digest by which a key is looked up."""
@@ -62,8 +67,8 @@
 ) -> Directory:
     """Return the directory of all workspaces; raise ValueError with a place.
 
-    Each digest comes with the place of its key. A key that stands twice in
-    one workspace is harmless.
+    Each digest comes with the place of its key. A key that a workspace has
+    twice is harmless.
     """
     names: set[str] = set()
     workspace_by_digest: dict[bytes, Workspace] = {}
@@ -78,15 +83,14 @@
 
 
 def find_ended(older: Directory | None, newer: Directory | None) -> list[str]:
-    """Return the workspaces that have lost a key in the newer version."""
+    """Return the names of workspaces that lost a key in the newer version."""
     if older is None or newer is None:
         return []
     return sorted(
         {
             workspace.name
             for digest, workspace in older.workspace_by_digest.items()
-            if getattr(newer.find_by_digest(digest), 'name', None)
-            != workspace.name
+            if newer.find_name(digest) != workspace.name
         }
     )
 
@@ -97,7 +101,7 @@
     if any(
         ord(character) < ord(' ') or character == '\x7f' for character in name
     ):
-        # No header could carry it.
+        # Endpoints get the name in a header.
         raise ValueError(f'{index}.name: the name has control characters')
     if name in names:
-        raise ValueError(f'{index}.name: {name!r} stands twice')
+        raise ValueError(f'{index}.name: {name!r} is a duplicate')
--- a/pomelopass/workspaces/grant.py
+++ b/pomelopass/workspaces/grant.py
@@ -1,4 +1,4 @@
-"""Check what a request was granted again while it waits."""
+"""Repeat the check of a request's key while the request waits."""
 
 import asyncio
 from collections import abc
--- a/pomelopass/workspaces/refusals.py
+++ b/pomelopass/workspaces/refusals.py
@@ -1,4 +1,4 @@
-"""Log refused keys without a line for each request of a crowd."""
+"""Log refused keys with a bounded number of lines."""
 
 import asyncio
 import dataclasses
@@ -7,13 +7,13 @@
 
 __all__ = ['RefusalLog']
 
-# At most two lines of each status within this time, whatever callers send.
+# At most two lines of each status are logged within this time.
 INTERVAL_S = 10.0
 
 
 @dataclasses.dataclass(slots=True)
 class _Interval:
-    """Refusals of one status that are not logged yet; the first of them."""
+    """Refusals of one status that are not logged yet: number and the first."""
 
     count: int = 0
     first: logevents.KeysRefused | None = None
--- a/scripts/workspacemutants.py
+++ b/scripts/workspacemutants.py
@@ -67,8 +67,8 @@
     mutant.Mutant(
         'unknown-key-is-served',
         f'{PACKAGE}/access.py',
-        '        return Access(True, is_anonymous)\n',
-        '        return Access(True, True)\n',
+        'return Access(checks_keys=True, is_granted=is_anonymous)',
+        'return Access(checks_keys=True, is_granted=True)',
         (REQUESTS,),
     ),
     mutant.Mutant(
@@ -311,8 +311,8 @@
     mutant.Mutant(
         'ended-keys-are-not-logged',
         f'{PACKAGE}/directory.py',
-        '            != workspace.name\n',
-        '            == workspace.name\n',
+        'if newer.find_name(digest) != workspace.name',
+        'if newer.find_name(digest) == workspace.name',
         (AUDIT,),
     ),
 )
