--- a/pomelopass/edges/callerload.py
+++ b/pomelopass/edges/callerload.py
@@ -1,4 +1,4 @@
-"""Hold what the connections of all callers share."""
+"""Define the limits that the connections of all callers share."""
 
 import dataclasses
 import math
--- a/pomelopass/edges/callermemory.py
+++ b/pomelopass/edges/callermemory.py
@@ -8,23 +8,24 @@
 
 __all__ = ['CallerMemory', 'MemoryShortError', 'Share']
 
-# Callers give up a request that is not read for one second.
+# Longest wait of a share. Callers give up a request that is not read for one
+# second, and a refusal must reach them before that.
 WAIT_MS = 400.0
 # A share without progress for this long may be evicted.
 STALL_MS = 400.0
-# So may one that still progresses but is this old.
+# A share that still progresses may be evicted at this age.
 MIN_AGE_MS = 1200.0
 
 
 class MemoryShortError(Exception):
-    """Signal that bytes of a connection can't be kept."""
+    """Signal that there is no memory for the bytes of a connection."""
 
 
 class CallerMemory:
     """Account of the bytes that connections of callers hold.
 
-    Shares that do not fit wait, while their connections are not read. After
-    that time the shares that progress least are evicted for them.
+    Shares that do not fit wait, while their connections are not read. If they
+    still do not fit after WAIT_MS, the shares that progress least are evicted.
     """
 
     def __init__(
@@ -78,7 +79,7 @@
 
     def admit(self) -> None:
         """Let waiting shares grow in the order of their arrival."""
-        # Small ones do not overtake: a large one would wait in vain.
+        # Small shares do not overtake a large one, which would starve.
         while self.waiting and self.fits(self.waiting[0].growth):
             waiter = self.waiting.popleft()
             waiter.share.take(waiter.growth)
@@ -130,8 +131,9 @@
         self.size = 0
         self.is_waiting = False
         self.is_evicted = False
-        # Bytes received or sent, and when last, in seconds.
+        # Bytes received or sent since the share was opened.
         self.moved = 0
+        # Times of the opening and of the last progress, in seconds.
         self.opened_at = self.moved_at = memory.get_now()
 
     async def resize(self, size: int) -> None:
@@ -143,7 +145,7 @@
             self.take(growth)
         else:
             await self.memory.wait(self, growth)
-            # The time without reading was not the caller's.
+            # The connection was not read: the caller could not progress.
             self.moved_at = self.memory.get_now()
 
     def take(self, growth: int) -> None:
@@ -154,7 +156,7 @@
             self.memory.admit()
 
     def record_progress(self, size: int) -> None:
-        """Note bytes that were received or sent."""
+        """Record bytes that were received or sent."""
         self.moved += size
         self.moved_at = self.memory.get_now()
 
@@ -167,14 +169,14 @@
         return self.moved / max(now - self.opened_at, STALL_MS / 1000)
 
     def is_evictable(self, now: float) -> bool:
-        """Return whether it may have to leave for others."""
+        """Return whether the share may be evicted."""
         if self.evict is None or self.is_waiting or not self.size:
             return False
         is_old = (now - self.opened_at) * 1000 >= MIN_AGE_MS
         return is_old or self.is_stalled(now)
 
     def drop(self) -> None:
-        """Evict it."""
+        """Evict the share and free its bytes."""
         self.is_evicted = True
         evict = self.evict
         self.close()
@@ -182,7 +184,7 @@
             evict()
 
     def close(self) -> None:
-        """Count no bytes any more."""
+        """Free all bytes of the share."""
         self.evict = None
         self.memory.shares.discard(self)
         self.take(-self.size)
--- a/pomelopass/edges/chunkjoiner.py
+++ b/pomelopass/edges/chunkjoiner.py
@@ -6,7 +6,8 @@
 
 __all__ = ['ChunkJoiner']
 
-# What h11 takes as well; the rest is left to h11, which refuses it.
+# Chunk heads that h11 accepts. Others are passed on to h11, which rejects
+# them.
 CHUNK_HEAD = re.compile(rb'([0-9A-Fa-f]{1,16})(?:;[^\r\n]*)?\r\n')
 LINE_END = b'\r\n'
 MAX_HEAD_BYTES = 256
@@ -15,13 +16,13 @@
 class ChunkJoiner:
     """Rewrite a chunked body with one chunk for the data of each read.
 
-    The parser's cost then grows with reads, not with chunks. From the first
-    part that is no chunk with data, all bytes are left unchanged.
+    The parser's cost then grows with reads, not with chunks. From the last
+    chunk or the first malformed head on, all bytes are left unchanged.
     """
 
     def __init__(self) -> None:
         self.unread = b''
-        # Bytes of the present chunk that are still to come.
+        # Bytes of the present chunk that were not received yet.
         self.remaining = 0
         self.needs_line_end = False
         self.is_passing = False
--- a/pomelopass/edges/clientconnection.py
+++ b/pomelopass/edges/clientconnection.py
@@ -141,7 +141,7 @@
 
     async def _send_parts(self, body: bytes) -> None:
         view = memoryview(body)
-        # Who reads the response hears of a failure.
+        # The reader of the response gets the error.
         with contextlib.suppress(OSError):
             for start in range(0, len(body), WRITE_PART_BYTES):
                 self.writer.write(view[start : start + WRITE_PART_BYTES])
--- a/pomelopass/edges/connectionlimit.py
+++ b/pomelopass/edges/connectionlimit.py
@@ -11,7 +11,8 @@
 # Share of all connections that one client address may have. A proxy in front
 # of all callers has one address.
 ADDRESS_SHARE = 0.8
-# Connections in use have sent a request or a frame by then.
+# Connections that are idle for less are not evicted: a caller sends its
+# request, and a peer its frame, within this time.
 MIN_IDLE_MS = 1000.0
 
 
@@ -26,7 +27,7 @@
         self.address = address
         self.evict = evict
         self.idle_since = idle_since
-        # Whether a request came over it.
+        # Whether it carried a request.
         self.is_used = False
         # Whether it sent further requests before the last was answered.
         self.is_pipelining = False
@@ -35,10 +36,11 @@
 class ConnectionLimit:
     """Places for connections, with a share for each client address.
 
-    Where none is free, an idle connection has to leave for a new one: the
-    oldest that sent no request yet, else the one that is idle for longest.
-    Those that stopped within a request, or take no response, are idle as well,
-    and between two pipelined requests a connection may always have to leave.
+    Where none is free, an idle connection is evicted for a new one: the oldest
+    that sent no request yet, else the one that is idle for longest. Those that
+    stopped within a request or read no response are idle as well.
+    Pipelining connections may be evicted between two requests, however short
+    they are idle.
     """
 
     def __init__(
@@ -49,14 +51,14 @@
         self.max_connections = max_connections
         self.get_now = get_now
         self.slots: set[Slot] = set()
-        # Slots without a whole request, longest first.
+        # Slots without a whole request, the longest idle first.
         self.idle: dict[Slot, None] = {}
         self.count_by_address: collections.Counter[str] = collections.Counter()
-        # Connections since the start, by what became of them.
+        # Connections since the start that were accepted, refused or evicted.
         self.count_by_outcome: collections.Counter[str] = collections.Counter()
 
     def admit(self, writer: asyncio.StreamWriter) -> Slot | None:
-        """Return the place of a new connection, None if there is none."""
+        """Return the slot of a new connection, or None if there is none."""
         self.count_by_outcome['accepted'] += 1
         peer = writer.get_extra_info('peername')
         address = peer[0] if peer else ''
@@ -72,12 +74,12 @@
         return slot
 
     def begin_use(self, slot: Slot) -> None:
-        """Note that a connection carries a request."""
+        """Record that a connection carries a request."""
         slot.is_used = True
         self.idle.pop(slot, None)
 
     def end_use(self, slot: Slot) -> None:
-        """Note the end of a request, or a part of one that arrived."""
+        """Record the end of a request, or that a part of one arrived."""
         if slot in self.slots:
             slot.idle_since = self.get_now()
             self.idle.pop(slot, None)
--- a/pomelopass/edges/frameguard.py
+++ b/pomelopass/edges/frameguard.py
@@ -1,4 +1,4 @@
-"""Read the frames of peers that may be no peers."""
+"""Read the frames of connections whose clients may not be peers."""
 
 import asyncio
 from collections import abc
@@ -12,7 +12,7 @@
 
 __all__ = ['FrameGuard']
 
-# Peers send a call at once; its timeout at the peer is shorter.
+# Longer than the timeout of a call at the peer that sends it.
 FRAME_TIMEOUT_MS = 3000.0
 # Smaller frames are bounded by the number of connections.
 FREE_BYTES = 16_384
--- a/pomelopass/edges/httpserver.py
+++ b/pomelopass/edges/httpserver.py
@@ -116,7 +116,7 @@
         finally:
             self.idle_writers.discard(writer)
         if refusal is not None:
-            # The error, and the body that it keeps, are gone by now.
+            # The error, whose traceback refers to the body, is released here.
             request_reader.release()
             await self._write(
                 request_reader.state, writer, refusal, close=True
@@ -215,7 +215,7 @@
             if reply.kept is not None:
                 reply.kept.discard = writer.transport.abort
             else:
-                # One that is larger than the account is sent alone.
+                # A body larger than the whole account waits for all of it.
                 await share.resize(int(min(size, memory.max_bytes)))
             writer.write(head)
             for start in range(0, size, WRITE_BUFFER_BYTES):
@@ -224,7 +224,7 @@
                 await _drain(writer)
                 share.record_progress(len(part))
         except callermemory.MemoryShortError:
-            # It ran: no status would be true.
+            # The request has run, so that no refusal may be sent.
             raise ConnectionResetError from None
         finally:
             share.close()
@@ -275,9 +275,9 @@
 
 
 async def _wait_until_sent(writer: asyncio.StreamWriter) -> None:
-    """Wait until the caller took what was written; it is not read till then.
+    """Wait until all responses are sent, without reading meanwhile.
 
-    A caller that sends requests and reads no response fills no memory so.
+    A caller that sends requests and reads no response can't fill the memory.
     """
     transport = writer.transport
     if not transport.get_write_buffer_size():
--- a/pomelopass/edges/requestbody.py
+++ b/pomelopass/edges/requestbody.py
@@ -15,16 +15,16 @@
 
 
 class RequestBody:
-    """Bytes of a body, kept once and however many parts they came in."""
+    """Bytes of a body, stored without a copy for each part received."""
 
     def __init__(self) -> None:
-        # Its value is taken without another copy.
+        # BytesIO returns its value without another copy.
         self.buffer = io.BytesIO()
         self.size = 0
         # Length in the head of the request, None for a chunked body.
         self.declared: int | None = 0
         self.joiner: chunkjoiner.ChunkJoiner | None = None
-        # Parts that were parsed since other work had its turn.
+        # Parts that were parsed since the last turn.
         self.parts = 0
 
     def add(self, data: bytes | bytearray) -> None:
@@ -41,7 +41,7 @@
                 self.joiner = chunkjoiner.ChunkJoiner()
             data = self.joiner.join(data)
             joined = self.joiner.joined
-        # The parser takes no bytes for the end of the connection.
+        # To the parser, empty data means the end of the connection.
         if data:
             state.receive_data(data)
         return joined
--- a/pomelopass/edges/requestreader.py
+++ b/pomelopass/edges/requestreader.py
@@ -17,13 +17,13 @@
 __all__ = ['BadRequestError', 'Limits', 'RequestReader']
 
 READ_BYTES = 65_536
-# Received at a time outside of bodies: connections keep so much unread.
+# Received at a time outside of bodies. It bounds what a connection buffers.
 HEAD_READ_BYTES = 16_384
-# More unread bytes of a caller whose request is running pause its connection.
+# A connection whose request is running is paused at this many unread bytes.
 READ_AHEAD_BYTES = 4096
-# Parts of a body that are parsed before other work has its turn.
+# Parts of a body that are parsed before the connection yields to other work.
 MAX_PARTS = 64
-# What a refused caller still sends is read for so long, and so much of it.
+# Limits on reading what a refused caller still sends.
 DISCARD_MS = 500.0
 MAX_DISCARDED_READS = 256
 HEAD_END = b'\r\n\r\n'
@@ -61,7 +61,7 @@
         self.reader = reader
         self.writer = writer
         self.load = load
-        # What the present request holds beyond a few kilobytes.
+        # Memory of the present request; None up to requestbody.FREE_BYTES.
         self.share: callermemory.Share | None = None
         # Called when more of a body arrived.
         self.on_progress: abc.Callable[[], None] = _ignore
@@ -70,7 +70,7 @@
         receivesize.limit_receive_size(writer.transport, HEAD_READ_BYTES)
 
     def release(self) -> None:
-        """Count no bytes of the present request any more."""
+        """Free the memory that the present request holds."""
         if self.share is not None:
             self.share.close()
             self.share = None
@@ -84,7 +84,7 @@
     async def read(self, limits: Limits) -> message.Request | None:
         """Return the next request; None if idle too long or closed."""
         if self.unread:
-            # Pipelined requests leave time to others between them.
+            # A pipelined request waits for its turn among other work.
             self.writer.transport.pause_reading()
             await self.load.turns.take()
         if not self.unread:
@@ -250,7 +250,7 @@
 
 
 def _check_framing(head: h11.Request, limits: Limits) -> int | None:
-    """Return the length of the body if the head says it."""
+    """Return the declared length of the body, or None if it is chunked."""
     names = [name for name, _ in head.headers]
     if b'content-length' in names and b'transfer-encoding' in names:
         raise BadRequestError(400, 'The body has two lengths.')
--- a/pomelopass/edges/workturns.py
+++ b/pomelopass/edges/workturns.py
@@ -1,4 +1,4 @@
-"""Take turns with work that many connections cause at a time."""
+"""Bound the work of many connections in one iteration of the event loop."""
 
 import asyncio
 import collections
--- a/pomelopass/entry/placementparts.py
+++ b/pomelopass/entry/placementparts.py
@@ -35,7 +35,7 @@
     get_carrier: abc.Callable[[str], str | None],
     membership: member.Membership,
 ) -> placers.Placer:
-    """Return the placement that learns from the opened connections."""
+    """Return the placement, which measures latency by opened connections."""
     placer = placers.Placer(
         settings.availability_zone, settings.zone_transfer_ms_per_mb
     )
@@ -53,7 +53,7 @@
             zone_by_address[address] = _find_zone(registry, address)
         zone = zone_by_address[address]
         if zone is None:
-            # Its entry may come later.
+            # The entry of the endpoint may be read later.
             del zone_by_address[address]
             return
         placer.latencies.record(zone, took_ms)
--- a/pomelopass/jobs/jobtable.py
+++ b/pomelopass/jobs/jobtable.py
@@ -153,7 +153,7 @@
     ) -> None:
         """Write rows that no record refers to yet; raise TableError.
 
-        With the id of a job, nothing is written once its record exists.
+        With absent_job, nothing is written if that job has a record already.
         """
         expected = ()
         if absent_job is not None:
--- a/pomelopass/jobs/schedule.py
+++ b/pomelopass/jobs/schedule.py
@@ -15,9 +15,10 @@
 
 # A run moves when another engine generates events this many times faster.
 MOVE_FACTOR = 2.2
-# Items of one need that one dispatch lets wait for their own zone. Each costs
-# a look at all engines.
+# Items of one need that may wait for their own zone in one dispatch: each of
+# them costs a search among all engines.
 MAX_HELD = 32
+# Bounds how often waiting items cause a dispatch.
 MIN_HOLD_MS = 5.0
 
 
@@ -287,7 +288,7 @@
         return self.last is waiting_item
 
     def is_full(self, need: tuple[str, str, int]) -> bool:
-        """Return whether no further item of a need is looked at."""
+        """Return whether no further item of a need may wait."""
         return self.count_by_need[need] >= MAX_HELD
 
 
--- a/pomelopass/placement/cost.py
+++ b/pomelopass/placement/cost.py
@@ -22,13 +22,13 @@
 # 3 % in bench.zones, and this pair sends least to other zones.
 LOAD_WEIGHT = 0.5
 LOAD_EXPONENT = 2.0
-# Stands for the requests of all routes.
+# Kind of work that covers the requests of all routes.
 ALL_KINDS = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Way:
-    """The way to an endpoint and how often it leaves an availability zone."""
+    """Latency to an endpoint and the number of zone boundaries in between."""
 
     latency: latencies.Latency = latencies.Latency()
     crossings: int = 0
@@ -98,7 +98,7 @@
     follows the pace of all.
     """
     pace_ms = _get_pace_ms(state, kind, typical_ms, now)
-    # The pace of requests holds the way to the endpoint and back.
+    # The pace of requests includes the round trip to the endpoint.
     service_ms = max(pace_ms - way.latency.round_trip_ms, 0.0)
     slots = max(state.endpoint.slots, 1)
     load = endpoints.count_load(state, now)
--- a/pomelopass/placement/latency.py
+++ b/pomelopass/placement/latency.py
@@ -7,8 +7,8 @@
 # Smoothing of a round trip and of its mean deviation (RFC 6298).
 SMOOTHING = 0.125
 SPREAD_SMOOTHING = 0.25
-# A connection whose opening packet was lost says nothing about the way: a
-# sample counts for no more than this many deviations, or milliseconds.
+# A connection whose opening packet was lost is no measure of the latency: a
+# sample changes it by no more than this many deviations, or milliseconds.
 MAX_DEVIATIONS = 4.0
 MIN_DEVIATION_MS = 1.0
 # Two mean deviations hold nine samples of ten.
@@ -23,8 +23,8 @@
     spread_ms: float = 0.0
 
 
-# For a zone that no call was measured to yet; the zones of one region are
-# a few milliseconds apart.
+# Assumed for a zone without a measured connection: zones of one region are a
+# few milliseconds apart.
 UNMEASURED = Latency(10.0, 5.0)
 
 
@@ -34,7 +34,7 @@
     def __init__(self, own_zone: str):
         self.own_zone = own_zone
         self.latency_by_zone: dict[str, Latency] = {}
-        # Asked for each endpoint and request, changed by connections only.
+        # Cache, as it is read for each endpoint of each request.
         self.way_by_zone: dict[str, Latency] = {}
 
     def record(self, zone: str, round_trip_ms: float) -> None:
--- a/pomelopass/placement/placer.py
+++ b/pomelopass/placement/placer.py
@@ -15,15 +15,15 @@
 
 __all__ = ['CallWork', 'ItemWork', 'Placer']
 
-# An own zone that serves nothing is asked again after one slow turn, by one
-# request of this many at most.
+# An own zone that got no request for the duration of a slow phase (600 ms, as
+# noisy neighbours cause) is probed, by one request of this many at most.
 PROBE_INTERVAL_MS = 600.0
 REQUESTS_PER_PROBE = 10
-# Other zones are asked at most this often, and by a fiftieth of the requests
-# once their pace is known.
+# Requests that measure the pace of other zones (scouts) are sent at most this
+# often, and are a fiftieth of the requests once that pace is known.
 SCOUT_INTERVAL_MS = 600.0
 REQUESTS_PER_SCOUT = 50
-# A pace that is older is asked for again.
+# An older pace is measured again.
 PACE_TTL_MS = 5000.0
 MAX_SERVICES = 256
 
@@ -68,15 +68,15 @@
     is_away: bool = False
     sent_away: int = 0
     own_at: float = float('-inf')
-    # Requests since one was sent to learn the pace of another zone.
+    # Requests since the last scout.
     since_scout: int = 0
     scouted_at: float = float('-inf')
 
 
 class Placer:
-    """Placement of one instance; without a price as if there were none.
+    """Placement of one instance; without a price, choices ignore zone costs.
 
-    It knows its own requests and what endpoints report, and asks no peer.
+    It uses its own requests and the reports of endpoints, and calls no peer.
     """
 
     def __init__(self, own_zone: str, transfer_ms_per_mb: float | None = None):
@@ -353,7 +353,7 @@
     ) -> None:
         if decision.candidate.way.crossings:
             service.sent_away += 1
-            # These two are no sign that leaving pays.
+            # For these reasons work leaves the zone even if it costs more.
             if decision.reason not in UNPAID_REASONS:
                 service.is_away = True
             self.traffic.record_choice(
@@ -409,7 +409,7 @@
     """Send a request to another zone whose pace is unknown or old.
 
     Only where leaving would pay if the zone took no time at all. A zone that
-    failed is asked after its backoff, else it would never be used again.
+    failed is scouted after its backoff, else it would never be used again.
     """
     service.since_scout += 1
     if (now - service.scouted_at) * 1000 < SCOUT_INTERVAL_MS:
--- a/pomelopass/placement/sizes.py
+++ b/pomelopass/placement/sizes.py
@@ -1,4 +1,4 @@
-"""Learn how many bytes answers and texts have."""
+"""Estimate how many bytes answers and texts have."""
 
 import dataclasses
 
--- a/pomelopass/placement/snapshot.py
+++ b/pomelopass/placement/snapshot.py
@@ -1,4 +1,4 @@
-"""Save what a placement decides by, and restore it elsewhere."""
+"""Save the inputs of a placement, and restore them elsewhere."""
 
 from collections import abc
 import dataclasses
@@ -79,7 +79,7 @@
 def _hide_address(
     state: endpoints.EndpointState,
 ) -> endpoints.EndpointState:
-    """Return a copy without what only those who send need."""
+    """Return a copy without the address, which decisions do not use."""
     endpoint = dataclasses.replace(state.endpoint, address='')
     return dataclasses.replace(state, endpoint=endpoint)
 
--- a/pomelopass/placement/spill.py
+++ b/pomelopass/placement/spill.py
@@ -11,7 +11,7 @@
 
 
 class Reason(enum.Enum):
-    """Why work went where it went."""
+    """Why work was sent to a zone."""
 
     IN_ZONE = 'in-zone'
     # The own zone has no endpoint that may do the work.
@@ -22,9 +22,9 @@
     PACE = 'pace'
     # The own zone's endpoints failed just now.
     FAILED = 'failed'
-    # Sent to the own zone to see whether it serves in time again.
+    # Sent to the own zone to measure whether it serves in time again.
     PROBE = 'probe'
-    # Sent to another zone to learn its pace.
+    # Sent to another zone to measure its pace.
     SCOUT = 'scout'
 
 
@@ -53,10 +53,9 @@
 def decide(candidates: list[Candidate], was_away: bool) -> Decision:
     """Return the endpoint for some work.
 
-    Work leaves the zone once that pays by more than the band, and no more
-    once it pays no longer. In between the last decision holds: without the
-    band two zones that send into a third one would follow each other's last
-    load.
+    Work begins to leave the zone when that pays by more than the band, and
+    stops when it no longer pays; in between, the last decision holds. Without
+    this hysteresis, two zones that spill into a third one would oscillate.
     """
     own = [item for item in candidates if not item.way.crossings]
     away = [item for item in candidates if item.way.crossings]
--- a/pomelopass/placement/traffic.py
+++ b/pomelopass/placement/traffic.py
@@ -33,9 +33,9 @@
         self.bytes_by_pair[pair] = self.bytes_by_pair.get(pair, 0) + count
 
     def take_events(self) -> abc.Iterator[logevents.ZoneLeft]:
-        """Return one event for each service, zone and reason; start anew.
+        """Take the counts, as one event for each service, zone and reason.
 
-        The bytes of a pair stand in its first event.
+        The first event of a service and zone has the bytes of both.
         """
         count_by_key, self.count_by_key = self.count_by_key, {}
         bytes_by_pair, self.bytes_by_pair = self.bytes_by_pair, {}
--- a/pomelopass/registry/endpoint.py
+++ b/pomelopass/registry/endpoint.py
@@ -18,12 +18,13 @@
 ]
 
 PACE_SMOOTHING = 0.2
-# Servers are slow for turns of 600 ms: the recent pace must be near the
-# present one after a few answers, and counts no more after one turn.
+# Noisy neighbours slow servers down for 600 ms at a time: the recent pace must
+# follow within a few answers, and is outdated after that time.
 RECENT_SMOOTHING = 0.4
 USUAL_SMOOTHING = 0.05
 RECENT_TTL_MS = 600.0
-# Routes are few; a bound all the same, as callers may add to them.
+# Bound on the routes of an endpoint whose pace is kept; the operator may add
+# any number.
 MAX_KINDS = 64
 MIN_FAILURE_BACKOFF_MS = 300.0
 MAX_FAILURE_BACKOFF_MS = 4000.0
--- a/pomelopass/requests/callstate.py
+++ b/pomelopass/requests/callstate.py
@@ -143,7 +143,7 @@
 def get_work(
     state: CallState, hedged_ms: float | None = None
 ) -> placers.CallWork:
-    """Return what the placement knows of the request."""
+    """Return the request as the placement needs it."""
     return placers.CallWork(
         state.service,
         state.route.name,
--- a/pomelopass/requests/forward.py
+++ b/pomelopass/requests/forward.py
@@ -100,7 +100,8 @@
                     endpoint_state = self._choose_endpoint(state)
                     if endpoint_state is not None:
                         if not state.may_have_run:
-                            # Known at once, should this instance be lost.
+                            # Recorded before the answer, so that the request
+                            # is reported if this instance is lost.
                             state.start.place(now)
                         tasks.add(self._start_attempt(state, endpoint_state))
                     elif await callstate.wait_for_capacity(
--- a/pomelopass/requests/stream.py
+++ b/pomelopass/requests/stream.py
@@ -123,7 +123,7 @@
         try:
             async for chunk in opened.answer.reply.chunks:
                 if not stream.has_begun:
-                    # The first event tells that the endpoint began.
+                    # An endpoint has begun when its first event arrives.
                     stream.has_begun = True
                     stream.state.start.place(loop.time())
                 received_bytes += len(chunk)
--- a/pomelopass/requests/streamopen.py
+++ b/pomelopass/requests/streamopen.py
@@ -102,8 +102,8 @@
     async def _bind_origin(self, state: callstate.CallState) -> None:
         """Let only the software that began a stream resume it.
 
-        Raise OriginUnknownError, or _ForeignStreamError where the stream is
-        known as that of another workspace.
+        Raise OriginUnknownError, or _ForeignStreamError if the stream belongs
+        to another workspace.
         """
         began = await self.origins.find(
             state.call.resumes,
@@ -210,7 +210,7 @@
         return answer
 
     def _place_start(self, stream: Stream, at: float) -> None:
-        """Record that an endpoint may have begun, until an event tells."""
+        """Record that an endpoint may have begun, before its first event."""
         if not stream.has_begun:
             stream.state.start.place(at)
 
--- a/pomelopass/table/memo.py
+++ b/pomelopass/table/memo.py
@@ -1,4 +1,4 @@
-"""Reuse what a row means while a writer changes only its counter."""
+"""Reuse a decoded row while a writer changes only its counter."""
 
 import re
 from typing import Generic, TypeVar
@@ -23,7 +23,7 @@
         self.known_by_key: dict[str, tuple[bytes, bytes, Decoded]] = {}
 
     def find(self, key: str, value: bytes) -> Decoded | None:
-        """Return what the row means if only its counter changed."""
+        """Return the decoded row if only its counter changed, or None."""
         known = self.known_by_key.get(key)
         if known is None:
             return None
@@ -37,7 +37,7 @@
         return None if found is None else decoded
 
     def put(self, key: str, value: bytes, decoded: Decoded) -> None:
-        """Store what a row means; without a counter, forget the key."""
+        """Store a decoded row; without a counter, remove its key."""
         found = self.whole_counter.search(value)
         if found is None:
             self.remove(key)
@@ -46,5 +46,5 @@
         self.known_by_key[key] = value[:start], value[end:], decoded
 
     def remove(self, key: str) -> None:
-        """Forget a row."""
+        """Remove a row."""
         self.known_by_key.pop(key, None)
--- a/pomelopass/versions/manager.py
+++ b/pomelopass/versions/manager.py
@@ -27,7 +27,7 @@
 # Each call to an engine takes a small instance some 2.5 ms, mostly on a new
 # connection: hundreds at once would all be late, and their orders withdrawn.
 MAX_ORDERS_AT_ONCE = 64
-# The entries of engines tell of most finished loads.
+# Most finished loads are seen in the entries of engines, without a call.
 MAX_REPORTS_AT_ONCE = 8
 
 
@@ -229,7 +229,7 @@
             for endpoint_id, load in self.pending_load_by_id.items()
             if load.next_report_at <= now
         ]
-        # The longest due ones come first, so that all get their turn.
+        # The longest due come first, so that none is starved.
         due_ids.sort(key=self._get_report_time)
         for endpoint_id in due_ids[:MAX_REPORTS_AT_ONCE]:
             await self._poll_load(endpoint_id, now)
