--- a/pomelopass/entry/process.py
+++ b/pomelopass/entry/process.py
@@ -19,6 +19,7 @@
 from ..edges import callermemory
 from ..edges import frameguard
 from ..edges import httpserver
+from ..edges import requestbody
 from ..edges import requestreader
 from ..edges import suspendclock
 from . import eventlog
@@ -33,15 +34,13 @@
 __all__ = ['main']
 
 USAGE = 'usage: python3 -m pomelopass.entry --settings PATH [--check]'
-# Until a configuration says another limit.
+# Limit in force before a configuration is known, in bytes.
 MAX_BODY_BYTES = 33_554_432
 # Requests to the other addresses have no bodies.
 MAX_PROBE_BODY_BYTES = 16_384
 # Share of the memory limit for what callers' connections hold. On the
 # smallest instance (160 MB) one body of the largest legal size fits.
 CALLER_SHARE = 0.25
-# Chunked bodies reserve up to one step more than they have.
-STEP_MARGIN_BYTES = 65_536
 POLL_INTERVAL_MS = 100.0
 # Upper bound of reported ages; the age of a table never read is infinite.
 MAX_AGE_S = 86_400.0
@@ -203,10 +202,11 @@
 
 
 def _set_limits(server: httpserver.HttpServer, limits) -> None:
-    # One body of legal size fits, whatever the share is.
+    # One body of the largest legal size fits, however small the instance is. A
+    # chunked one reserves up to one step more than its size.
     memory = server.load.memory
     memory.max_bytes = max(
-        memory.max_bytes, limits.max_body_bytes + STEP_MARGIN_BYTES
+        memory.max_bytes, limits.max_body_bytes + requestbody.STEP_BYTES
     )
     server.limits = requestreader.Limits(
         limits.max_head_bytes,
