--- a/pomelopass/commands/where.py
+++ b/pomelopass/commands/where.py
@@ -17,7 +17,6 @@
 
 __all__ = ['Where']
 
-STATE_PATH = '/placement'
 TIMEOUT_MS = 5000
 MAX_STATE_BYTES = 67_108_864
 PARTS = ('service', 'queue', 'way', 'bytes', 'prompt', 'risk')
@@ -86,7 +85,7 @@
 
 async def _fetch(address: str) -> bytes:
     client = httpclient.HttpClient()
-    request = message.Request('GET', STATE_PATH, (), b'')
+    request = message.Request('GET', snapshots.STATE_PATH, (), b'')
     try:
         reply = await client.open(address, request, TIMEOUT_MS)
         data = await reply.read(MAX_STATE_BYTES)
@@ -96,7 +95,7 @@
     finally:
         await client.close()
     if reply.status != 200:
-        text = f'{address} answered {reply.status} for {STATE_PATH}.'
+        text = f'{address} answered {reply.status} for {snapshots.STATE_PATH}.'
         raise command.CommandError(text)
     return data
 
--- a/pomelopass/edges/callermemory.py
+++ b/pomelopass/edges/callermemory.py
@@ -6,8 +6,11 @@
 import dataclasses
 import time
 
-__all__ = ['CallerMemory', 'MemoryShortError', 'Share']
+__all__ = ['FREE_BYTES', 'CallerMemory', 'MemoryShortError', 'Share']
 
+# Bodies and frames up to this size, about one read, are not accounted: the
+# number of connections bounds them.
+FREE_BYTES = 16_384
 # Longest wait of a share. Callers give up a request that is not read for one
 # second, and a refusal must reach them before that.
 WAIT_MS = 400.0
--- a/pomelopass/edges/frameguard.py
+++ b/pomelopass/edges/frameguard.py
@@ -14,8 +14,6 @@
 
 # Longer than the timeout of a call at the peer that sends it.
 FRAME_TIMEOUT_MS = 3000.0
-# Smaller frames are bounded by the number of connections.
-FREE_BYTES = 16_384
 READ_BYTES = 32_768
 
 Serve = abc.Callable[
@@ -76,7 +74,7 @@
 ) -> bytes:
     """Return a frame whose length fits the memory before it is read."""
     size = await peerframe.read_size(reader)
-    if size <= FREE_BYTES:
+    if size <= callermemory.FREE_BYTES:
         return await reader.readexactly(size)
     writer.transport.pause_reading()
     await share.resize(size)
--- a/pomelopass/edges/requestbody.py
+++ b/pomelopass/edges/requestbody.py
@@ -4,12 +4,11 @@
 
 import h11
 
+from . import callermemory
 from . import chunkjoiner
 
 __all__ = ['RequestBody']
 
-# Bodies within one read are bounded by the number of connections.
-FREE_BYTES = 16_384
 # Steps in which a body of unknown length reserves memory.
 STEP_BYTES = 65_536
 
@@ -53,7 +52,8 @@
     def get_reservation(self) -> int:
         """Return the bytes to reserve before more is read."""
         if self.declared is None:
-            if self.size <= FREE_BYTES:
+            if self.size <= callermemory.FREE_BYTES:
                 return 0
             return (self.size // STEP_BYTES + 1) * STEP_BYTES
-        return self.declared if self.declared > FREE_BYTES else 0
+        is_free = self.declared <= callermemory.FREE_BYTES
+        return 0 if is_free else self.declared
--- a/pomelopass/edges/requestreader.py
+++ b/pomelopass/edges/requestreader.py
@@ -61,7 +61,7 @@
         self.reader = reader
         self.writer = writer
         self.load = load
-        # Memory of the present request; None up to requestbody.FREE_BYTES.
+        # Memory of the present request; None up to callermemory.FREE_BYTES.
         self.share: callermemory.Share | None = None
         # Called when more of a body arrived.
         self.on_progress: abc.Callable[[], None] = _ignore
--- a/pomelopass/entry/placementparts.py
+++ b/pomelopass/entry/placementparts.py
@@ -15,15 +15,12 @@
 from . import settings as entrysettings
 
 __all__ = [
-    'STATE_PATH',
     'build_placer',
     'make_state_reply',
     'run_reports',
     'take_snapshot',
 ]
 
-# On the metrics address.
-STATE_PATH = '/placement'
 REPORT_INTERVAL_S = 10.0
 MAX_ADDRESSES = 4096
 
--- a/pomelopass/entry/process.py
+++ b/pomelopass/entry/process.py
@@ -24,6 +24,7 @@
 from ..edges import suspendclock
 from . import eventlog
 from . import node as nodes
+from ..placement import snapshot as snapshots
 from . import placementparts
 from ..platform import ingress
 from . import reload
@@ -135,7 +136,7 @@
     ]
 
     async def handle_metrics(request):
-        if request.target == placementparts.STATE_PATH:
+        if request.target == snapshots.STATE_PATH:
             return placementparts.make_state_reply(node.take_placement())
         _set_gauges(metrics, node, servers[0], watch)
         return await metrics.handle(request)
--- a/pomelopass/placement/snapshot.py
+++ b/pomelopass/placement/snapshot.py
@@ -10,7 +10,10 @@
 from ..registry import endpoint as endpoints
 from . import sizes
 
-__all__ = ['RouteServices', 'Snapshot', 'restore', 'take']
+__all__ = ['STATE_PATH', 'RouteServices', 'Snapshot', 'restore', 'take']
+
+# Path of the saved state, on the metrics address of an instance.
+STATE_PATH = '/placement'
 
 
 class RouteServices(pydantic.BaseModel):
--- a/pomelopass/platform/ingress.py
+++ b/pomelopass/platform/ingress.py
@@ -144,10 +144,10 @@
     async def _handle_routed(
         self, request: message.Request, path: str, deadline_at: float | None
     ) -> message.Reply | None:
-        """Return the answer, or None if it is to be decided again.
+        """Return the answer, or None if the request must be decided again.
 
-        Then nothing was sent, and the newest configuration grants the request
-        something else than the one before.
+        In that case nothing was sent, and the newest configuration grants the
+        request something else.
         """
         configuration = self.get_configuration()
         if configuration is None:
@@ -195,7 +195,7 @@
         self, request_id: str, host: str, configuration_version: int
     ) -> message.Reply:
         age_ms = self.get_configuration_age_ms()
-        # The route may have been added since: another instance will know.
+        # A route may have been added after an old copy: the caller can retry.
         status = 404 if routes.proves_absence(age_ms) else 503
         self.write_event(
             logevents.RouteNotFound(
--- a/tests/processes/test_placement.py
+++ b/tests/processes/test_placement.py
@@ -1,6 +1,7 @@
 """Test the placement of an instance as a process."""
 
 from pomelopass.commands import where
+from pomelopass.placement import snapshot
 from scripts import entrycalls
 from scripts import entryfleet
 from scripts import probe
@@ -28,6 +29,6 @@
         lines = capsys.readouterr().out.splitlines()
         assert lines[0].startswith('sent to ')
         assert len(lines) > 2
-        _, state = probe.call(metrics_address, 'GET', where.STATE_PATH)
+        _, state = probe.call(metrics_address, 'GET', snapshot.STATE_PATH)
         assert state['latency_by_zone']
         assert 'scores' in state['answer_bytes_by_route']
