--- a/pomelopass/scaling/plan.py
+++ b/pomelopass/scaling/plan.py
@@ -3,7 +3,7 @@
 The load pattern: trainers' steps come in waves, so that demand falls to
 nothing between them; spot engines cost less and may be reclaimed, all of a
 zone at once; engines differ in pace by zone; orders may be refused, lost or
-executed late, and nothing but the engines' entries tells.
+executed late, which only the engines' entries show.
 """
 
 import collections
@@ -16,13 +16,13 @@
 
 __all__ = ['Demand', 'Planner', 'Scaling', 'ZoneSupply']
 
-# Engines are kept for the highest demand of so many boots: less often than
-# that, a change is reverted.
+# Multiples of the boot time for which a change is not reverted, and for which
+# engines are kept for the highest demand.
 HOLD_BOOTS = 4
-# Until engines that were not available are ordered again.
+# Multiples of the boot time until unavailable engines are ordered again.
 UNAVAILABLE_BOOTS = 2
-# Until an order whose engines are not seen is sent again: they boot, and
-# their entries appear.
+# Multiples of the boot time until an order whose engines have not appeared is
+# sent again: one to boot, one for their entries to be read.
 RESEND_BOOTS = 2
 # Engines that run are kept unless others are this much cheaper.
 KEEP_SHARE = 0.85
@@ -42,7 +42,7 @@
 
     @property
     def hold_s(self) -> float:
-        """Return for how long a change stands."""
+        """Return the time within which a change is not reverted."""
         return self.boot_s * HOLD_BOOTS
 
 
@@ -110,7 +110,7 @@
         """Return the orders to send now, those of fewer engines first."""
         for kind in _list_kinds(supply_by_zone):
             present = supply_by_zone[kind.zone].count(kind.is_spot)
-            # A new planner takes what it finds as ordered.
+            # A new planner assumes that the present engines were ordered.
             self.ordered_by_kind.setdefault(kind, _Ordered(present))
         wanted = self._get_peak(now, max(demand.wanted, demand.committed))
         target = self._choose(now, wanted, demand.committed, supply_by_zone)
@@ -191,7 +191,7 @@
                 break
             target[kind] += 1
         for zone in supply_by_zone:
-            # Jobs must be in time when all spot engines of a zone are gone.
+            # Jobs must be in time if all spot engines of a zone are reclaimed.
             while _get_capacity_without(target, supply_by_zone, zone) < (
                 committed
             ):
