--- a/pomelopass/edges/requestbody.py
+++ b/pomelopass/edges/requestbody.py
@@ -4,27 +4,26 @@
 
 import h11
 
+from . import callermemory
 from . import chunkjoiner
 
 __all__ = ['RequestBody']
 
-# Bodies within one read are bounded by the number of connections.
-FREE_BYTES = 16_384
 # Steps in which a body of unknown length reserves memory.
 STEP_BYTES = 65_536
 
 
 class RequestBody:
-    """Bytes of a body, kept once and however many parts they came in."""
+    """Bytes of a body, stored without a copy for each part received."""
 
     def __init__(self) -> None:
-        # Its value is taken without another copy.
+        # BytesIO returns its value without another copy.
         self.buffer = io.BytesIO()
         self.size = 0
         # Length in the head of the request, None for a chunked body.
         self.declared: int | None = 0
         self.joiner: chunkjoiner.ChunkJoiner | None = None
-        # Parts that were parsed since other work had its turn.
+        # Parts that were parsed since the last turn.
         self.parts = 0
 
     def add(self, data: bytes | bytearray) -> None:
@@ -41,7 +40,7 @@
                 self.joiner = chunkjoiner.ChunkJoiner()
             data = self.joiner.join(data)
             joined = self.joiner.joined
-        # The parser takes no bytes for the end of the connection.
+        # To the parser, empty data means the end of the connection.
         if data:
             state.receive_data(data)
         return joined
@@ -53,7 +52,8 @@
     def get_reservation(self) -> int:
         """Return the bytes to reserve before more is read."""
         if self.declared is None:
-            if self.size <= FREE_BYTES:
+            if self.size <= callermemory.FREE_BYTES:
                 return 0
             return (self.size // STEP_BYTES + 1) * STEP_BYTES
-        return self.declared if self.declared > FREE_BYTES else 0
+        is_free = self.declared <= callermemory.FREE_BYTES
+        return 0 if is_free else self.declared
--- a/pomelopass/placement/snapshot.py
+++ b/pomelopass/placement/snapshot.py
@@ -1,4 +1,4 @@
-"""Save what a placement decides by, and restore it elsewhere."""
+"""Save the inputs of a placement, and restore them elsewhere."""
 
 from collections import abc
 import dataclasses
@@ -10,7 +10,10 @@
 from ..registry import endpoint as endpoints
 from . import sizes
 
-__all__ = ['RouteServices', 'Snapshot', 'restore', 'take']
+__all__ = ['STATE_PATH', 'RouteServices', 'Snapshot', 'restore', 'take']
+
+# Path of the saved state, on the metrics address of an instance.
+STATE_PATH = '/placement'
 
 
 class RouteServices(pydantic.BaseModel):
@@ -79,7 +82,7 @@
 def _hide_address(
     state: endpoints.EndpointState,
 ) -> endpoints.EndpointState:
-    """Return a copy without what only those who send need."""
+    """Return a copy without the address, which decisions do not use."""
     endpoint = dataclasses.replace(state.endpoint, address='')
     return dataclasses.replace(state, endpoint=endpoint)
 
--- a/pomelopass/platform/ingress.py
+++ b/pomelopass/platform/ingress.py
@@ -144,10 +144,10 @@
     async def _handle_routed(
         self, request: message.Request, path: str, deadline_at: float | None
     ) -> message.Reply | None:
-        """Return the answer, or None if it is to be decided again.
+        """Return the answer, or None if the request must be decided again.
 
-        Then nothing was sent, and the newest configuration grants the request
-        something else than the one before.
+        In that case nothing was sent, and the newest configuration grants the
+        request something else.
         """
         configuration = self.get_configuration()
         if configuration is None:
@@ -171,7 +171,7 @@
             newest = self.get_configuration()
             if newest is configuration:
                 return access, newest.version
-            # The route may be gone: a request that waits is still served.
+            # A waiting request is still served after its route was removed.
             newest_route = routes.find_route(newest, host, path) or route
             return _decide(request, newest, newest_route), newest.version
 
@@ -184,7 +184,7 @@
         self, request_id: str, configuration_version: int
     ) -> message.Reply:
         age_ms = self.get_configuration_age_ms()
-        # The key may have been added since: another instance will know.
+        # A key may have been added after an old copy: the caller can retry.
         status = 401 if routes.proves_absence(age_ms) else 503
         self.refusal_log.record(
             request_id, status, configuration_version, age_ms
@@ -195,7 +195,7 @@
         self, request_id: str, host: str, configuration_version: int
     ) -> message.Reply:
         age_ms = self.get_configuration_age_ms()
-        # The route may have been added since: another instance will know.
+        # A route may have been added after an old copy: the caller can retry.
         status = 404 if routes.proves_absence(age_ms) else 503
         self.write_event(
             logevents.RouteNotFound(
@@ -334,7 +334,7 @@
         if not workspace:
             configuration = self.get_configuration()
             return self._refuse_key('', configuration.version)
-        # The key may be that of another workspace since.
+        # An old copy may name a workspace that the key no longer belongs to.
         is_absent = routes.proves_absence(self.get_configuration_age_ms())
         return make_refusal(404 if is_absent else 503, detail)
 
--- a/pomelopass/scaling/plan.py
+++ b/pomelopass/scaling/plan.py
@@ -3,7 +3,7 @@
 The load pattern: trainers' steps come in waves, so that demand falls to
 nothing between them; spot engines cost less and may be reclaimed, all of a
 zone at once; engines differ in pace by zone; orders may be refused, lost or
-executed late, and nothing but the engines' entries tells.
+executed late, which only the engines' entries show.
 """
 
 import collections
@@ -16,10 +16,10 @@
 
 __all__ = ['Demand', 'Planner', 'Scaling', 'ZoneSupply']
 
-# Engines are kept for the highest demand of so many boots: less often than
-# that, a change is reverted.
+# Multiples of the boot time for which a change is not reverted, and for which
+# engines are kept for the highest demand.
 HOLD_BOOTS = 4
-# Until engines that were not available are ordered again.
+# Multiples of the boot time until unavailable engines are ordered again.
 UNAVAILABLE_BOOTS = 2
 # Until an order whose engines are not seen is sent again, beyond their boot:
 # a call without an answer may be executed 6 s later, and entries appear.
@@ -49,7 +49,7 @@
 
     @property
     def hold_s(self) -> float:
-        """Return for how long a change stands."""
+        """Return the time within which a change is not reverted."""
         return self.boot_s * HOLD_BOOTS
 
 
@@ -148,7 +148,7 @@
         """Return the orders to send now, those of fewer engines first."""
         for kind in _list_kinds(supply_by_zone):
             present = supply_by_zone[kind.zone].count(kind.is_spot)
-            # A new planner takes what it finds as ordered.
+            # A new planner assumes that the present engines were ordered.
             ordered = self.ordered_by_kind.setdefault(
                 kind, _Ordered(present, raised_at=now, found_at=now)
             )
@@ -291,47 +291,22 @@
             ):
                 target[kind] += 1
 
-        def find_cheapest(kinds: abc.Iterable[_Kind]) -> _Kind | None:
-            available = [
-                kind
-                for kind in kinds
-                if _count_zone(target, kind.zone) < self.scaling.max_count
-                and self._is_available(now, kind, target, supply_by_zone)
-            ]
-            return min(
-                available,
-                key=lambda kind: self._get_cost(kind, target, supply_by_zone),
-                default=None,
-            )
-
         for zone in supply_by_zone:
             while _count_zone(target, zone) < self.scaling.min_count:
-                kind = find_cheapest(k for k in target if k.zone == zone)
+                in_zone = [kind for kind in target if kind.zone == zone]
+                kind = self._find_cheapest(
+                    now, in_zone, target, supply_by_zone
+                )
                 if kind is None:
                     break
                 target[kind] += 1
         while _get_capacity(target, supply_by_zone) < wanted:
-            kind = find_cheapest(target)
+            kind = self._find_cheapest(now, target, target, supply_by_zone)
             if kind is None:
                 break
             target[kind] += 1
         for zone in supply_by_zone:
-            # Jobs must be in time when all spot engines of a zone are gone.
-            while _get_capacity_without(target, supply_by_zone, zone) < (
-                committed
-            ):
-                kind = find_cheapest(
-                    k for k in target if not k.is_spot or k.zone != zone
-                )
-                if kind is None:
-                    kind = _Kind(zone, is_spot=False)
-                    spot = _Kind(zone, is_spot=True)
-                    if not target[spot] or not self._is_available(
-                        now, kind, target, supply_by_zone
-                    ):
-                        break
-                    target[spot] -= 1
-                target[kind] += 1
+            self._cover_loss(now, zone, target, committed, supply_by_zone)
         dearest_first = sorted(
             supply_by_zone,
             key=lambda zone: self._get_cost(
@@ -343,6 +318,53 @@
             self._trim(zone, target, wanted, committed, supply_by_zone)
         return target
 
+    def _find_cheapest(
+        self,
+        now: float,
+        kinds: abc.Iterable[_Kind],
+        target: dict[_Kind, int],
+        supply_by_zone: abc.Mapping[str, ZoneSupply],
+    ) -> _Kind | None:
+        """Return the kind of which one more engine costs least, or None."""
+        available = [
+            kind
+            for kind in kinds
+            if _count_zone(target, kind.zone) < self.scaling.max_count
+            and self._is_available(now, kind, target, supply_by_zone)
+        ]
+        return min(
+            available,
+            key=lambda kind: self._get_cost(kind, target, supply_by_zone),
+            default=None,
+        )
+
+    def _cover_loss(
+        self,
+        now: float,
+        zone: str,
+        target: dict[_Kind, int],
+        committed: float,
+        supply_by_zone: abc.Mapping[str, ZoneSupply],
+    ) -> None:
+        """Add engines so that jobs are in time without a zone's spot engines.
+
+        If there is no room for more, on-demand engines of the zone replace
+        its spot engines.
+        """
+        on_demand = _Kind(zone, is_spot=False)
+        spot = _Kind(zone, is_spot=True)
+        while _get_capacity_without(target, supply_by_zone, zone) < committed:
+            others = [kind for kind in target if kind != spot]
+            kind = self._find_cheapest(now, others, target, supply_by_zone)
+            if kind is None:
+                if not target[spot] or not self._is_available(
+                    now, on_demand, target, supply_by_zone
+                ):
+                    return
+                target[spot] -= 1
+                kind = on_demand
+            target[kind] += 1
+
     def _trim(
         self,
         zone: str,
