--- a/bench/zonepolicies.py
+++ b/bench/zonepolicies.py
@@ -130,7 +130,7 @@
 def make_full_knowledge(
     cluster: entries.EntryCluster, pattern: zonedata.ZonePattern, zone: str
 ) -> Choose:
-    """Know the present load, pace and ways of all endpoints."""
+    """Choose with the present load, pace and latency of all endpoints."""
     work_by_route = {work.route: work for work in pattern.work}
     mean_ms = sum(work.work_ms * work.share for work in pattern.work)
 
--- a/soak/crowd.py
+++ b/soak/crowd.py
@@ -1,4 +1,4 @@
-"""Send what clients without good intent send, while others are served."""
+"""Send what hostile clients send, while others are served."""
 
 import asyncio
 from collections import abc
--- a/soak/run.py
+++ b/soak/run.py
@@ -107,7 +107,7 @@
                 _make_job,
                 # Builds before the present one join such streams.
                 omits_ids=self.old_build is None,
-                # Those before it know no workspaces.
+                # Earlier builds do not support workspaces.
                 get_key=workspaces.get_key if self.has_workspaces else None,
             )
             self.injector = faults.Injector(
--- a/soak/workspaces.py
+++ b/soak/workspaces.py
@@ -93,7 +93,7 @@
     apply_s: float,
     fail: abc.Callable[[str], None],
 ) -> None:
-    """Let keys go and move at rest, and ask each instance with them."""
+    """Remove and move keys without other load, then use them everywhere."""
     version = await put_version()
     await asyncio.sleep(apply_s)
     owner = NAMES[version % 2]
--- a/tests/bench/test_zones.py
+++ b/tests/bench/test_zones.py
@@ -79,8 +79,8 @@
     assert counts.cost_ms < before.cost_ms
 
 
-# Each sees its own requests and the load reports only; they must not send
-# all or nothing by turns.
+# Each instance has only its own requests and the load reports; the two zones
+# must not alternate between sending everything and nothing.
 def test_two_zones_that_send_into_a_third_do_not_swing_together():
     counts = replay('two-into-third')
     assert counts.failed == 0
--- a/tests/edges/test_callermemory.py
+++ b/tests/edges/test_callermemory.py
@@ -99,7 +99,8 @@
     assert events[0].bodies_evicted == 7
 
 
-# Of bodies that all go on, the slowest had the same chance as the fastest.
+# Among progressing bodies, the fastest was as likely to be evicted as the
+# slowest.
 async def test_the_slowest_of_those_that_go_on_is_evicted(monkeypatch):
     memory, clock = make_memory(100, monkeypatch)
     evicted = []
--- a/tests/edges/test_httpserver.py
+++ b/tests/edges/test_httpserver.py
@@ -281,8 +281,8 @@
     await server.close()
 
 
-# The close reset the connection, and the caller could not know that nothing
-# ran.
+# The close reset the connection, so that the caller lost the refusal, which
+# guarantees that nothing ran.
 async def test_caller_reads_why_its_body_was_refused():
     memory = callermemory.CallerMemory(20_000)
     server = httpserver.HttpServer(
--- a/tests/entry/test_heartbeats.py
+++ b/tests/entry/test_heartbeats.py
@@ -29,8 +29,8 @@
     entrybuilders.run_cluster(scenario, relays=True)
 
 
-# Of 300 instances 600 heartbeats a second say nothing new; one that does, of
-# a stop or of a new start, must not be taken for the one before.
+# In most of the 600 heartbeats a second of 300 instances, only the counter
+# changes; one with another change must not be mistaken for its predecessor.
 def test_heartbeats_are_decoded_again_once_they_say_something_new():
     async def scenario(cluster):
         membership = cluster.entry_by_name['entry-1'].node.membership
--- a/tests/leadership/test_separation.py
+++ b/tests/leadership/test_separation.py
@@ -1,4 +1,4 @@
-"""Test duties whose holders the platform tells apart by instance."""
+"""Test duties whose holders the platform distinguishes by instance."""
 
 import asyncio
 import random
@@ -36,7 +36,7 @@
 
 
 def put_leader(service, usage_duty, holder, name, fence):
-    """Write the row of another holder; the instance hears of it."""
+    """Write the row of another holder and pass it to the instance."""
     row = leader.LeaderRow(holder, name, fence, 1)
     service.apply(rows.Transaction(puts=((KEY, orjson.dumps(row)),)))
     usage_duty.apply_row(service.row_by_name[KEY])
--- a/tests/placement/test_placer.py
+++ b/tests/placement/test_placer.py
@@ -80,7 +80,7 @@
     endpoints.record_failure(other, builders.NOW - 0.4)
     assert not other.is_backing_off(builders.NOW)
     assert builders.choose(placer, [own, other]) == 'a'
-    # One request of ten asks whether it is reached again.
+    # One request of ten checks whether the zone is reachable again.
     names = [builders.choose(placer, [own, other]) for _ in range(20)]
     assert names.count('b') == 1
     endpoints.record_success(other, None, builders.NOW)
@@ -156,7 +156,7 @@
     assert builders.choose(placer, [own, other]) == 'a'
 
 
-# Two full zones took each other for idle and exchanged their requests.
+# Two full zones regarded each other as idle and exchanged their requests.
 def test_zone_that_was_not_called_for_a_second_is_not_idle():
     state = builders.make_state('b', 'west')
     for _ in range(20):
--- a/tests/platform/test_relayedrows.py
+++ b/tests/platform/test_relayedrows.py
@@ -29,7 +29,7 @@
     assert again.workspaces.find('blue-key-1').name == 'blue'
 
 
-# Builds that know no workspaces compare and count these bytes.
+# Builds without workspaces compare and count these bytes.
 def test_configuration_without_workspaces_is_relayed_as_it_is():
     value = orjson.dumps(entrybuilders.make_configuration()) + b' '
     assert relayedrows.hide_keys(value) == value
--- a/tests/scaling/test_plan.py
+++ b/tests/scaling/test_plan.py
@@ -169,7 +169,7 @@
     assert cloud.get_capacity() >= 10
     count = len(cloud.orders)
     cloud.run(60, demand(10, committed=6))
-    # What is not available is asked for again, but not at each moment.
+    # Unavailable engines are ordered again, but not in each round.
     assert len(cloud.orders) - count <= 60 / BOOT_S
 
 
--- a/tests/table/test_pacing.py
+++ b/tests/table/test_pacing.py
@@ -72,7 +72,7 @@
     assert max(latenesses) <= limit_s
 
 
-# A pause would delay what instances learn of the endpoints they have today.
+# A pause would delay the entries in fleets of the present size.
 def test_the_entries_of_few_endpoints_are_not_delayed():
     _, latenesses = follow_engines(100)
     assert max(latenesses) <= ROUND_TRIP_S
--- a/tests/usage/test_reports.py
+++ b/tests/usage/test_reports.py
@@ -59,8 +59,8 @@
     usagebuilders.run(scenario)
 
 
-# A table that starts again may begin its clock anew: true time would seem to
-# stand still, or thousands of windows to be over.
+# A restarted table may reset its clock: no window would seem to end, or
+# thousands of windows would.
 @pytest.mark.parametrize('jump_ms', [-3_600_000, 3_600_000])
 def test_clock_of_the_table_that_begins_anew_is_noticed(jump_ms):
     async def scenario(cluster, api, traffic):
--- a/tests/workspaces/test_jobs.py
+++ b/tests/workspaces/test_jobs.py
@@ -71,7 +71,7 @@
     ]
 
 
-# Builds that know no workspaces read these rows, and the bytes are compared.
+# Builds without workspaces read these rows and compare the bytes.
 def test_rows_without_a_workspace_are_those_of_earlier_builds():
     record = jobs.JobRecord('j', 'a-1', 'a', 3, 1, 5)
     assert rowcodec.encode_record(record) == (
@@ -147,7 +147,7 @@
     builders.run(scenario)
 
 
-# It would tell whether another workspace has a job of that id.
+# It would reveal whether another workspace has a job of that id.
 def test_missing_job_is_refused_as_that_of_another_workspace():
     async def scenario(cluster):
         for key, status in ((None, 401), ('no', 401), ('blue-key-1', 404)):
@@ -267,7 +267,7 @@
     builders.run(scenario)
 
 
-# Without the keys it can't tell whose the job is.
+# Without the keys, the workspace of the job can't be checked.
 def test_job_call_with_a_key_waits_for_a_configuration():
     async def scenario(cluster):
         assert (await submit(cluster, None)).status == 202
--- a/tests/workspaces/test_requests.py
+++ b/tests/workspaces/test_requests.py
@@ -82,7 +82,7 @@
     builders.run(scenario)
 
 
-# A caller takes a 401 for final, and the key may just have been added.
+# Callers do not retry after a 401, and the key may just have been added.
 def test_unknown_key_is_refused_for_good_only_by_a_confirmed_copy():
     async def scenario(cluster):
         entry = cluster.entry_by_name[ENTRY]
@@ -406,7 +406,7 @@
     builders.run(scenario)
 
 
-# The caller's answer goes on, and no endpoint may continue it.
+# The running answer continues, but no other endpoint may resume it.
 def test_stream_is_not_continued_elsewhere_after_its_key_is_removed():
     async def scenario(cluster):
         for endpoint in cluster.pool.endpoint_by_id.values():
@@ -445,7 +445,7 @@
     builders.run(scenario)
 
 
-# An instance that the table refuses learns the keys from its peers.
+# An instance that the table refuses receives the keys through its peers.
 def test_peers_get_no_key_with_the_rows_that_they_relay():
     async def scenario(cluster):
         answers = []
--- a/tests/workspaces/test_streams.py
+++ b/tests/workspaces/test_streams.py
@@ -36,7 +36,7 @@
 
 
 def add_other_software(cluster):
-    """Let only engines of another software than the base take streams."""
+    """Let only engines of another software than the base serve streams."""
     for endpoint in list(cluster.pool.endpoint_by_id.values()):
         if endpoint.version_by_model:
             endpoint.slots = 0
@@ -51,7 +51,7 @@
     )
 
 
-# The instance that began it knows whose it is, with a row or without.
+# The instance that began a stream checks its workspace, even without a row.
 @pytest.mark.parametrize('has_row', [False, True])
 def test_stream_is_not_resumed_for_another_workspace(has_row):
     async def scenario(cluster):
@@ -71,7 +71,7 @@
     builders.run(scenario, software='v1')
 
 
-# Without a row the endpoint learns who resumes it.
+# Without a row, the endpoint gets the workspace of the resuming caller.
 def test_stream_without_a_row_is_resumed_under_the_name_of_the_caller():
     async def scenario(cluster):
         await begin(cluster, 'red-key-1')
