--- a/pomelopass/usage/manager.py
+++ b/pomelopass/usage/manager.py
@@ -32,9 +32,6 @@
 GIVE_UP_UNANSWERED_MS = 10_000.0
 # Time after a start within which most instances become known.
 FIRST_AGREEMENT_DELAY_MS = 3000.0
-# Limit of the wait for counts: those of an instance that has just died, and is
-# still considered alive, never arrive.
-MAX_COUNT_WAIT_MS = 3000.0
 # Rows of dead instances are kept for this many accepted windows, so that
 # late counts can be logged.
 KEPT_WINDOWS = 1
@@ -97,8 +94,7 @@
         self.unanswered_since: float | None = None
         # Start of the first of consecutive calls without a connection.
         self.unreachable_since: float | None = None
-        # Since when the counts of a window that is over are incomplete.
-        self.incomplete_since: float | None = None
+        self.count_wait = windows.CountWait()
         # When a call last ended without an answer.
         self.unanswered_at = float('-inf')
         self.retry_at = float('-inf')
@@ -206,15 +202,10 @@
             {row.name.key: count_row for row, count_row in counts},
             self.membership.get_alive_incarnations(now),
         )
-        if counted is None or counted >= closed:
-            self.incomplete_since = None
-            return closed
-        if self.incomplete_since is None:
-            self.incomplete_since = now
-        if (now - self.incomplete_since) * 1000 < MAX_COUNT_WAIT_MS:
+        last = self.count_wait.choose(counted, closed, now)
+        if last < closed:
             self._delay_retry()
-            return max(counted, first - 1)
-        return closed
+        return max(last, first - 1)
 
     async def _store_reports(
         self, numbers: range, count_rows: list[rowcodec.CountRow]
@@ -417,7 +408,7 @@
         self.stored = None
         self.unanswered_since = None
         self.unreachable_since = None
-        self.incomplete_since = None
+        self.count_wait = windows.CountWait()
         self.attempts_by_window.clear()
         self.accepted.clear()
         self.requests_by_window.clear()
--- a/pomelopass/usage/windows.py
+++ b/pomelopass/usage/windows.py
@@ -7,6 +7,7 @@
 
 __all__ = [
     'CLOSE_SHARE',
+    'CountWait',
     'get_closed_window',
     'get_counted_window',
     'get_first_window',
@@ -20,6 +21,42 @@
 # Windows before the first agreement on a clock that are reported as well:
 # requests are served for some seconds before it.
 WINDOWS_BEFORE_START = 2
+# Limit of the wait for counts: those of an instance that has just died, and is
+# still considered alive, never arrive.
+MAX_COUNT_WAIT_MS = 3000.0
+
+
+class CountWait:
+    """Bounded wait for the counts of all live instances.
+
+    The load pattern: one instance is late with its counts for a window, and
+    another one for the next.
+    """
+
+    def __init__(self) -> None:
+        # In seconds of the event loop; None while nothing is waited for.
+        self.began_at: float | None = None
+        # Last window for which the wait ran out.
+        self.expired_to = -1
+
+    def choose(self, counted: int | None, closed: int, now: float) -> int:
+        """Return the last window to sum now.
+
+        Take the last window that all live instances counted, None without
+        any instance, and the last one that may be summed.
+        """
+        if counted is None or counted >= closed:
+            self.began_at = None
+            return closed
+        if self.began_at is None:
+            self.began_at = now
+        waited_ms = (now - self.began_at) * 1000
+        if closed > self.expired_to and waited_ms < MAX_COUNT_WAIT_MS:
+            return counted
+        # Later windows have a wait of their own.
+        self.began_at = None
+        self.expired_to = max(self.expired_to, closed)
+        return closed
 
 
 def get_closed_window(true_ms: float, window_ms: float, late_ms: float) -> int:
--- a/scripts/dutymutants.py
+++ b/scripts/dutymutants.py
@@ -174,7 +174,7 @@
     ),
     mutant.Mutant(
         'windows-close-without-all-counts',
-        MANAGER,
+        'pomelopass/usage/windows.py',
         'if counted is None or counted >= closed:',
         'if True:',
         (REPORTS,),
@@ -242,6 +242,14 @@
         'or offset_ms < self.best_offset_ms',
         (WINDOWS,),
     ),
+    mutant.Mutant(
+        'later-windows-wait-for-no-counts',
+        'pomelopass/usage/windows.py',
+        '        # Later windows have a wait of their own.\n'
+        '        self.began_at = None\n',
+        '',
+        (WINDOWS,),
+    ),
     mutant.Mutant(
         'request-counts-twice-by-its-id',
         STARTS,
--- a/tests/usage/test_windows.py
+++ b/tests/usage/test_windows.py
@@ -131,6 +131,22 @@
     assert windows.get_closed_window(closed_at_ms, WINDOW_MS, 10e3) == 1
 
 
+# After a wait that ran out, later windows were summed without the counts of
+# instances that were a little late.
+def test_each_window_waits_for_late_counts():
+    wait = windows.CountWait()
+    limit_s = windows.MAX_COUNT_WAIT_MS / 1000
+    assert wait.choose(6, 7, 100.0) == 6
+    assert wait.choose(6, 7, 100.0 + limit_s) == 7
+    # A failed write is repeated without a further wait.
+    assert wait.choose(6, 7, 100.5 + limit_s) == 7
+    assert wait.choose(7, 8, 105.0) == 7
+    assert wait.choose(8, 8, 106.0) == 8
+    assert wait.choose(8, 9, 110.0) == 8
+    assert wait.choose(8, 9, 110.0 + limit_s) == 9
+    assert wait.choose(None, 10, 115.0) == 10
+
+
 def test_request_counts_once_by_its_id_and_workspace():
     async def scenario():
         counter = make_counter()
