--- a/pomelopass/scaling/observation.py
+++ b/pomelopass/scaling/observation.py
@@ -16,7 +16,7 @@
 # An item takes less than half of the time that its job has, so that an engine
 # runs so many items in each slot in time.
 JOB_ROUNDS = 2
-# Of an engine, while none is there that tells its own.
+# Assumed for an engine while no registered one shows another number.
 USUAL_SLOTS = 6
 
 
