--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec python3 "$(dirname "$0")/case.py"
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,7 +1,9 @@
-"""Submit jobs on a new route while instances wait on a silent connection."""
+"""Submit one job of the size of a training step beside ordinary callers."""
 
+import json
 import pathlib
 import sys
+import threading
 import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
@@ -9,86 +11,170 @@
 
 import harness  # noqa: E402
 
-MODELS = ['alpha', 'beta', 'gamma', 'delta']
-INSTANCES = ('entry-0', 'entry-1', 'entry-2', 'entry-3')
-# The table answers these on their other connections.
-CUT = INSTANCES[1:]
-OLD_ROUTE, NEW_ROUTE = 'steady', 'fresh'
-ITEM_TTL_S = 40
-READ_S = 25.0
+MODEL = 'alpha'
+INSTANCES = ('entry-0', 'entry-1', 'entry-2')
+ENGINES = 8
+ROUTE, DESK = 'steady', 'desk'
+GROUP_SIZE = 8
+ITEMS = 8192 if harness.TROUBLE else 64
+MAX_BODY_BYTES = 33_554_432
+TIMEOUT_MS = 1500
+DEADLINE_MS = 5000
+# The rule: half a second after the route's time.
+SLACK_MS = 500
+CALL_INTERVAL_S = 0.5
+CALM_S = 5.0
+PLAYED_S = 40.0
+LATE_TO_FAIL = 8
+LATE_SHARE_TO_FAIL = 0.25
 
 
-def make_routes(*names: str) -> list[dict]:
-    return [
-        harness.make_route(
-            name,
-            'rollout',
-            'engines',
-            result_deadline_ms=20_000,
-            item_ttl_s=ITEM_TTL_S,
-        )
-        for name in names
-    ]
+class Caller(threading.Thread):
+    """Sends a request to one instance each half second, one at a time."""
+
+    def __init__(self, deployment, record, name: str, end_at: float):
+        super().__init__()
+        self.record = record
+        self.name = name
+        self.address = deployment.get_address(name)
+        self.end_at = end_at
+        self.answered = 0
+        self.long = 0
+        self.late = 0
+
+    def run(self) -> None:
+        number = 0
+        while (now := time.monotonic()) < self.end_at:
+            number += 1
+            status, _ = harness.call(
+                self.address,
+                'POST',
+                f'/{DESK}/{number}',
+                b'x' * 600,
+                {
+                    'Host': harness.HOST,
+                    'Attempt-Id': f'{self.name}-{number}',
+                    'Deadline-Ms': str(DEADLINE_MS),
+                },
+                DEADLINE_MS / 1000,
+            )
+            took_ms = (time.monotonic() - now) * 1000
+            self.answered += status == 200
+            self.long += took_ms >= TIMEOUT_MS
+            self.late += took_ms > TIMEOUT_MS + SLACK_MS
+            self.record.write(
+                f'request {number} at {self.name}: {status} after'
+                f' {took_ms:.0f} ms'
+            )
+            time.sleep(max(now + CALL_INTERVAL_S - time.monotonic(), 0.0))
+
+
+class Readiness(threading.Thread):
+    """Asks one instance each second whether it is ready."""
+
+    def __init__(self, deployment, record, name: str, end_at: float):
+        super().__init__()
+        self.record = record
+        self.name = name
+        self.address = deployment.get_address(name, 'readiness_address')
+        self.end_at = end_at
+        self.silent_since: float | None = None
+        self.longest_s = 0.0
+
+    def run(self) -> None:
+        while (now := time.monotonic()) < self.end_at:
+            status, _ = harness.call(
+                self.address, 'GET', '/-/readiness', timeout_s=1.0
+            )
+            if status:
+                self.silent_since = None
+            else:
+                self.silent_since = self.silent_since or now
+                silent_s = time.monotonic() - self.silent_since
+                self.longest_s = max(self.longest_s, silent_s)
+            time.sleep(max(now + 1.0 - time.monotonic(), 0.0))
 
 
-def waits_for_configuration(request_line: str) -> bool:
-    return 'rows-feed' in request_line and 'table=op&' in request_line
+def get_cpu_s(pid: int) -> float:
+    fields = pathlib.Path(f'/proc/{pid}/stat').read_text().split()
+    return (int(fields[13]) + int(fields[14])) / 100
 
 
 def scenario(deployment: harness.Deployment, record: harness.Record) -> int:
-    deployment.start_platform(
-        '--engines', '4', '--models', ','.join(MODELS)
-    )
-    configuration = harness.make_configuration(
-        1, make_routes(OLD_ROUTE), MODELS
+    deployment.start_platform('--engines', str(ENGINES), '--models', MODEL)
+    routes = [
+        harness.make_route(
+            ROUTE,
+            'rollout',
+            'engines',
+            result_deadline_ms=600_000,
+            item_ttl_s=900,
+        ),
+        harness.make_route(
+            DESK, 'idempotent', 'desk', timeout_ms=TIMEOUT_MS, max_attempts=4
+        ),
+    ]
+    deployment.put_row(
+        'op',
+        'config',
+        harness.make_configuration(
+            1, routes, [MODEL], max_body_bytes=MAX_BODY_BYTES
+        ),
     )
-    deployment.put_row('op', 'config', configuration)
-    proxy_by_name = {}
     for name in INSTANCES:
-        proxy = deployment.make_proxy(deployment.table_address)
-        proxy_by_name[name] = proxy
-        deployment.start_entry(name, table_address=proxy.address)
+        deployment.start_entry(name)
     deployment.wait_ready()
-    time.sleep(4.0)
-
-    if harness.TROUBLE:
-        for name in CUT:
-            for line in proxy_by_name[name].silence(waits_for_configuration):
-                record.write(f'silenced at {name}: {line}')
-    changed = harness.make_configuration(
-        4, make_routes(OLD_ROUTE, NEW_ROUTE), MODELS
+    time.sleep(3.0)
+    for number in range(ENGINES):
+        # 0.15 s for an event; a lighter load for the stand-in.
+        deployment.change_endpoint(f'engine-{number}', slowness=5.0)
+    end_at = time.monotonic() + CALM_S + PLAYED_S
+    callers = [
+        Caller(deployment, record, name, end_at) for name in INSTANCES
+    ]
+    checks = [
+        Readiness(deployment, record, name, end_at) for name in INSTANCES
+    ]
+    for thread in (*callers, *checks):
+        thread.start()
+    time.sleep(CALM_S)
+    job = harness.make_job(
+        'joba', ROUTE, MODEL, ITEMS // GROUP_SIZE, GROUP_SIZE, b'x' * 300
+    )
+    record.write(
+        f'the job has {len(json.dumps(job))} bytes of'
+        f' {MAX_BODY_BYTES} allowed'
+    )
+    cpu_s = {
+        name: get_cpu_s(deployment.popen_by_name[name].pid)
+        for name in INSTANCES
+    }
+    status = harness.submit(
+        record, deployment.get_address(INSTANCES[0]), ROUTE, 'joba', job
     )
-    deployment.put_row('op', 'config', changed)
-    record.write(f'configuration 4 acknowledged: route /{NEW_ROUTE}/ added')
-    time.sleep(0.2)
-
-    jobs = {f'job{model}': model for model in MODELS}
-    address = deployment.get_address(INSTANCES[0])
-    for job_id, model in jobs.items():
-        job = harness.make_job(job_id, NEW_ROUTE, model, 2, 4)
-        status = harness.submit(record, address, NEW_ROUTE, job_id, job)
-        if status != 202:
-            raise harness.CouldNotRunError(f'{job_id} is not accepted')
-    until = time.monotonic() + READ_S
-    terminated = 0
-    for job_id in jobs:
-        results, total = harness.read_results(record, address, job_id, until)
-        states = [result['state'] for result in results]
-        terminated += states.count('terminated')
+    for thread in (*callers, *checks):
+        thread.join()
+    for name, caller, check in zip(INSTANCES, callers, checks, strict=True):
+        used_s = get_cpu_s(deployment.popen_by_name[name].pid) - cpu_s[name]
         record.write(
-            f'{job_id}: {states.count("completed")} completed,'
-            f' {states.count("terminated")} terminated of {total}'
+            f'{name}: {caller.answered} answered, {caller.long} longer than'
+            f' {TIMEOUT_MS} ms, {caller.late} of them without an answer'
+            f' {SLACK_MS} ms later; readiness unanswered for up to'
+            f' {check.longest_s:.1f} s, {used_s:.1f} s of CPU used'
         )
-        if len(results) != total:
-            raise harness.CouldNotRunError(f'{job_id} does not end')
     seen = deployment.get_seen()
     ran = sum(
         len(endpoint['ran'])
         for name, endpoint in seen.items()
         if name.startswith('engine-')
     )
-    record.write(f'runs at the engines: {ran}; items given up: {terminated}')
-    return harness.BROKEN if terminated else harness.HELD
+    record.write(f'runs at the engines since the job came: {ran}')
+    if status != 202:
+        raise harness.CouldNotRunError('the job is not accepted')
+    late = sum(caller.late for caller in callers)
+    long = sum(caller.long for caller in callers)
+    is_broken = late >= LATE_TO_FAIL and late > LATE_SHARE_TO_FAIL * long
+    return harness.BROKEN if is_broken else harness.HELD
 
 
 harness.run(FOLDER, scenario)
