--- a/review/10/run.sh
+++ /dev/null
@@ -1,2 +0,0 @@
-#!/bin/sh
-exec python3 "$(dirname "$0")/case.py"
--- a/review/common-2/memorywatch.py
+++ b/review/common-2/memorywatch.py
@@ -22,18 +22,20 @@
         self.ends_by_name = dict.fromkeys(names, 0)
         self.stopped = threading.Event()
         self.threads = [
-            threading.Thread(target=self._watch, args=(name,))
+            threading.Thread(target=self._watch, args=(name,), daemon=True)
             for name in names
         ]
         for thread in self.threads:
             thread.start()
 
     def stop(self) -> None:
+        """Stop watching."""
         self.stopped.set()
         for thread in self.threads:
             thread.join()
 
     def write_summary(self) -> None:
+        """Record the peaks and ends."""
         for name, peak in self.peak_by_name.items():
             self.record.write(
                 f'{name}: peak {peak / 1e6:.0f} MB of {self.memory_mb},'
--- a/review/common-2/platform_standin.py
+++ b/review/common-2/platform_standin.py
@@ -16,6 +16,7 @@
     """Table client whose pages of rows end at 1 MB."""
 
     async def read(self, key_range):
+        """Return one page of a key range."""
         page = await super().read(key_range)
         kept = []
         size = 0
