--- a/review/6/case.py
+++ b/review/6/case.py
@@ -30,10 +30,10 @@
 
 
 class Callers(threading.Thread):
-    """Callers of one instance; one of them sends a request each half second."""
+    """Callers of one instance; each half second one sends a request."""
 
     def __init__(self, deployment, record, name: str, end_at: float):
-        super().__init__()
+        super().__init__(daemon=True)
         self.record = record
         self.name = name
         self.address = deployment.get_address(name)
@@ -44,11 +44,14 @@
         self.lock = threading.Lock()
 
     def run(self) -> None:
+        """Send requests until the end, and wait for their answers."""
         calls = []
         number = 0
         while (now := time.monotonic()) < self.end_at:
             number += 1
-            call = threading.Thread(target=self._call, args=(number,))
+            call = threading.Thread(
+                target=self._call, args=(number,), daemon=True
+            )
             call.start()
             calls.append(call)
             time.sleep(max(now + CALL_INTERVAL_S - time.monotonic(), 0.0))
@@ -83,7 +86,7 @@
     """Asks one instance each second whether it is ready."""
 
     def __init__(self, deployment, record, name: str, end_at: float):
-        super().__init__()
+        super().__init__(daemon=True)
         self.record = record
         self.name = name
         self.address = deployment.get_address(name, 'readiness_address')
@@ -92,6 +95,7 @@
         self.longest_s = 0.0
 
     def run(self) -> None:
+        """Ask until the end."""
         while (now := time.monotonic()) < self.end_at:
             status, _ = harness.call(
                 self.address, 'GET', '/-/readiness', timeout_s=1.0
@@ -106,11 +110,13 @@
 
 
 def get_cpu_s(pid: int) -> float:
+    """Return the processor time of a process."""
     fields = pathlib.Path(f'/proc/{pid}/stat').read_text().split()
     return (int(fields[13]) + int(fields[14])) / 100
 
 
 def scenario(deployment: harness.Deployment, record: harness.Record) -> int:
+    """Return the verdict."""
     deployment.start_platform('--engines', str(ENGINES), '--models', MODEL)
     routes = [
         harness.make_route(
@@ -139,9 +145,7 @@
         # 0.12 s for an event; a lighter load for the stand-in.
         deployment.change_endpoint(f'engine-{number}', slowness=4.0)
     end_at = time.monotonic() + CALM_S + PLAYED_S
-    callers = [
-        Callers(deployment, record, name, end_at) for name in INSTANCES
-    ]
+    callers = [Callers(deployment, record, name, end_at) for name in INSTANCES]
     checks = [
         Readiness(deployment, record, name, end_at) for name in INSTANCES
     ]
@@ -152,8 +156,7 @@
         'joba', ROUTE, MODEL, ITEMS // GROUP_SIZE, GROUP_SIZE, b'x' * 300
     )
     record.write(
-        f'the job has {len(json.dumps(job))} bytes of'
-        f' {MAX_BODY_BYTES} allowed'
+        f'the job has {len(json.dumps(job))} bytes of {MAX_BODY_BYTES} allowed'
     )
     cpu_s = {
         name: get_cpu_s(deployment.popen_by_name[name].pid)
