--- a/review/6/case.py
+++ b/review/6/case.py
@@ -142,8 +142,8 @@
     deployment.wait_ready()
     time.sleep(3.0)
     for number in range(ENGINES):
-        # 0.12 s for an event; a lighter load for the stand-in.
-        deployment.change_endpoint(f'engine-{number}', slowness=4.0)
+        # 0.06 s for an event; a lighter load for the stand-in.
+        deployment.change_endpoint(f'engine-{number}', slowness=2.0)
     end_at = time.monotonic() + CALM_S + PLAYED_S
     callers = [Callers(deployment, record, name, end_at) for name in INSTANCES]
     checks = [
